Add the kernel, the configuration model and the load decision core

The kernel (registry, timer, group, control loop), the configuration model with plans and confirmations, the store client with its in-memory stand-in, and the decision cores of dispatching and routing.

--- /dev/null
+++ b/internal/contract/catalog/assemble.go
@@ -0,0 +1,86 @@
+package catalog
+
+// This file defines Assemble, which builds a configuration from its documents,
+// and Change, the difference between two revisions.
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"hash"
+
+	"github.com/pkg/errors"
+)
+
+// ErrDigest reports that the content of a document is not the named one.
+var ErrDigest = errors.New("catalog: content does not match its digest")
+
+// Fetch returns the content of a document.
+type Fetch func(isPool bool, name string, digest Digest) ([]byte, error)
+
+// Assemble builds the configuration that head names.
+func Assemble(head *Head, fetch Fetch) (*Catalog, error) {
+	c := New()
+	c.Revision = head.Revision
+	for _, name := range sortedKeys(head.Services) {
+		var s Service
+		if err := fetchInto(fetch, false, name, head.Services[name], &s); err != nil {
+			return nil, err
+		}
+		c.Services[name] = s
+	}
+	for _, name := range sortedKeys(head.Pools) {
+		var p Pool
+		if err := fetchInto(fetch, true, name, head.Pools[name], &p); err != nil {
+			return nil, err
+		}
+		c.Pools[name] = p
+	}
+	return c, nil
+}
+
+func fetchInto(fetch Fetch, isPool bool, name string, digest Digest, v any) error {
+	content, err := fetch(isPool, name, digest)
+	if err != nil {
+		return errors.Wrapf(err, "catalog: document %s", name)
+	}
+	if got := DigestOf(content); got != digest {
+		return errors.Wrapf(ErrDigest, "document %s: %s, want %s", name, got, digest)
+	}
+	return errors.Wrapf(json.Unmarshal(content, v), "catalog: document %s", name)
+}
+
+// digestBytes is the length of a digest. Partners write documents, so the hash
+// must resist collisions.
+const digestBytes = 16
+
+// DigestOf returns the digest of a document's content.
+func DigestOf(content []byte) Digest {
+	sum := sha256.New()
+	sum.Write(content)
+	return digestOf(sum)
+}
+
+func digestOf(sum hash.Hash) Digest {
+	return Digest(hex.EncodeToString(sum.Sum(nil)[:digestBytes]))
+}
+
+// WithoutHistory drops the history, for the head of the empty configuration.
+func (h *Head) WithoutHistory() *Head {
+	h.History = nil
+	return h
+}
+
+// Sum returns a digest of everything that the head puts in force.
+func (h *Head) Sum() Digest {
+	sum := sha256.New()
+	fmt.Fprintf(sum, "%d\n", h.Revision)
+	for _, name := range sortedKeys(h.Services) {
+		fmt.Fprintf(sum, "s %s %s\n", name, h.Services[name])
+	}
+	for _, name := range sortedKeys(h.Pools) {
+		fmt.Fprintf(sum, "p %s %s\n", name, h.Pools[name])
+	}
+	return digestOf(sum)
+}
--- /dev/null
+++ b/internal/contract/catalog/intent.go
@@ -0,0 +1,336 @@
+package catalog
+
+// This file defines Intent, the changes an operator declares, and Apply.
+
+import (
+	"fmt"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"tamaracktiller.example/tamaracktiller/internal/contract/document"
+)
+
+const (
+	// MaxIntentBytes is the largest accepted intent document.
+	MaxIntentBytes = 256 << 10
+	// maxTargetsPerPool keeps a pool document far below the store's limit of 1 MB.
+	maxTargetsPerPool = 2000
+	// maxSlots is the largest number of slots of one target.
+	maxSlots = 10000
+	// maxShare is the largest share of a service in its pool.
+	maxShare = 1000
+	// maxDeadline is the longest deadline of a kind.
+	maxDeadline = time.Hour
+)
+
+// namePattern is the form of all names: kebab case.
+var namePattern = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
+
+// Join adds a target to a pool. The pool is created when it does not exist.
+type Join struct {
+	Pool   string `json:"pool"`
+	Target Target `json:"target"`
+}
+
+// Leave marks a target as leaving, or removes it once it is drained.
+type Leave struct {
+	Pool   string `json:"pool"`
+	Target string `json:"target"`
+	// Remove deletes the target instead of draining it.
+	Remove bool `json:"remove,omitempty"`
+}
+
+// ShareChange sets the share of a service in its pool.
+type ShareChange struct {
+	Service string `json:"service"`
+	Share   int    `json:"share"`
+}
+
+// Intent is a set of changes that one partner declares together.
+type Intent struct {
+	Partner  Partner       `json:"partner"`
+	Reason   string        `json:"reason"`
+	Front    []Service     `json:"front,omitempty"`
+	Withdraw []string      `json:"withdraw,omitempty"`
+	Shares   []ShareChange `json:"shares,omitempty"`
+	Join     []Join        `json:"join,omitempty"`
+	Leave    []Leave       `json:"leave,omitempty"`
+}
+
+// FieldError reports a wrong value in an intent.
+type FieldError struct {
+	Field  string
+	Reason string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string { return fmt.Sprintf("%s: %s", e.Field, e.Reason) }
+
+func wrong(field, format string, args ...any) error {
+	return &FieldError{Field: field, Reason: fmt.Sprintf(format, args...)}
+}
+
+// ParseIntent reads and checks an intent document. Errors name line and field.
+func ParseIntent(file string, data []byte) (*Intent, error) {
+	if len(data) > MaxIntentBytes {
+		return nil, &document.Error{File: file, Line: 1, Reason: fmt.Sprintf("%d bytes, the limit is %d", len(data), MaxIntentBytes)}
+	}
+	var in Intent
+	if err := document.Decode(file, data, &in); err != nil {
+		return nil, err
+	}
+	if err := in.check(); err != nil {
+		field, _ := err.(*FieldError) //nolint:errorlint // check returns *FieldError only.
+		return nil, document.Invalid(file, data, field.Field, field.Reason)
+	}
+	return &in, nil
+}
+
+func (in *Intent) check() error {
+	if !namePattern.MatchString(string(in.Partner)) {
+		return wrong("partner", "want a kebab-case name, got %q", in.Partner)
+	}
+	if strings.TrimSpace(in.Reason) == "" {
+		return wrong("reason", "say why the change is made")
+	}
+	for i, s := range in.Front {
+		if err := s.check(fmt.Sprintf("front[%d]", i)); err != nil {
+			return err
+		}
+		if s.Partner != in.Partner {
+			return wrong(fmt.Sprintf("front[%d].partner", i), "%q cannot front a service of %q", in.Partner, s.Partner)
+		}
+	}
+	for i, j := range in.Join {
+		if err := j.check(fmt.Sprintf("join[%d]", i)); err != nil {
+			return err
+		}
+	}
+	for i, s := range in.Shares {
+		if s.Share < 1 || s.Share > maxShare {
+			return wrong(fmt.Sprintf("shares[%d].share", i), "want 1 to %d, got %d", maxShare, s.Share)
+		}
+	}
+	return nil
+}
+
+func (s *Service) check(path string) error {
+	switch {
+	case !namePattern.MatchString(s.Name):
+		return wrong(path+".name", "want a kebab-case name, got %q", s.Name)
+	case !namePattern.MatchString(s.Pool):
+		return wrong(path+".pool", "want a kebab-case name, got %q", s.Pool)
+	case len(s.Hosts) == 0:
+		return wrong(path+".hosts", "want at least one host name")
+	case s.Share < 1 || s.Share > maxShare:
+		return wrong(path+".share", "want 1 to %d, got %d", maxShare, s.Share)
+	case len(s.Kinds) == 0:
+		return wrong(path+".kinds", "want at least one kind of request")
+	case s.Objective.GoodPerThousand < 1 || s.Objective.GoodPerThousand > 999:
+		return wrong(path+".objective.good-per-thousand", "want 1 to 999, got %d", s.Objective.GoodPerThousand)
+	case s.Objective.Latency <= 0:
+		return wrong(path+".objective.latency", "want a time above zero")
+	}
+	for i, k := range s.Kinds {
+		if err := k.check(fmt.Sprintf("%s.kinds[%d]", path, i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (k *Kind) check(path string) error {
+	switch {
+	case !namePattern.MatchString(k.Name):
+		return wrong(path+".name", "want a kebab-case name, got %q", k.Name)
+	case !strings.HasPrefix(k.PathPrefix, "/"):
+		return wrong(path+".path-prefix", "want a path that starts with /, got %q", k.PathPrefix)
+	case k.Weight < 1:
+		return wrong(path+".weight", "want at least 1, got %d", k.Weight)
+	case k.Deadline.Std() <= 0 || k.Deadline.Std() > maxDeadline:
+		return wrong(path+".deadline", "want a time above zero and up to %s", maxDeadline)
+	}
+	return nil
+}
+
+// Matches reports whether a request is of this kind.
+func (k *Kind) Matches(method, path string) bool {
+	if len(k.Methods) > 0 && !slices.Contains(k.Methods, method) {
+		return false
+	}
+	return strings.HasPrefix(path, k.PathPrefix)
+}
+
+// KindOf returns the kind of a request: the longest matching prefix.
+func (s *Service) KindOf(method, path string) (*Kind, bool) {
+	var best *Kind
+	for i := range s.Kinds {
+		k := &s.Kinds[i]
+		if !k.Matches(method, path) {
+			continue
+		}
+		if best == nil || len(k.PathPrefix) > len(best.PathPrefix) {
+			best = k
+		}
+	}
+	return best, best != nil
+}
+
+// SafeMethod reports whether the method promises to change nothing (RFC 9110,
+// section 9.2.1).
+func SafeMethod(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
+func (j *Join) check(path string) error {
+	t := j.Target
+	switch {
+	case !namePattern.MatchString(j.Pool):
+		return wrong(path+".pool", "want a kebab-case name, got %q", j.Pool)
+	case !namePattern.MatchString(t.Name):
+		return wrong(path+".target.name", "want a kebab-case name, got %q", t.Name)
+	case !t.Address.IsValid() || t.Address.Port() == 0:
+		return wrong(path+".target.address", "want an IP number and a port")
+	case t.Address.Addr().IsUnspecified() || t.Address.Addr().IsMulticast():
+		return wrong(path+".target.address", "%s cannot be a target", t.Address)
+	case !namePattern.MatchString(t.Domain):
+		return wrong(path+".target.domain", "want a kebab-case name, got %q", t.Domain)
+	case t.Slots < 1 || t.Slots > maxSlots:
+		return wrong(path+".target.slots", "want 1 to %d, got %d", maxSlots, t.Slots)
+	case t.Connections < t.Slots:
+		return wrong(path+".target.connections", "want at least as many as slots, got %d", t.Connections)
+	case t.Leaving:
+		return wrong(path+".target.leaving", "a target cannot join and leave in one intent")
+	}
+	return nil
+}
+
+// Apply returns the configuration that follows c by the intent, with the next
+// revision. c is not changed. The error is a *FieldError.
+func Apply(c *Catalog, in *Intent) (*Catalog, error) {
+	if err := in.check(); err != nil {
+		return nil, err
+	}
+	next := c.Clone()
+	next.Revision = c.Revision + 1
+	steps := []func(*Catalog, *Intent) error{applyLeaves, applyJoins, applyWithdrawals, applyFronts, applyShares}
+	for _, step := range steps {
+		if err := step(next, in); err != nil {
+			return nil, err
+		}
+	}
+	return next, next.checkWhole()
+}
+
+func applyLeaves(c *Catalog, in *Intent) error {
+	for i, l := range in.Leave {
+		field := fmt.Sprintf("leave[%d].target", i)
+		pool, ok := c.Pools[l.Pool]
+		if !ok {
+			return wrong(field, "no pool %q", l.Pool)
+		}
+		at := slices.IndexFunc(pool.Targets, func(t Target) bool { return t.Name == l.Target })
+		if at < 0 {
+			return wrong(field, "no target %q in pool %q", l.Target, l.Pool)
+		}
+		if l.Remove {
+			pool.Targets = slices.Delete(pool.Targets, at, at+1)
+		} else {
+			pool.Targets[at].Leaving = true
+		}
+		c.Pools[l.Pool] = pool
+	}
+	return nil
+}
+
+func applyJoins(c *Catalog, in *Intent) error {
+	for i, j := range in.Join {
+		pool := c.Pools[j.Pool]
+		pool.Name = j.Pool
+		if slices.ContainsFunc(pool.Targets, func(t Target) bool { return t.Name == j.Target.Name }) {
+			return wrong(fmt.Sprintf("join[%d].target.name", i), "pool %q has a target %q", j.Pool, j.Target.Name)
+		}
+		pool.Targets = append(pool.Targets, j.Target)
+		if len(pool.Targets) > maxTargetsPerPool {
+			return wrong(fmt.Sprintf("join[%d].pool", i), "pool %q would have over %d targets", j.Pool, maxTargetsPerPool)
+		}
+		c.Pools[j.Pool] = pool
+	}
+	return nil
+}
+
+func applyWithdrawals(c *Catalog, in *Intent) error {
+	for i, name := range in.Withdraw {
+		if err := ownService(c, in, name, fmt.Sprintf("withdraw[%d]", i)); err != nil {
+			return err
+		}
+		delete(c.Services, name)
+	}
+	return nil
+}
+
+func applyFronts(c *Catalog, in *Intent) error {
+	for i, s := range in.Front {
+		old, exists := c.Services[s.Name]
+		if exists && old.Partner != in.Partner {
+			return wrong(fmt.Sprintf("front[%d].name", i), "service %q belongs to %q", s.Name, old.Partner)
+		}
+		c.Services[s.Name] = s
+	}
+	return nil
+}
+
+func applyShares(c *Catalog, in *Intent) error {
+	for i, change := range in.Shares {
+		if err := ownService(c, in, change.Service, fmt.Sprintf("shares[%d].service", i)); err != nil {
+			return err
+		}
+		s := c.Services[change.Service]
+		s.Share = change.Share
+		c.Services[change.Service] = s
+	}
+	return nil
+}
+
+func ownService(c *Catalog, in *Intent, name, field string) error {
+	s, ok := c.Services[name]
+	if !ok {
+		return wrong(field, "no service %q", name)
+	}
+	if s.Partner != in.Partner {
+		return wrong(field, "service %q belongs to %q", name, s.Partner)
+	}
+	return nil
+}
+
+// checkWhole checks what no single change shows: hosts and addresses are
+// unique, and every service has its pool. Complexity is linear in the catalog.
+func (c *Catalog) checkWhole() error {
+	byHost := make(map[string]string)
+	for _, name := range sortedKeys(c.Services) {
+		s := c.Services[name]
+		if _, ok := c.Pools[s.Pool]; !ok {
+			return wrong("front", "service %q needs pool %q, which does not exist", name, s.Pool)
+		}
+		for _, host := range s.Hosts {
+			if other, taken := byHost[host]; taken {
+				return wrong("front", "host %q is fronted by %q and %q", host, other, name)
+			}
+			byHost[host] = name
+		}
+	}
+	byAddress := make(map[string]string)
+	for _, name := range sortedKeys(c.Pools) {
+		for _, t := range c.Pools[name].Targets {
+			address := t.Address.String()
+			if other, taken := byAddress[address]; taken {
+				return wrong("join", "address %s is used by %q and %q", address, other, t.Name)
+			}
+			byAddress[address] = t.Name
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/table/table.go
@@ -0,0 +1,264 @@
+// Package table is an in-memory stand-in for the platform's key-value service,
+// with switches for its failures. Tests use it directly; the bench serves it
+// over HTTP.
+//
+// # Usage
+//
+//	t := table.New()
+//	t.SetFaults(table.Faults{Down: true})
+//	_, err := t.Get(ctx, "config/head") // store.ErrDown
+package table
+
+// This file defines Table, the versioned map with faults and counted calls.
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tamaracktiller.example/tamaracktiller/internal/platform/store"
+)
+
+// Faults are the failures that a table shows. The zero value shows none.
+type Faults struct {
+	// Down refuses every call.
+	Down bool `json:"down"`
+	// LoseAnswers performs that many further writes and answers ErrUnclear.
+	LoseAnswers int `json:"lose-answers"`
+	// HoldWrites answers that many further writes with ErrUnclear and performs
+	// them only on Release.
+	HoldWrites int `json:"hold-writes"`
+	// Latency delays every call over HTTP, in milliseconds.
+	LatencyMillis int `json:"latency-ms"`
+}
+
+type entry struct {
+	version store.Version
+	data    []byte
+	deleted bool
+}
+
+type heldWrite struct {
+	key  string
+	old  store.Version
+	data []byte
+}
+
+// Table implements store.Store and store.HostLister in memory.
+type Table struct {
+	mu      sync.Mutex
+	entries map[string]*entry
+	changed map[string]chan struct{}
+	faults  Faults
+	held    []heldWrite
+	calls   map[string]int
+	hosts   []store.Host
+}
+
+var (
+	_ store.Store      = (*Table)(nil)
+	_ store.HostLister = (*Table)(nil)
+)
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{entries: map[string]*entry{}, changed: map[string]chan struct{}{}, calls: map[string]int{}}
+}
+
+// SetFaults replaces the failures shown from now on.
+func (t *Table) SetFaults(f Faults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = f
+}
+
+// Faults returns the failures shown now.
+func (t *Table) Faults() Faults {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.faults
+}
+
+// Release performs the held writes, as a network that delivers late.
+func (t *Table) Release() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, w := range t.held {
+		_, _ = t.put(w.key, w.old, w.data, w.data == nil)
+	}
+	t.held = nil
+}
+
+// Calls returns the number of calls by operation.
+func (t *Table) Calls() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	calls := make(map[string]int, len(t.calls))
+	for operation, n := range t.calls {
+		calls[operation] = n
+	}
+	return calls
+}
+
+// SetHosts replaces the list of hosts.
+func (t *Table) SetHosts(hosts []store.Host) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hosts = slices.Clone(hosts)
+}
+
+// Hosts implements store.HostLister.
+func (t *Table) Hosts(context.Context) ([]store.Host, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.begin("hosts"); err != nil {
+		return nil, err
+	}
+	return slices.Clone(t.hosts), nil
+}
+
+func (t *Table) begin(operation string) error {
+	t.calls[operation]++
+	if t.faults.Down {
+		return errors.Wrap(store.ErrDown, operation)
+	}
+	return nil
+}
+
+// Get implements store.Store.
+func (t *Table) Get(_ context.Context, key string) (store.Value, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.begin("get"); err != nil {
+		return store.Value{}, err
+	}
+	return t.get(key)
+}
+
+func (t *Table) get(key string) (store.Value, error) {
+	e, ok := t.entries[key]
+	if !ok || e.deleted {
+		return store.Value{}, errors.Wrap(store.ErrNotFound, key)
+	}
+	return store.Value{Key: key, Version: e.version, Data: slices.Clone(e.data)}, nil
+}
+
+// Swap implements store.Store.
+func (t *Table) Swap(_ context.Context, key string, old store.Version, data []byte) (store.Version, error) {
+	return t.write("swap", key, old, slices.Clone(data), false)
+}
+
+// Delete implements store.Store.
+func (t *Table) Delete(_ context.Context, key string, old store.Version) error {
+	_, err := t.write("delete", key, old, nil, true)
+	return err
+}
+
+func (t *Table) write(operation, key string, old store.Version, data []byte, remove bool) (store.Version, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.begin(operation); err != nil {
+		return 0, err
+	}
+	if t.faults.HoldWrites > 0 {
+		t.faults.HoldWrites--
+		t.held = append(t.held, heldWrite{key: key, old: old, data: data})
+		return 0, errors.Wrap(store.ErrUnclear, key)
+	}
+	version, err := t.put(key, old, data, remove)
+	if t.faults.LoseAnswers > 0 {
+		t.faults.LoseAnswers--
+		return 0, errors.Wrap(store.ErrUnclear, key)
+	}
+	return version, err
+}
+
+// put performs a write. Versions go on after a delete, so that a writer that
+// knew the old value cannot mistake a new one for it.
+func (t *Table) put(key string, old store.Version, data []byte, remove bool) (store.Version, error) {
+	e, ok := t.entries[key]
+	if !ok {
+		e = &entry{deleted: true}
+	}
+	current := e.version
+	if e.deleted {
+		current = 0
+	}
+	if current != old || remove && e.deleted {
+		return 0, errors.Wrap(store.ErrConflict, key)
+	}
+	e.version++
+	e.data = data
+	e.deleted = remove
+	t.entries[key] = e
+	t.notify(key)
+	return e.version, nil
+}
+
+func (t *Table) notify(key string) {
+	if ch, ok := t.changed[key]; ok {
+		close(ch)
+		delete(t.changed, key)
+	}
+}
+
+// List implements store.Store.
+func (t *Table) List(_ context.Context, prefix string) ([]store.Value, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.begin("list"); err != nil {
+		return nil, err
+	}
+	var values []store.Value
+	for key := range t.entries {
+		if !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		if v, err := t.get(key); err == nil {
+			values = append(values, v)
+		}
+	}
+	slices.SortFunc(values, func(a, b store.Value) int { return strings.Compare(a.Key, b.Key) })
+	return values, nil
+}
+
+// Watch implements store.Store.
+func (t *Table) Watch(ctx context.Context, key string, after store.Version, wait time.Duration) (store.Value, error) {
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	t.mu.Lock()
+	err := t.begin("watch")
+	t.mu.Unlock()
+	if err != nil {
+		return store.Value{}, err
+	}
+	for {
+		t.mu.Lock()
+		v, err := t.get(key)
+		ch := t.channel(key)
+		t.mu.Unlock()
+		if err == nil && v.Version > after {
+			return v, nil
+		}
+		select {
+		case <-ch:
+		case <-timeout.C:
+			return store.Value{}, errors.Wrap(store.ErrUnchanged, key)
+		case <-ctx.Done():
+			return store.Value{}, errors.Wrap(store.ErrDown, ctx.Err().Error())
+		}
+	}
+}
+
+func (t *Table) channel(key string) chan struct{} {
+	ch, ok := t.changed[key]
+	if !ok {
+		ch = make(chan struct{})
+		t.changed[key] = ch
+	}
+	return ch
+}
