Count sent calls until a report can include them; mean slowness by logarithm

Cause: a report reset the count of calls sent, though calls still under way were not in it, and one long call made a target look slow.

--- a/internal/traffic/dispatch/target.go
+++ b/internal/traffic/dispatch/target.go
@@ -4,6 +4,7 @@
 // among targets.
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -41,7 +42,9 @@
 	// gain is the weight of a new sample in the moving means of a kind.
 	gain = 0.05
 	// slownessGain is the weight of a new sample in the slowness of a target.
-	slownessGain = 0.25
+	slownessGain = 0.2
+	// minRatio bounds the logarithm of very short calls.
+	minRatio = 0.05
 	// slowFactor is the slowness from which a target may be passed over.
 	slowFactor = 2.0
 )
@@ -64,8 +67,9 @@
 type target struct {
 	spec    Target
 	running []*Call
-	// slowness is the moving ratio of its latencies to the mean of their kind.
-	slowness float64
+	// logSlowness is the moving mean of the logarithm of its latencies over the
+	// mean of their kind. A logarithm keeps one long call from looking slow.
+	logSlowness float64
 	sampled  time.Time
 	// failures counts failures in a row.
 	failures int
@@ -88,7 +92,7 @@
 	for _, spec := range specs {
 		t, ok := old[spec.Name]
 		if !ok {
-			t = &target{slowness: 1}
+			t = &target{}
 			if !first {
 				t.rampFrom = now
 			}
@@ -150,8 +154,8 @@
 	t.sampled = now
 	m := c.meanFor(call.Kind)
 	if m.known && m.value > 0 {
-		ratio := float64(s.Latency) / float64(m.value)
-		t.slowness += slownessGain * (ratio - t.slowness)
+		ratio := math.Log(max(minRatio, float64(s.Latency)/float64(m.value)))
+		t.logSlowness += slownessGain * (ratio - t.logSlowness)
 	}
 	m.add(s.Latency)
 }
@@ -211,7 +215,7 @@
 // slownessAt returns how many times slower than usual the target is. Calls that
 // run for longer than usual are evidence before they end.
 func (c *Cell) slownessAt(now time.Time, t *target) float64 {
-	slow := t.slowness
+	slow := max(1, math.Exp(t.logSlowness))
 	for _, call := range t.running {
 		m := c.meanOf(call.Kind)
 		if m <= 0 {
--- a/internal/traffic/route/policies_test.go
+++ b/internal/traffic/route/policies_test.go
@@ -237,24 +237,38 @@
 func (p *dispatched) send(j *job, finish func(outcome)) {
 	router := p.routers[j.entry]
 	id, _ := router.Choose(p.l.clock(), p.cells, nil)
-	router.Sent(id)
+	router.Sent(p.l.clock(), id)
 	s := p.stations[slices.Index(p.cells, id)]
 	from := p.l.entryDomain(j.entry)
 	way := p.l.distance(from, s.domain)
+	carried := p.known(router)
 	p.l.after(way, func() {
+		take(s.router, carried)
 		s.accept(j, p.overflow, func(o outcome) {
 			reports := s.reports()
 			p.l.after(way, func() {
 				router.Answered(id)
-				for _, r := range reports {
-					router.Report(r.At, r.Cell, r.Load)
-				}
+				take(router, reports)
 				finish(o)
 			})
 		})
 	})
 }
 
+// known returns the reports that a request carries.
+func (p *dispatched) known(router *route.Router) []route.Report {
+	if !p.overflow {
+		return nil
+	}
+	return router.Known(p.l.clock(), p.cells)
+}
+
+func take(router *route.Router, reports []route.Report) {
+	for _, r := range reports {
+		router.Report(r.At, r.Cell, r.Load)
+	}
+}
+
 // reports returns the own load and what the station knows of the others.
 func (s *station) reports() []route.Report {
 	now := s.p.l.clock()
@@ -290,16 +304,16 @@
 }
 
 func (s *station) forward(other route.CellID, j *job, reply func(outcome)) {
-	s.router.Sent(other)
+	s.router.Sent(s.p.l.clock(), other)
 	next := s.p.stations[slices.Index(s.p.cells, other)]
 	way := s.p.l.distance(s.domain, next.domain)
+	carried := s.reports()
 	s.p.l.after(way, func() {
+		take(next.router, carried)
 		next.accept(j, false, func(o outcome) {
 			reports := next.reports()
 			s.p.l.after(way, func() {
-				for _, r := range reports {
-					s.router.Report(r.At, r.Cell, r.Load)
-				}
+				take(s.router, reports)
 				reply(o)
 			})
 		})
--- a/internal/traffic/route/route.go
+++ b/internal/traffic/route/route.go
@@ -9,8 +9,8 @@
 //
 //	r := route.NewRouter("domain-a", route.DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
 //	cell, ok := r.Choose(now, cells, nil)
-//	r.Sent(cell)
-//	r.Answered(now, cell)
+//	r.Sent(now, cell)
+//	r.Answered(cell)
 //	r.Report(now, cell, load)
 package route
 
@@ -48,8 +48,8 @@
 	load  dispatch.Load
 	at    time.Time
 	known bool
-	// sent counts the calls sent since the report.
-	sent int
+	// sent holds the times of the calls that the report does not count yet.
+	sent []time.Time
 	// inFlight counts the calls of this host that are not answered.
 	inFlight int
 	// free is the moving mean of the reported free slots.
@@ -138,17 +138,30 @@
 // estimateFree returns the free slots minus the waiting calls that the cell is
 // expected to have now. The older the report, the more the moving mean counts.
 func (r *Router) estimateFree(now time.Time, v *view) float64 {
-	reported := float64(v.load.Free-v.load.Waiting) - float64(v.sent)
+	reported := float64(v.load.Free-v.load.Waiting) - float64(len(v.sent))
 	age := float64(now.Sub(v.at))
 	fresh := float64(r.cfg.Memory) / (float64(r.cfg.Memory) + age)
 	return fresh*reported + (1-fresh)*v.free
 }
 
 // Sent counts a call that this host sends to the cell.
-func (r *Router) Sent(id CellID) {
+func (r *Router) Sent(now time.Time, id CellID) {
 	v := r.view(id)
-	v.sent++
 	v.inFlight++
+	if len(v.sent) < maxSent {
+		v.sent = append(v.sent, now)
+	}
+}
+
+// maxSent bounds the calls that are counted against one report.
+const maxSent = 256
+
+// way returns the time that a call takes to reach the cell.
+func (r *Router) way(id CellID) time.Duration {
+	if id.Domain == r.domain {
+		return 0
+	}
+	return r.cfg.Crossing / 2
 }
 
 // Answered counts the end of a call that Sent counted.
@@ -171,7 +184,9 @@
 		v.free = net
 	}
 	v.free += meanGain * (net - v.free)
-	v.load, v.at, v.known, v.sent = load, at, true, 0
+	v.load, v.at, v.known = load, at, true
+	arrived := at.Add(-r.way(id))
+	v.sent = slices.DeleteFunc(v.sent, func(t time.Time) bool { return t.Before(arrived) })
 	v.failedAt = time.Time{}
 }
 
@@ -188,7 +203,7 @@
 		if id == self || !v.known || now.Sub(v.at) > r.cfg.Memory {
 			continue
 		}
-		free := float64(v.load.Free-v.load.Waiting) - float64(v.sent)
+		free := float64(v.load.Free-v.load.Waiting) - float64(len(v.sent))
 		if free >= bestFree {
 			best, bestFree, found = id, free, true
 		}
