--- /dev/null
+++ b/cmd/tamarackbench/main.go
@@ -0,0 +1,173 @@
+// Command tamarackbench holds the stand-ins for the platform and the targets,
+// and the load tool.
+//
+// Exit codes: 0 done; 1 failed, or a run broke a promise; 2 wrong use.
+package main
+
+// This file defines the command line of the bench.
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	"tamaracktiller.example/tamaracktiller/internal/bench/layout"
+	"tamaracktiller.example/tamaracktiller/internal/bench/load"
+	"tamaracktiller.example/tamaracktiller/internal/bench/platform"
+	"tamaracktiller.example/tamaracktiller/internal/bench/target"
+	"tamaracktiller.example/tamaracktiller/internal/platform/table"
+)
+
+type commands struct {
+	Layout   layoutCommand   `cmd:"" help:"Write the files of a small installation."`
+	Platform platformCommand `cmd:"" help:"Run the stand-in of the platform."`
+	Target   targetCommand   `cmd:"" help:"Run a stand-in target."`
+	Load     loadCommand     `cmd:"" help:"Send calls and measure."`
+}
+
+func main() {
+	var c commands
+	k := kong.Parse(&c, kong.Name("tamarackbench"), kong.Description("Stand-ins and load for tamaracktiller."),
+		kong.UsageOnError(), kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	k.BindTo(ctx, (*context.Context)(nil))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "tamarackbench:", err)
+		stop()
+		os.Exit(1)
+	}
+}
+
+type layoutCommand struct {
+	Dir       string `arg:"" help:"Directory to write to."`
+	Balancers int    `default:"4" help:"Number of balancers."`
+	Targets   int    `default:"8" help:"Number of targets."`
+	Domains   int    `default:"2" help:"Number of failure domains."`
+	Slots     int    `default:"8" help:"Slots per target."`
+	CallerTLS bool   `name:"caller-tls" help:"Serve callers over TLS."`
+}
+
+// Run writes the files.
+func (c *layoutCommand) Run() error {
+	size := layout.Size{Balancers: c.Balancers, Targets: c.Targets, Domains: c.Domains, Slots: c.Slots, CallerTLS: c.CallerTLS}
+	return layout.New(c.Dir, size).Write()
+}
+
+type platformCommand struct {
+	Listen  string        `default:"127.0.0.1:7500" help:"Address to serve on."`
+	HostLag time.Duration `default:"2s" help:"Time after which a change of the host list shows."`
+}
+
+// Run serves the stand-in of the platform until a signal comes.
+func (c *platformCommand) Run(ctx context.Context) error {
+	s := platform.New(table.New(), platform.Config{HostLag: c.HostLag})
+	return serve(ctx, &http.Server{Addr: c.Listen, Handler: s.Handler(), ReadHeaderTimeout: time.Second})
+}
+
+func serve(ctx context.Context, server *http.Server) error {
+	context.AfterFunc(ctx, func() {
+		stopCtx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_ = server.Shutdown(stopCtx)
+	})
+	err := server.ListenAndServe()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+type targetCommand struct {
+	Name       string        `required:"" help:"Name of the target."`
+	Listen     string        `required:"" help:"Address to serve on."`
+	Slots      int           `default:"8" help:"Requests that run at the same time."`
+	Queue      int           `default:"64" help:"Requests that may wait for a slot."`
+	ColdTime   time.Duration `default:"0s" help:"Time after the start in which requests take longer."`
+	ColdFactor float64       `default:"3" help:"How many times longer."`
+	Journal    string        `help:"File that each run is appended to."`
+}
+
+// Run serves a stand-in target until a signal comes.
+func (c *targetCommand) Run(ctx context.Context) error {
+	t, err := target.New(target.Config{
+		Name: c.Name, Slots: c.Slots, Queue: c.Queue, ColdTime: c.ColdTime, ColdFactor: c.ColdFactor, Journal: c.Journal,
+	})
+	if err != nil {
+		return err
+	}
+	return serve(ctx, &http.Server{Addr: c.Listen, Handler: t.Handler()})
+}
+
+type loadCommand struct {
+	Workload    string        `required:"" type:"existingfile" help:"Workload file."`
+	Balancer    []string      `required:"" help:"Callers' address of a balancer; may be repeated."`
+	Direct      []string      `help:"Address of a target for direct calls; may be repeated."`
+	DirectShare int           `default:"0" help:"Direct calls, of 1000."`
+	Rate        float64       `default:"500" help:"Calls per second."`
+	Calls       int           `default:"5000" help:"Number of calls."`
+	Timeout     time.Duration `default:"10s" help:"Time after which a caller gives up."`
+	Retries     int           `default:"0" help:"Times that a keyed call is sent again."`
+	Seed        uint64        `default:"1" help:"Seed of the arrivals and the mix."`
+	Journals    string        `help:"Directory with the targets' journals."`
+	TLS         bool          `name:"tls" help:"Call balancers over TLS, without checking their certificate."`
+}
+
+// Run sends the calls and prints the result, the last line as JSON.
+func (c *loadCommand) Run(ctx context.Context) error {
+	data, err := os.ReadFile(c.Workload)
+	if err != nil {
+		return err
+	}
+	w, err := load.ReadWorkload(c.Workload, data)
+	if err != nil {
+		return err
+	}
+	cfg := load.Config{DirectShare: c.DirectShare, Rate: c.Rate, Calls: c.Calls, Timeout: c.Timeout, Retries: c.Retries, Seed: c.Seed}
+	if cfg.Balancers, err = parseAddresses(c.Balancer); err != nil {
+		return err
+	}
+	if cfg.Direct, err = parseAddresses(c.Direct); err != nil {
+		return err
+	}
+	if c.TLS {
+		cfg.TLS = &tls.Config{InsecureSkipVerify: true} //nolint:gosec // The bench calls its own stand-ins.
+	}
+	cfg.Progress = func(done int) { fmt.Printf("%d of %d calls have ended\n", done, c.Calls) }
+	result := load.Run(ctx, cfg, w)
+	if c.Journals != "" {
+		if err := result.ReadJournals(c.Journals); err != nil {
+			return err
+		}
+	}
+	result.WriteText(os.Stdout)
+	if err := json.NewEncoder(os.Stdout).Encode(result); err != nil {
+		return err
+	}
+	if !result.Sound() {
+		return errors.New("a promise was broken")
+	}
+	return nil
+}
+
+func parseAddresses(texts []string) ([]netip.AddrPort, error) {
+	list := make([]netip.AddrPort, 0, len(texts))
+	for _, text := range texts {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, a)
+	}
+	return list, nil
+}
--- /dev/null
+++ b/cmd/tamaracktiller/main.go
@@ -0,0 +1,148 @@
+// Command tamaracktiller runs a balancer and gives operators their commands.
+//
+// Exit codes: 0 done; 1 failed; 2 wrong use, settings or intent; 3 refused (a
+// stale plan, a plan that was not shown, a plan of another partner); 4 the
+// configuration store is unavailable; 5 the outcome is not known yet.
+package main
+
+// This file defines the command line.
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	"tamaracktiller.example/tamaracktiller/internal/contract/catalog"
+	"tamaracktiller.example/tamaracktiller/internal/contract/document"
+	"tamaracktiller.example/tamaracktiller/internal/process/balancer"
+	"tamaracktiller.example/tamaracktiller/internal/process/client"
+	"tamaracktiller.example/tamaracktiller/internal/process/logs"
+	"tamaracktiller.example/tamaracktiller/internal/process/operator"
+	"tamaracktiller.example/tamaracktiller/internal/process/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed      = 1
+	exitUsage       = 2
+	exitRefused     = 3
+	exitUnavailable = 4
+	exitUndecided   = 5
+)
+
+type commands struct {
+	Balancer balancerCommand `cmd:"" help:"Run a balancer."`
+	Check    checkCommand    `cmd:"" help:"Check a settings file or an intent file."`
+	Intent   intentCommand   `cmd:"" help:"Declare an intent and print its plan."`
+	Plan     planCommand     `cmd:"" help:"Show a plan, or list the open plans."`
+	Confirm  confirmCommand  `cmd:"" help:"Put a plan in force."`
+	Status   statusCommand   `cmd:"" help:"Show what is in force, per host."`
+	Explain  explainCommand  `cmd:"" help:"Show who confirmed what, and why."`
+	Report   reportCommand   `cmd:"" help:"Report the service-level burn."`
+}
+
+func main() {
+	var c commands
+	k := kong.Parse(&c,
+		kong.Name("tamaracktiller"),
+		kong.Description("A load balancer for partners who share targets.\n\nExit codes: 0 done, 1 failed, 2 wrong use or input, 3 refused, 4 store unavailable, 5 outcome not known yet."),
+		kong.UsageOnError(),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+		kong.Exit(func(code int) {
+			if code != 0 {
+				code = exitUsage
+			}
+			os.Exit(code)
+		}),
+	)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	k.BindTo(ctx, (*context.Context)(nil))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "tamaracktiller:", err)
+		stop()
+		os.Exit(exitCode(err))
+	}
+}
+
+// exitCode returns the exit code for an error.
+func exitCode(err error) int {
+	var refused *client.RefusedError
+	var doc *document.Error
+	switch {
+	case errors.As(err, &doc):
+		return exitUsage
+	case !errors.As(err, &refused):
+		return exitFailed
+	}
+	switch refused.Kind {
+	case operator.KindInvalid:
+		return exitUsage
+	case operator.KindUnavailable:
+		return exitUnavailable
+	case operator.KindUndecided:
+		return exitUndecided
+	}
+	return exitRefused
+}
+
+type balancerCommand struct {
+	Settings string `arg:"" help:"Settings file." type:"existingfile"`
+}
+
+// Run runs a balancer until a signal comes. A second signal ends it at once.
+func (c *balancerCommand) Run(ctx context.Context) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	log, err := logs.New(os.Stderr, s.LogLevel, s.Name)
+	if err != nil {
+		return err
+	}
+	b, err := balancer.New(s, log)
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, func() { signal.Reset(os.Interrupt, syscall.SIGTERM) })
+	return b.Run(ctx)
+}
+
+type checkCommand struct {
+	File string `arg:"" help:"Settings file or intent file." type:"existingfile"`
+	Kind string `help:"What the file is: settings or intent." enum:"settings,intent" default:"settings"`
+}
+
+// Run checks a file and says that it is right.
+func (c *checkCommand) Run() error {
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	name := filepath.Base(c.File)
+	if c.Kind == "intent" {
+		_, err = catalog.ParseIntent(name, data)
+	} else {
+		_, err = settings.Parse(name, data)
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: valid %s\n", name, c.Kind)
+	return nil
+}
+
+// readInput reads a file, or standard input for "-".
+func readInput(file string) ([]byte, error) {
+	if file == "-" {
+		return io.ReadAll(io.LimitReader(os.Stdin, catalog.MaxIntentBytes+1))
+	}
+	return os.ReadFile(file)
+}
--- /dev/null
+++ b/cmd/tamaracktiller/operators.go
@@ -0,0 +1,228 @@
+package main
+
+// This file defines the commands of operators.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tamaracktiller.example/tamaracktiller/internal/contract/catalog"
+	"tamaracktiller.example/tamaracktiller/internal/contract/plan"
+	"tamaracktiller.example/tamaracktiller/internal/process/client"
+	"tamaracktiller.example/tamaracktiller/internal/process/operator"
+)
+
+// access holds the flags that every operator's command takes.
+type access struct {
+	Server     string `help:"Operators' address of any balancer." required:"" env:"TAMARACK_SERVER"`
+	Operator   string `help:"Who you are, as partner/name." required:"" env:"TAMARACK_OPERATOR"`
+	SecretFile string `help:"File with your secret." required:"" type:"existingfile" env:"TAMARACK_SECRET_FILE"`
+	Authority  string `help:"Certificate that signs balancers." required:"" type:"existingfile" env:"TAMARACK_AUTHORITY"`
+	JSON       bool   `help:"Print JSON."`
+}
+
+func (a *access) client() (*client.Client, error) {
+	server, err := netip.ParseAddrPort(a.Server)
+	if err != nil {
+		return nil, errors.Wrap(err, "--server")
+	}
+	return client.New(client.Config{Server: server, Operator: a.Operator, SecretFile: a.SecretFile, Authority: a.Authority})
+}
+
+// print writes v as JSON, or calls text.
+func (a *access) print(v any, text func()) error {
+	if !a.JSON {
+		text()
+		return nil
+	}
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(v)
+}
+
+type intentCommand struct {
+	access
+	File string `arg:"" help:"Intent file, or - for standard input."`
+}
+
+// Run declares an intent.
+func (c *intentCommand) Run(ctx context.Context) error {
+	data, err := readInput(c.File)
+	if err != nil {
+		return err
+	}
+	if _, err := catalog.ParseIntent(c.File, data); err != nil {
+		return err
+	}
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	p, err := cl.Declare(ctx, data)
+	if err != nil {
+		return err
+	}
+	return c.print(p, func() { printPlan(p) })
+}
+
+type planCommand struct {
+	access
+	ID string `arg:"" optional:"" help:"Plan to show. Without it, the open plans are listed."`
+}
+
+// Run shows one plan or lists the open ones.
+func (c *planCommand) Run(ctx context.Context) error {
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	if c.ID != "" {
+		p, err := cl.Plan(ctx, c.ID)
+		if err != nil {
+			return err
+		}
+		return c.print(p, func() { printPlan(p) })
+	}
+	plans, err := cl.Plans(ctx)
+	if err != nil {
+		return err
+	}
+	return c.print(plans, func() {
+		for _, p := range plans {
+			fmt.Printf("%s  by %s/%s for revision %d: %s\n", p.ID, p.Partner, p.Operator, p.BaseRevision, p.Intent.Reason)
+		}
+	})
+}
+
+func printPlan(p *plan.Plan) {
+	fmt.Printf("plan %s by %s/%s, made for revision %d\nreason: %s\n", p.ID, p.Partner, p.Operator, p.BaseRevision, p.Intent.Reason)
+	if len(p.Effects) == 0 {
+		fmt.Println("changes nothing")
+	}
+	for _, e := range p.Effects {
+		fmt.Println("  " + e.String())
+	}
+	for _, partner := range p.MustBeShownTo() {
+		shown, ok := p.Shown[partner]
+		if !ok {
+			fmt.Printf("must be shown to %s before it can be confirmed\n", partner)
+			continue
+		}
+		fmt.Printf("shown to %s/%s at %s\n", partner, shown.Operator, clock(shown.UnixMilli))
+	}
+}
+
+func clock(unixMilli int64) string {
+	return time.UnixMilli(unixMilli).UTC().Format(time.RFC3339)
+}
+
+type confirmCommand struct {
+	access
+	ID string `arg:"" help:"Plan to put in force."`
+}
+
+// Run confirms a plan.
+func (c *confirmCommand) Run(ctx context.Context) error {
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	done, err := cl.Confirm(ctx, c.ID)
+	if err != nil {
+		return err
+	}
+	return c.print(done, func() { fmt.Printf("revision %d is in force by %s\n", done.Revision, done.ID) })
+}
+
+type statusCommand struct{ access }
+
+// Run prints the status of the fleet.
+func (c *statusCommand) Run(ctx context.Context) error {
+	s, err := c.status(ctx)
+	if err != nil {
+		return err
+	}
+	return c.print(s, func() { printStatus(s) })
+}
+
+func (a *access) status(ctx context.Context) (operator.Status, error) {
+	cl, err := a.client()
+	if err != nil {
+		return operator.Status{}, err
+	}
+	return cl.Status(ctx)
+}
+
+func printStatus(s operator.Status) {
+	fmt.Printf("revision %d\n", s.Revision)
+	for _, h := range s.Hosts {
+		state := "ready"
+		switch {
+		case h.Error != "":
+			state = "no answer: " + h.Error
+		case !h.Ready:
+			state = "not ready: " + h.Why
+		}
+		fmt.Printf("  %-20s %-12s revision %d since %s, %s\n", h.Host, h.Domain, h.Revision, h.InForceSince, state)
+	}
+	for _, service := range s.Services {
+		fmt.Printf("  service %s of %s: pool %s, share %d\n", service.Name, service.Partner, service.Pool, service.Share)
+	}
+	for _, pool := range s.Pools {
+		fmt.Printf("  pool %s: %d targets\n", pool.Name, len(pool.Targets))
+	}
+	if len(s.Draining) > 0 {
+		fmt.Printf("  take no new work: %s\n", strings.Join(s.Draining, " "))
+	}
+}
+
+type explainCommand struct{ access }
+
+// Run prints the latest confirmations and where they are in force.
+func (c *explainCommand) Run(ctx context.Context) error {
+	s, err := c.status(ctx)
+	if err != nil {
+		return err
+	}
+	return c.print(s.History, func() {
+		for _, h := range s.History {
+			fmt.Printf("revision %d: %s by %s/%s (plan %s): %s\n", h.Revision, clock(h.UnixMilli), h.Partner, h.Operator, h.ID, h.Reason)
+		}
+		for _, h := range s.Hosts {
+			fmt.Printf("  %s has revision %d in force since %s\n", h.Host, h.Revision, h.InForceSince)
+		}
+	})
+}
+
+type reportCommand struct {
+	access
+	HTML string `help:"Write a self-contained HTML page to this file." type:"path"`
+}
+
+// Run prints the service-level burn.
+func (c *reportCommand) Run(ctx context.Context) error {
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	r, err := cl.Report(ctx)
+	if err != nil {
+		return err
+	}
+	if c.HTML != "" {
+		f, err := os.Create(c.HTML)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		return r.WriteHTML(f)
+	}
+	return c.print(r, func() { _ = r.WriteText(os.Stdout) })
+}
--- /dev/null
+++ b/internal/bench/load/result.go
@@ -0,0 +1,208 @@
+package load
+
+// This file defines Result, what a run measured.
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+)
+
+// Outcome is what a caller knows of its call.
+type Outcome string
+
+// The outcomes. Error means that the caller got no whole answer of any kind.
+const (
+	OutcomeRan     Outcome = "ran"
+	OutcomeNotRun  Outcome = "not-run"
+	OutcomeUnknown Outcome = "unknown"
+	OutcomeError   Outcome = "error"
+)
+
+// Result is what a run measured. Times are in milliseconds.
+type Result struct {
+	Calls        int `json:"calls"`
+	WholeAnswers int `json:"whole-answers"`
+	WrongAnswers int `json:"wrong-answers"`
+	// Errors counts calls that ended without an answer that names an outcome.
+	Errors      int     `json:"errors"`
+	Ran         int     `json:"ran"`
+	NotRun      int     `json:"not-run"`
+	Unknown     int     `json:"unknown"`
+	Failed      int     `json:"failed-answers"`
+	DoubleRuns  int     `json:"double-runs"`
+	FalseNotRun int     `json:"false-not-run"`
+	Seconds     float64 `json:"seconds"`
+	P50         float64 `json:"p50-ms"`
+	P99         float64 `json:"p99-ms"`
+	P999        float64 `json:"p999-ms"`
+	// Overhead is the time outside the target, through balancers.
+	OverheadP50 float64 `json:"overhead-p50-ms"`
+	OverheadP99 float64 `json:"overhead-p99-ms"`
+	// Direct is the same for calls that went directly to a target.
+	DirectCalls int     `json:"direct-calls"`
+	DirectP50   float64 `json:"direct-overhead-p50-ms"`
+	DirectP99   float64 `json:"direct-overhead-p99-ms"`
+	// P50Added and P99Added are the differences of the two overheads.
+	P50Added float64 `json:"p50-added-ms"`
+	P99Added float64 `json:"p99-added-ms"`
+
+	began    time.Time
+	latency  *hdrhistogram.Histogram
+	overhead *hdrhistogram.Histogram
+	direct   *hdrhistogram.Histogram
+	outcomes map[string]Outcome
+	once     map[string]bool
+	errors   map[string]int
+	statuses map[int]int
+}
+
+const (
+	// highest is the longest latency that is told apart, in microseconds.
+	highest = 120_000_000
+	// digits is the number of significant digits of a latency.
+	digits = 3
+)
+
+func newResult() *Result {
+	return &Result{
+		latency: hdrhistogram.New(1, highest, digits), overhead: hdrhistogram.New(1, highest, digits), direct: hdrhistogram.New(1, highest, digits),
+		outcomes: map[string]Outcome{}, once: map[string]bool{}, errors: map[string]int{}, statuses: map[int]int{},
+	}
+}
+
+func (r *Result) add(c *outgoing, a answer, latency time.Duration) {
+	overhead := max(1, (latency - a.inside).Microseconds())
+	if c.direct {
+		r.DirectCalls++
+		if a.whole {
+			_ = r.direct.RecordValue(overhead)
+		}
+		return
+	}
+	r.Calls++
+	r.outcomes[c.id] = a.outcome
+	r.once[c.id] = c.kind.Once
+	switch a.outcome {
+	case OutcomeRan:
+		r.Ran++
+		r.addAnswer(a, latency, overhead)
+	case OutcomeNotRun:
+		r.NotRun++
+	case OutcomeUnknown:
+		r.Unknown++
+	default:
+		r.Errors++
+		r.note(a.err)
+	}
+	r.statuses[a.status]++
+}
+
+func (r *Result) addAnswer(a answer, latency time.Duration, overhead int64) {
+	switch {
+	case a.whole:
+		r.WholeAnswers++
+		_ = r.latency.RecordValue(latency.Microseconds())
+		_ = r.overhead.RecordValue(overhead)
+	case a.status == 200:
+		r.WrongAnswers++
+	default:
+		r.Failed++
+	}
+}
+
+func (r *Result) note(err error) {
+	text := "no outcome in the answer"
+	if err != nil {
+		text = errors.Cause(err).Error()
+		if at := strings.LastIndex(text, ": "); at >= 0 {
+			text = text[at+2:]
+		}
+	}
+	r.errors[text]++
+}
+
+func (r *Result) finish() {
+	ms := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	r.Seconds = time.Since(r.began).Seconds()
+	r.P50, r.P99, r.P999 = ms(r.latency, 50), ms(r.latency, 99), ms(r.latency, 99.9)
+	r.OverheadP50, r.OverheadP99 = ms(r.overhead, 50), ms(r.overhead, 99)
+	r.DirectP50, r.DirectP99 = ms(r.direct, 50), ms(r.direct, 99)
+	if r.DirectCalls > 0 {
+		r.P50Added, r.P99Added = r.OverheadP50-r.DirectP50, r.OverheadP99-r.DirectP99
+	}
+}
+
+// ReadJournals compares what the targets wrote down with what callers were told.
+func (r *Result) ReadJournals(dir string) error {
+	files, err := filepath.Glob(filepath.Join(dir, "*.runs"))
+	if err != nil {
+		return errors.Wrap(err, "load")
+	}
+	runs := map[string]int{}
+	for _, file := range files {
+		if err := countRuns(file, runs); err != nil {
+			return err
+		}
+	}
+	for id, outcome := range r.outcomes {
+		if r.once[id] && runs[id] > 1 {
+			r.DoubleRuns++
+		}
+		if outcome == OutcomeNotRun && runs[id] > 0 {
+			r.FalseNotRun++
+		}
+	}
+	return nil
+}
+
+func countRuns(file string, runs map[string]int) error {
+	f, err := os.Open(file)
+	if err != nil {
+		return errors.Wrap(err, "load")
+	}
+	defer f.Close()
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		id, _, _ := strings.Cut(lines.Text(), " ")
+		runs[id]++
+	}
+	return errors.Wrap(lines.Err(), "load")
+}
+
+// Accounted reports whether every call has exactly one outcome.
+func (r *Result) Accounted() bool {
+	return r.Calls == r.Ran+r.NotRun+r.Unknown+r.Errors && r.Ran == r.WholeAnswers+r.WrongAnswers+r.Failed
+}
+
+// Sound reports whether no promise was broken.
+func (r *Result) Sound() bool {
+	return r.Accounted() && r.WrongAnswers == 0 && r.DoubleRuns == 0 && r.FalseNotRun == 0
+}
+
+// WriteText writes the result for people.
+func (r *Result) WriteText(w io.Writer) {
+	fmt.Fprintf(w, "%d calls in %.1f s: %d ran (%d whole, %d wrong, %d failed), %d not run, %d unknown, %d errors\n",
+		r.Calls, r.Seconds, r.Ran, r.WholeAnswers, r.WrongAnswers, r.Failed, r.NotRun, r.Unknown, r.Errors)
+	fmt.Fprintf(w, "latency p50 %.2f ms, p99 %.2f ms, p99.9 %.2f ms\n", r.P50, r.P99, r.P999)
+	fmt.Fprintf(w, "outside the target: p50 %.2f ms, p99 %.2f ms", r.OverheadP50, r.OverheadP99)
+	if r.DirectCalls > 0 {
+		fmt.Fprintf(w, "; direct p50 %.2f ms, p99 %.2f ms (%d calls)", r.DirectP50, r.DirectP99, r.DirectCalls)
+	}
+	fmt.Fprintf(w, "\ndouble runs %d, false not-run %d\n", r.DoubleRuns, r.FalseNotRun)
+	for text, n := range r.errors {
+		fmt.Fprintf(w, "  error %q: %d\n", text, n)
+	}
+	for status, n := range r.statuses {
+		if status >= 400 {
+			fmt.Fprintf(w, "  status %d: %d\n", status, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/controller/snapshot.go
@@ -0,0 +1,121 @@
+package controller
+
+// This file defines Snapshot, the control state that traffic reads.
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"tamaracktiller.example/tamaracktiller/internal/contract/catalog"
+	"tamaracktiller.example/tamaracktiller/internal/fleet/member"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/route"
+)
+
+// Snapshot is the control state as of a moment. It is immutable.
+type Snapshot struct {
+	Self member.Host
+	// Ready says that the host may serve.
+	Ready bool
+	// Why says what is missing when the host is not ready.
+	Why string
+	// Leaving says that the own host is closing down.
+	Leaving bool
+
+	Head      *catalog.Head
+	Catalog   *catalog.Catalog
+	Documents map[string][]byte
+	// InForceSince is the time at which the revision was accepted here.
+	InForceSince time.Time
+
+	View *member.View
+	// Peers is what is known of each other host.
+	Peers []member.Status
+	// LeavingTargets are targets that take no new work, whichever source said so.
+	LeavingTargets map[string]bool
+
+	byHost map[string]string
+	cells  map[string][]route.CellID
+	hosts  map[string][]string
+	peers  map[string]netip.AddrPort
+}
+
+// ServiceOf returns the service that is fronted under the Host header.
+func (s *Snapshot) ServiceOf(host string) (catalog.Service, bool) {
+	name, ok := s.byHost[host]
+	if !ok {
+		return catalog.Service{}, false
+	}
+	return s.Catalog.Services[name], true
+}
+
+// Cells returns the cells of a pool that have targets, in domain order.
+func (s *Snapshot) Cells(pool string) []route.CellID { return s.cells[pool] }
+
+// Dispatchers returns the hosts that may dispatch a cell, best first. They are
+// the hosts of the cell's domain, or all hosts when it has none.
+func (s *Snapshot) Dispatchers(id route.CellID) []string {
+	hosts := s.hosts[id.Domain]
+	if len(hosts) == 0 {
+		hosts = s.hosts[""]
+	}
+	return route.Rank(id.Pool+"/"+id.Domain, hosts)
+}
+
+// Dispatcher returns the first of Dispatchers.
+func (s *Snapshot) Dispatcher(id route.CellID) string {
+	hosts := s.hosts[id.Domain]
+	if len(hosts) == 0 {
+		hosts = s.hosts[""]
+	}
+	return route.First(id.Pool+"/"+id.Domain, hosts)
+}
+
+// PeerAddress returns the address of another host.
+func (s *Snapshot) PeerAddress(host string) (netip.AddrPort, bool) {
+	a, ok := s.peers[host]
+	return a, ok
+}
+
+// indexCatalog derives the look-up tables of a configuration.
+func (s *Snapshot) indexCatalog() {
+	s.byHost = make(map[string]string)
+	for name, service := range s.Catalog.Services {
+		for _, host := range service.Hosts {
+			s.byHost[host] = name
+		}
+	}
+	s.cells = make(map[string][]route.CellID, len(s.Catalog.Pools))
+	for name, pool := range s.Catalog.Pools {
+		s.cells[name] = cellsOf(name, pool)
+	}
+}
+
+func cellsOf(name string, pool catalog.Pool) []route.CellID {
+	var domains []string
+	for _, t := range pool.Targets {
+		if !slices.Contains(domains, t.Domain) {
+			domains = append(domains, t.Domain)
+		}
+	}
+	slices.Sort(domains)
+	cells := make([]route.CellID, len(domains))
+	for i, d := range domains {
+		cells[i] = route.CellID{Pool: name, Domain: d}
+	}
+	return cells
+}
+
+// indexView derives the look-up tables of a view.
+func (s *Snapshot) indexView() {
+	s.hosts = make(map[string][]string, len(s.View.Domains)+1)
+	s.peers = make(map[string]netip.AddrPort)
+	for domain, hosts := range s.View.Domains {
+		for _, h := range hosts {
+			s.hosts[domain] = append(s.hosts[domain], h.Name)
+			s.hosts[""] = append(s.hosts[""], h.Name)
+			s.peers[h.Name] = h.Peer
+		}
+	}
+	slices.Sort(s.hosts[""])
+}
--- /dev/null
+++ b/internal/fleet/message/message.go
@@ -0,0 +1,71 @@
+// Package message defines what balancers say to each other over their links.
+//
+// Every frame is one Envelope in CBOR. Exactly one body is set. An envelope with
+// a Call number asks for an answer; the answer carries the same number and Reply.
+//
+// # Usage
+//
+//	data, err := message.Encode(&message.Envelope{Pull: &message.Pull{Revision: 7}})
+//	env, err := message.Decode(data)
+package message
+
+// This file defines Envelope and its codec.
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"tamaracktiller.example/tamaracktiller/internal/fleet/member"
+	"tamaracktiller.example/tamaracktiller/internal/fleet/revision"
+)
+
+// Envelope is one frame.
+type Envelope struct {
+	// Call matches an answer to its question. 0 is for messages without answer.
+	Call  uint64 `cbor:"1,keyasint,omitempty"`
+	Reply bool   `cbor:"2,keyasint,omitempty"`
+
+	Heartbeat *member.Heartbeat `cbor:"3,keyasint,omitempty"`
+	Pull      *Pull             `cbor:"4,keyasint,omitempty"`
+	Update    *revision.Update  `cbor:"5,keyasint,omitempty"`
+	Report    *Report           `cbor:"6,keyasint,omitempty"`
+}
+
+// Pull asks for the configuration after a revision.
+type Pull struct {
+	Revision uint64 `cbor:"1,keyasint"`
+}
+
+// Report asks for, or carries, an encoded service-level report of one host.
+type Report struct {
+	Content []byte `cbor:"1,keyasint,omitempty"`
+}
+
+// MaxBytes bounds one frame.
+const MaxBytes = 8 << 20
+
+// decoding refuses duplicate keys and bounds the size of containers.
+var decoding = mustDecMode(cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxArrayElements: 1 << 17, MaxMapPairs: 1 << 17})
+
+func mustDecMode(o cbor.DecOptions) cbor.DecMode {
+	mode, err := o.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns the frame of an envelope.
+func Encode(e *Envelope) ([]byte, error) {
+	data, err := cbor.Marshal(e)
+	return data, errors.Wrap(err, "message: encode")
+}
+
+// Decode returns the envelope of a frame.
+func Decode(data []byte) (*Envelope, error) {
+	var e Envelope
+	if err := decoding.Unmarshal(data, &e); err != nil {
+		return nil, errors.Wrap(err, "message: decode")
+	}
+	return &e, nil
+}
--- /dev/null
+++ b/internal/process/balancer/balancer.go
@@ -0,0 +1,262 @@
+// Package balancer puts the parts of a balancer process together.
+//
+// The parts are services of a registry: they find each other by name, start in
+// order and stop in reverse order.
+//
+// # Usage
+//
+//	b, err := balancer.New(settings, log)
+//	err = b.Run(ctx) // returns after a graceful shutdown when ctx ends
+package balancer
+
+// This file defines Balancer: its parts, its start and its closing down.
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"tamaracktiller.example/tamaracktiller/internal/contract/confirmation"
+	"tamaracktiller.example/tamaracktiller/internal/fleet/controller"
+	"tamaracktiller.example/tamaracktiller/internal/fleet/link"
+	"tamaracktiller.example/tamaracktiller/internal/fleet/member"
+	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
+	"tamaracktiller.example/tamaracktiller/internal/kernel/registry"
+	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
+	"tamaracktiller.example/tamaracktiller/internal/platform/store"
+	"tamaracktiller.example/tamaracktiller/internal/process/logs"
+	"tamaracktiller.example/tamaracktiller/internal/process/settings"
+	"tamaracktiller.example/tamaracktiller/internal/report/burn"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/dispatch"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/gateway"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/station"
+)
+
+const (
+	// silentTimeout closes a connection whose sent bytes are not acknowledged.
+	silentTimeout = 2 * time.Second
+	// leaveNotice is the time between telling everybody that the host leaves and
+	// the first refused connection.
+	leaveNotice = 1500 * time.Millisecond
+	// trimPeriod is the time between two searches for idle connections.
+	trimPeriod = 5 * time.Second
+)
+
+// Names of the services in the registry.
+const (
+	serviceMetrics    = "metrics"
+	serviceTimer      = "timer"
+	serviceStore      = "store"
+	serviceController = "controller"
+	serviceLinks      = "links"
+	serviceStation    = "station"
+	serviceGateway    = "gateway"
+	serviceBurn       = "burn"
+)
+
+// Balancer is one balancer process.
+type Balancer struct {
+	s        *settings.Settings
+	log      *logs.Log
+	services *registry.Registry
+	g        *group.Group
+
+	server *tls.Config
+	client *tls.Config
+}
+
+// New builds a balancer from checked settings.
+func New(s *settings.Settings, log *logs.Log) (*Balancer, error) {
+	server, client, err := s.PeerTLS.Load()
+	if err != nil {
+		return nil, err
+	}
+	b := &Balancer{s: s, log: log, services: registry.New(), server: server, client: client}
+	b.g = group.New(context.Background())
+	steps := []func() error{b.addPlatform, b.addFleet, b.addTraffic, b.addServers}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	return b, nil
+}
+
+func (b *Balancer) addPlatform() error {
+	m := newMetrics()
+	b.services.Provide(serviceMetrics, m)
+	b.services.Provide(serviceTimer, timer.New())
+	b.services.Provide(serviceStore, store.NewClient(b.s.Store, m.storeCalls))
+	b.services.Provide(serviceBurn, burn.NewMeter())
+	return nil
+}
+
+// addFleet adds the control side. Its snapshots drive the station.
+func (b *Balancer) addFleet() error {
+	m, err := registry.Find[*metrics](b.services, serviceMetrics)
+	if err != nil {
+		return err
+	}
+	timers, err := registry.Find[*timer.Service](b.services, serviceTimer)
+	if err != nil {
+		return err
+	}
+	client, err := registry.Find[*store.Client](b.services, serviceStore)
+	if err != nil {
+		return err
+	}
+	self := member.Host{Name: b.s.Name, Incarnation: uuid.NewString(), Domain: b.s.Domain, Peer: b.s.Listen.Peers}
+	cfg := controller.Config{
+		Self: self, Member: member.DefaultConfig(), Store: client, Lister: client, Timer: timers,
+		Log: b.log.For("control"), Changed: b.applySnapshot,
+	}
+	c := controller.New(cfg, b.g)
+	links := link.NewService(link.Config{Self: b.s.Name, TLS: b.client, Log: b.log.For("links"), Bytes: m.linkBytes, Messages: m.linkMessages}, b.g, c)
+	c.UseLinks(links)
+	b.services.Provide(serviceLinks, links)
+	b.services.Provide(serviceController, c)
+	return nil
+}
+
+// applySnapshot runs on the control goroutine.
+func (b *Balancer) applySnapshot(s *controller.Snapshot) {
+	st, err := registry.Find[*station.Station](b.services, serviceStation)
+	if err != nil {
+		return
+	}
+	st.SetPools(time.Now(), s.Catalog, s.LeavingTargets)
+	if m, err := registry.Find[*metrics](b.services, serviceMetrics); err == nil {
+		m.revision.Set(float64(s.Head.Revision))
+	}
+}
+
+func (b *Balancer) addTraffic() error {
+	c, err := registry.Find[*controller.Controller](b.services, serviceController)
+	if err != nil {
+		return err
+	}
+	m, err := registry.Find[*metrics](b.services, serviceMetrics)
+	if err != nil {
+		return err
+	}
+	meter, err := registry.Find[*burn.Meter](b.services, serviceBurn)
+	if err != nil {
+		return err
+	}
+	timers, err := registry.Find[*timer.Service](b.services, serviceTimer)
+	if err != nil {
+		return err
+	}
+	st := station.New(station.Config{Cell: dispatch.DefaultConfig(), Draining: c.TargetDrains}, b.g)
+	gw := gateway.New(gateway.Config{
+		Snapshot: c.Snapshot, Station: st, DialPeer: b.dialPeer,
+		Limits:   gateway.Limits{MaxBodyBytes: b.s.Limits.MaxBodyBytes, BufferBytes: b.s.Limits.BufferBytes},
+		Observer: &observer{metrics: m, meter: meter, snapshot: c.Snapshot},
+		Log:      b.log.For("gateway"),
+	}, b.g)
+	timers.Every("pump", st.PumpPeriod(), st.Pump)
+	timers.Every("trim", trimPeriod, func(now time.Time) {
+		st.Trim(now)
+		gw.Trim(now)
+	})
+	b.services.Provide(serviceStation, st)
+	b.services.Provide(serviceGateway, gw)
+	return nil
+}
+
+// dialPeer opens a connection to another balancer for calls.
+func (b *Balancer) dialPeer(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	d := tls.Dialer{NetDialer: &net.Dialer{Control: setSilentTimeout}, Config: b.client}
+	return d.DialContext(ctx, "tcp", address.String())
+}
+
+// setSilentTimeout makes the system give up a connection that lost its other end.
+func setSilentTimeout(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failure
+}
+
+// Run starts the balancer and serves until ctx ends, then closes down: the fleet
+// is told, requests in flight end, and at last the parts stop.
+func (b *Balancer) Run(ctx context.Context) error {
+	if err := b.services.Start(ctx); err != nil {
+		return err
+	}
+	log := b.log.For("process")
+	log.WithField("callers", b.s.Listen.Callers.String()).Info("balancer started")
+	<-ctx.Done()
+	log.Info("closing down")
+	c, err := registry.Find[*controller.Controller](b.services, serviceController)
+	if err != nil {
+		return err
+	}
+	c.Leave()
+	time.Sleep(leaveNotice)
+	drain, cancel := context.WithTimeout(context.Background(), b.s.Limits.DrainTimeout.Std())
+	defer cancel()
+	err = b.services.Stop(drain)
+	if groupErr := b.g.Stop(); err == nil {
+		err = groupErr
+	}
+	log.Info("closed down")
+	return err
+}
+
+// Confirmations returns the confirmation service of the balancer.
+func (b *Balancer) confirmations(c *controller.Controller, s store.Store) *confirmation.Service {
+	held := func(key string) ([]byte, bool) {
+		content, ok := c.Snapshot().Documents[key]
+		return content, ok
+	}
+	return confirmation.New(s, held, time.Now, uuid.NewString)
+}
+
+// httpService serves HTTP on one address, as a service of the registry.
+type httpService struct {
+	address netip.AddrPort
+	server  *http.Server
+	g       *group.Group
+	wrap    func(net.Listener) net.Listener
+}
+
+// Start implements registry.Starter.
+func (h *httpService) Start(context.Context) error {
+	l, err := net.Listen("tcp", h.address.String())
+	if err != nil {
+		return errors.Wrap(err, "balancer")
+	}
+	if h.wrap != nil {
+		l = h.wrap(l)
+	}
+	h.g.Go("serve "+h.address.String(), func(context.Context) error {
+		err := h.server.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	})
+	return nil
+}
+
+// Stop implements registry.Stopper: it waits for requests in flight.
+func (h *httpService) Stop(ctx context.Context) error {
+	err := h.server.Shutdown(ctx)
+	if err != nil {
+		_ = h.server.Close()
+	}
+	return err
+}
--- /dev/null
+++ b/internal/process/balancer/metrics.go
@@ -0,0 +1,87 @@
+package balancer
+
+// This file defines the metrics of a balancer and the observer of calls.
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"tamaracktiller.example/tamaracktiller/internal/fleet/controller"
+	"tamaracktiller.example/tamaracktiller/internal/report/burn"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/gateway"
+)
+
+// metrics holds the collectors of one process.
+type metrics struct {
+	registry     *prometheus.Registry
+	calls        *prometheus.CounterVec
+	latency      *prometheus.HistogramVec
+	storeCalls   *prometheus.CounterVec
+	linkBytes    *prometheus.CounterVec
+	linkMessages *prometheus.CounterVec
+	revision     prometheus.Gauge
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tamarack_calls_total", Help: "Finished calls by service, kind and outcome.",
+		}, []string{"service", "kind", "outcome"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "tamarack_call_seconds", Help: "Time from the request to the head of the answer.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
+		}, []string{"service"}),
+		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tamarack_store_calls_total", Help: "Calls of the platform's store by operation.",
+		}, []string{"operation"}),
+		linkBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tamarack_link_bytes_total", Help: "Bytes of frames on links by direction.",
+		}, []string{"direction"}),
+		linkMessages: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tamarack_link_messages_total", Help: "Frames on links by direction.",
+		}, []string{"direction"}),
+		revision: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "tamarack_revision", Help: "Revision of the configuration in force.",
+		}),
+	}
+	m.registry.MustRegister(m.calls, m.latency, m.storeCalls, m.linkBytes, m.linkMessages, m.revision,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+// observer counts finished calls.
+type observer struct {
+	metrics  *metrics
+	meter    *burn.Meter
+	snapshot func() *controller.Snapshot
+}
+
+// Finished implements gateway.Observer.
+func (o *observer) Finished(c gateway.Observation) {
+	o.metrics.calls.WithLabelValues(c.Service, c.Kind, string(c.Outcome)).Inc()
+	o.metrics.latency.WithLabelValues(c.Service).Observe(c.Latency.Seconds())
+	objective := o.snapshot().Catalog.Services[c.Service].Objective
+	s := burn.Sample{Service: c.Service, Partner: c.Partner, Weight: c.Weight, Target: c.Target, Domain: c.Domain}
+	s.Fault, s.Good = judge(c, objective.Latency.Std())
+	o.meter.Add(time.Now(), s)
+}
+
+// judge tells whether a call was good, and what was wrong with it.
+func judge(c gateway.Observation, latency time.Duration) (burn.Fault, bool) {
+	switch {
+	case c.Outcome == call.OutcomeNotRun:
+		return burn.Refused, false
+	case c.Outcome == call.OutcomeUnknown:
+		return burn.Unknown, false
+	case c.Status >= http.StatusInternalServerError:
+		return burn.Failed, false
+	case c.Latency > latency:
+		return burn.Slow, false
+	}
+	return "", true
+}
--- /dev/null
+++ b/internal/process/balancer/servers.go
@@ -0,0 +1,160 @@
+package balancer
+
+// This file defines the four servers of a balancer: callers, peers, operators
+// and observation.
+
+import (
+	"crypto/tls"
+	"encoding/json"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"tamaracktiller.example/tamaracktiller/internal/fleet/controller"
+	"tamaracktiller.example/tamaracktiller/internal/fleet/link"
+	"tamaracktiller.example/tamaracktiller/internal/kernel/registry"
+	"tamaracktiller.example/tamaracktiller/internal/platform/store"
+	"tamaracktiller.example/tamaracktiller/internal/process/front"
+	"tamaracktiller.example/tamaracktiller/internal/process/operator"
+	"tamaracktiller.example/tamaracktiller/internal/report/burn"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/gateway"
+)
+
+const (
+	// peerIdleTimeout exceeds the idle timeout of the sending side, so that the
+	// sender closes first.
+	peerIdleTimeout = 2 * time.Minute
+	// smallHeaderTimeout bounds the head of requests of operators and peers.
+	smallHeaderTimeout = 5 * time.Second
+)
+
+// addServers adds the servers last, so that they start last and stop first.
+func (b *Balancer) addServers() error {
+	c, err := registry.Find[*controller.Controller](b.services, serviceController)
+	if err != nil {
+		return err
+	}
+	links, err := registry.Find[*link.Service](b.services, serviceLinks)
+	if err != nil {
+		return err
+	}
+	gw, err := registry.Find[*gateway.Gateway](b.services, serviceGateway)
+	if err != nil {
+		return err
+	}
+	meter, err := registry.Find[*burn.Meter](b.services, serviceBurn)
+	if err != nil {
+		return err
+	}
+	client, err := registry.Find[*store.Client](b.services, serviceStore)
+	if err != nil {
+		return err
+	}
+	m, err := registry.Find[*metrics](b.services, serviceMetrics)
+	if err != nil {
+		return err
+	}
+	b.services.Provide("observe", b.observeServer(c, m))
+	b.services.Provide("peers", b.peerServer(c, links, gw, meter))
+	operators := operator.NewServer(operator.Config{
+		Operators: b.s.Operators, Confirmations: b.confirmations(c, client), Snapshot: c.Snapshot,
+		Peers: operator.NewPeers(c.Snapshot, meter, b.client), Log: b.log.For("operators"),
+	})
+	b.services.Provide("operators", b.operatorServer(operators))
+	callers, err := b.callerServer(gw)
+	if err != nil {
+		return err
+	}
+	b.services.Provide("callers", callers)
+	return nil
+}
+
+// quiet drops the error log of net/http, which reports aborted connections.
+var quiet = stdlog.New(io.Discard, "", 0)
+
+func (b *Balancer) observeServer(c *controller.Controller, m *metrics) *httpService {
+	r := chi.NewRouter()
+	r.Handle("/metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		s := c.Snapshot()
+		if !s.Ready {
+			http.Error(w, s.Why, http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ready\n")
+	})
+	r.Get("/debug/pprof/profile", pprof.Profile)
+	r.Get("/debug/pprof/*", pprof.Index)
+	return &httpService{address: b.s.Listen.Observe, g: b.g, server: &http.Server{Handler: r, ReadHeaderTimeout: smallHeaderTimeout, ErrorLog: quiet}}
+}
+
+// peerServer serves links, calls of other balancers, and their questions.
+func (b *Balancer) peerServer(c *controller.Controller, links *link.Service, gw *gateway.Gateway, meter *burn.Meter) *httpService {
+	r := chi.NewRouter()
+	r.Handle(link.Path, links)
+	r.Get(operator.StatusPath, func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(operator.StatusOf(c.Snapshot()))
+	})
+	r.Get(operator.ReportPath, func(w http.ResponseWriter, _ *http.Request) {
+		s := c.Snapshot()
+		_ = json.NewEncoder(w).Encode(meter.Report(time.Now(), s.Self.Name, s.Catalog))
+	})
+	hop := gw.Hop()
+	handler := http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.Header.Get(call.HeaderHop) != "" {
+			hop.ServeHTTP(w, req)
+			return
+		}
+		r.ServeHTTP(w, req)
+	})
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: smallHeaderTimeout, IdleTimeout: peerIdleTimeout,
+		MaxHeaderBytes: peerHeaderBytes, ErrorLog: quiet,
+	}
+	return &httpService{address: b.s.Listen.Peers, g: b.g, server: server, wrap: func(l net.Listener) net.Listener {
+		return tls.NewListener(l, b.server)
+	}}
+}
+
+// peerHeaderBytes bounds the head of a call from another balancer: that of the
+// caller plus what balancers add.
+const peerHeaderBytes = 128 << 10
+
+func (b *Balancer) operatorServer(s *operator.Server) *httpService {
+	cfg := b.server.Clone()
+	cfg.ClientAuth = tls.NoClientCert
+	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: smallHeaderTimeout, ReadTimeout: peerIdleTimeout, ErrorLog: quiet}
+	return &httpService{address: b.s.Listen.Operators, g: b.g, server: server, wrap: func(l net.Listener) net.Listener {
+		return tls.NewListener(l, cfg)
+	}}
+}
+
+func (b *Balancer) callerServer(gw *gateway.Gateway) (*httpService, error) {
+	var cfg *tls.Config
+	if b.s.CallerTLS != nil {
+		var err error
+		if cfg, err = b.s.CallerTLS.Load(); err != nil {
+			return nil, err
+		}
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{
+		Handler: gateway.Observe(gw), ConnContext: gateway.ConnContext, Protocols: protocols,
+		ReadHeaderTimeout: b.s.Limits.HeaderTimeout.Std(), IdleTimeout: b.s.Limits.IdleTimeout.Std(),
+		MaxHeaderBytes: b.s.Limits.MaxHeaderBytes, ErrorLog: quiet,
+	}
+	return &httpService{address: b.s.Listen.Callers, g: b.g, server: server, wrap: func(l net.Listener) net.Listener {
+		return front.NewListener(l, front.Config{TLS: cfg, MaxConnections: b.s.Limits.MaxConnections}, b.g)
+	}}, nil
+}
--- /dev/null
+++ b/internal/process/front/listener.go
@@ -0,0 +1,141 @@
+// Package front listens for callers: HTTP/1.1 and HTTP/2, with or without TLS,
+// with a bound on open connections.
+//
+// # Usage
+//
+//	l := front.NewListener(inner, front.Config{TLS: tlsConfig, MaxConnections: 10000}, group)
+//	server := &http.Server{Handler: gateway.Observe(handler), ConnContext: gateway.ConnContext}
+//	server.Serve(l)
+package front
+
+// This file defines Listener, which finishes TLS before the server sees a
+// connection.
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/gateway"
+)
+
+// handshakeTimeout bounds a TLS handshake.
+const handshakeTimeout = 5 * time.Second
+
+// Config holds the parameters of a listener.
+type Config struct {
+	// TLS is nil for plain HTTP.
+	TLS            *tls.Config
+	MaxConnections int
+}
+
+// Listener hands out connections that are ready for HTTP. HTTP/1 connections are
+// wrapped so that their heads can be observed; HTTP/2 ones are not, since their
+// framing is unambiguous.
+type Listener struct {
+	inner net.Listener
+	cfg   Config
+	g     *group.Group
+	open  atomic.Int64
+	ready chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+var _ net.Listener = (*Listener)(nil)
+
+// NewListener returns a listener that accepts from inner, in goroutines of g.
+func NewListener(inner net.Listener, cfg Config, g *group.Group) *Listener {
+	l := &Listener{inner: inner, cfg: cfg, g: g, ready: make(chan net.Conn), done: make(chan struct{})}
+	g.Go("accept callers", l.accept)
+	return l
+}
+
+func (l *Listener) accept(context.Context) error {
+	for {
+		nc, err := l.inner.Accept()
+		if err != nil {
+			return l.Close()
+		}
+		if l.open.Add(1) > int64(l.cfg.MaxConnections) {
+			l.open.Add(-1)
+			_ = nc.Close()
+			continue
+		}
+		counted := &countedConn{Conn: nc, open: &l.open}
+		if l.cfg.TLS == nil {
+			l.hand(&gateway.ObservedConn{Conn: counted})
+			continue
+		}
+		l.g.Go("handshake", func(ctx context.Context) error {
+			l.handshake(ctx, counted)
+			return nil
+		})
+	}
+}
+
+func (l *Listener) handshake(ctx context.Context, nc net.Conn) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	secure := tls.Server(nc, l.cfg.TLS)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = nc.Close()
+		return
+	}
+	if secure.ConnectionState().NegotiatedProtocol == "h2" {
+		l.hand(secure)
+		return
+	}
+	l.hand(&gateway.ObservedConn{Conn: secure})
+}
+
+func (l *Listener) hand(nc net.Conn) {
+	select {
+	case l.ready <- nc:
+	case <-l.done:
+		_ = nc.Close()
+	}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	select {
+	case nc := <-l.ready:
+		return nc, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	var err error
+	l.once.Do(func() {
+		close(l.done)
+		err = l.inner.Close()
+	})
+	return err
+}
+
+// Addr implements net.Listener.
+func (l *Listener) Addr() net.Addr { return l.inner.Addr() }
+
+// Open returns the number of open connections.
+func (l *Listener) Open() int { return int(l.open.Load()) }
+
+// countedConn gives its place back when it is closed.
+type countedConn struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/process/operator/server.go
@@ -0,0 +1,300 @@
+// Package operator serves the command line of operators: intents, plans,
+// confirmations, status and reports, over HTTPS.
+//
+// An operator proves who he is with a secret; what he may do follows from his
+// partner. Every confirmation and every refusal is logged.
+//
+// # Usage
+//
+//	s := operator.NewServer(cfg)
+//	http.Server{Handler: s.Handler(), TLSConfig: ...}
+package operator
+
+// This file defines Server, the HTTP routes of operators.
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"tamaracktiller.example/tamaracktiller/internal/contract/catalog"
+	"tamaracktiller.example/tamaracktiller/internal/contract/confirmation"
+	"tamaracktiller.example/tamaracktiller/internal/contract/document"
+	"tamaracktiller.example/tamaracktiller/internal/fleet/controller"
+	"tamaracktiller.example/tamaracktiller/internal/process/settings"
+	"tamaracktiller.example/tamaracktiller/internal/report/burn"
+)
+
+// Peers asks other balancers.
+type Peers interface {
+	// Status returns the status of every known host.
+	Status(ctx context.Context) []HostStatus
+	// Report returns the burn of all hosts.
+	Report(ctx context.Context) burn.Report
+}
+
+// HostStatus is the status of one balancer.
+type HostStatus struct {
+	Host     string `json:"host"`
+	Domain   string `json:"domain"`
+	Revision uint64 `json:"revision"`
+	// InForceSince is empty while the host has no configuration.
+	InForceSince string `json:"in-force-since,omitempty"`
+	Ready        bool   `json:"ready"`
+	Why          string `json:"why,omitempty"`
+	// Error says why the host did not answer.
+	Error string `json:"error,omitempty"`
+}
+
+// Status is the answer to the status command.
+type Status struct {
+	Revision uint64                 `json:"revision"`
+	Hosts    []HostStatus           `json:"hosts"`
+	Services []catalog.Service      `json:"services"`
+	Pools    []catalog.Pool         `json:"pools"`
+	History  []catalog.Confirmation `json:"history"`
+	Draining []string               `json:"draining-targets"`
+}
+
+// Failure is the answer to a call that was refused.
+type Failure struct {
+	Kind         string `json:"kind"`
+	Error        string `json:"error"`
+	FreshPlan    string `json:"fresh-plan,omitempty"`
+	RetryAfterMS int64  `json:"retry-after-ms,omitempty"`
+}
+
+// Kinds of failure. The command line turns them into exit codes.
+const (
+	KindInvalid     = "invalid"
+	KindForbidden   = "forbidden"
+	KindUnknown     = "unknown-plan"
+	KindStale       = "stale"
+	KindNotShown    = "not-shown"
+	KindTooMany     = "too-many-plans"
+	KindUnavailable = "unavailable"
+	KindUndecided   = "undecided"
+)
+
+// Config holds the dependencies of a server.
+type Config struct {
+	Operators     []settings.Operator
+	Confirmations *confirmation.Service
+	Snapshot      func() *controller.Snapshot
+	Peers         Peers
+	Log           *logrus.Entry
+}
+
+// Server serves operators.
+type Server struct{ cfg Config }
+
+// NewServer returns a server.
+func NewServer(cfg Config) *Server { return &Server{cfg: cfg} }
+
+type operatorKey struct{}
+
+// Handler returns the routes.
+func (s *Server) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Use(s.authenticate)
+	r.Post("/v1/intents", s.declare)
+	r.Get("/v1/plans", s.plans)
+	r.Get("/v1/plans/{id}", s.show)
+	r.Post("/v1/plans/{id}/confirm", s.confirm)
+	r.Get("/v1/status", s.status)
+	r.Get("/v1/report", s.report)
+	return r
+}
+
+// authenticate finds the operator by name and compares the secret's digest in
+// constant time. Unknown names take the same time.
+func (s *Server) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		name, secret, _ := r.BasicAuth()
+		digest := sha256.Sum256([]byte(secret))
+		var found *settings.Operator
+		for i := range s.cfg.Operators {
+			o := &s.cfg.Operators[i]
+			same := subtle.ConstantTimeCompare(o.Digest[:], digest[:]) == 1
+			if same && name == o.Partner+"/"+o.Name {
+				found = o
+			}
+		}
+		if found == nil {
+			s.cfg.Log.WithFields(logrus.Fields{"operator": name, "from": r.RemoteAddr}).Warn("operator refused")
+			fail(w, http.StatusUnauthorized, Failure{Kind: KindForbidden, Error: "unknown operator or wrong secret"})
+			return
+		}
+		who := confirmation.Operator{Partner: catalog.Partner(found.Partner), Name: found.Name}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorKey{}, who)))
+	})
+}
+
+func operatorOf(r *http.Request) confirmation.Operator {
+	who, _ := r.Context().Value(operatorKey{}).(confirmation.Operator)
+	return who
+}
+
+func (s *Server) declare(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, catalog.MaxIntentBytes+1))
+	if err != nil {
+		fail(w, http.StatusRequestEntityTooLarge, Failure{Kind: KindInvalid, Error: "the intent is too large"})
+		return
+	}
+	in, err := catalog.ParseIntent("intent", data)
+	if err != nil {
+		s.refuse(w, r, "intent refused", err)
+		return
+	}
+	p, err := s.cfg.Confirmations.Declare(r.Context(), operatorOf(r), in)
+	if err != nil {
+		s.refuse(w, r, "intent refused", err)
+		return
+	}
+	s.log(r).WithField("plan", p.ID).Info("plan made")
+	answer(w, p)
+}
+
+func (s *Server) plans(w http.ResponseWriter, r *http.Request) {
+	plans, err := s.cfg.Confirmations.Plans(r.Context(), operatorOf(r))
+	if err != nil {
+		s.refuse(w, r, "plans refused", err)
+		return
+	}
+	answer(w, plans)
+}
+
+func (s *Server) show(w http.ResponseWriter, r *http.Request) {
+	p, err := s.cfg.Confirmations.Show(r.Context(), operatorOf(r), chi.URLParam(r, "id"))
+	if err != nil {
+		s.refuse(w, r, "plan refused", err)
+		return
+	}
+	s.log(r).WithField("plan", p.ID).Info("plan shown")
+	answer(w, p)
+}
+
+func (s *Server) confirm(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "id")
+	done, err := s.cfg.Confirmations.Confirm(r.Context(), operatorOf(r), id)
+	if err != nil {
+		s.refuse(w, r, "confirmation refused", err)
+		return
+	}
+	s.log(r).WithFields(logrus.Fields{"plan": id, "revision": done.Revision, "reason": done.Reason}).Info("plan confirmed")
+	answer(w, done)
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	snapshot := s.cfg.Snapshot()
+	status := Status{Revision: snapshot.Head.Revision, Hosts: s.cfg.Peers.Status(r.Context()), History: snapshot.Head.History}
+	for _, d := range snapshot.Catalog.Documents() {
+		if d.IsPool {
+			status.Pools = append(status.Pools, snapshot.Catalog.Pools[d.Name])
+		} else {
+			status.Services = append(status.Services, snapshot.Catalog.Services[d.Name])
+		}
+	}
+	for target := range snapshot.LeavingTargets {
+		status.Draining = append(status.Draining, target)
+	}
+	answer(w, status)
+}
+
+func (s *Server) report(w http.ResponseWriter, r *http.Request) {
+	answer(w, s.cfg.Peers.Report(r.Context()))
+}
+
+func (s *Server) log(r *http.Request) *logrus.Entry {
+	who := operatorOf(r)
+	return s.cfg.Log.WithFields(logrus.Fields{"partner": who.Partner, "operator": who.Name})
+}
+
+// refuse answers an error and logs it.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, text string, err error) {
+	status, f := failureOf(err)
+	s.log(r).WithField("kind", f.Kind).WithError(err).Warn(text)
+	fail(w, status, f)
+}
+
+// failureOf turns the errors of the layers below into those of operators.
+func failureOf(err error) (int, Failure) {
+	f := Failure{Error: err.Error()}
+	var (
+		stale       *confirmation.StaleError
+		notShown    *confirmation.NotShownError
+		unavailable *confirmation.UnavailableError
+		undecided   *confirmation.UndecidedError
+		field       *catalog.FieldError
+		doc         *document.Error
+	)
+	switch {
+	case errors.As(err, &stale):
+		f.Kind = KindStale
+		if stale.Fresh != nil {
+			f.FreshPlan = stale.Fresh.ID
+		}
+		return http.StatusConflict, f
+	case errors.As(err, &notShown):
+		f.Kind = KindNotShown
+		return http.StatusConflict, f
+	case errors.As(err, &unavailable):
+		f.Kind, f.RetryAfterMS = KindUnavailable, unavailable.RetryAfter.Milliseconds()
+		return http.StatusServiceUnavailable, f
+	case errors.As(err, &undecided):
+		f.Kind = KindUndecided
+		return http.StatusGatewayTimeout, f
+	case errors.Is(err, confirmation.ErrUnknownPlan):
+		f.Kind = KindUnknown
+		return http.StatusNotFound, f
+	case errors.Is(err, confirmation.ErrNotYours):
+		f.Kind = KindForbidden
+		return http.StatusForbidden, f
+	case errors.Is(err, confirmation.ErrTooManyPlans):
+		f.Kind = KindTooMany
+		return http.StatusTooManyRequests, f
+	case errors.As(err, &field), errors.As(err, &doc):
+		f.Kind = KindInvalid
+		return http.StatusUnprocessableEntity, f
+	}
+	f.Kind = KindUnavailable
+	return http.StatusInternalServerError, f
+}
+
+func fail(w http.ResponseWriter, status int, f Failure) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(f)
+}
+
+func answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// StatusOf returns the status of the own host.
+func StatusOf(s *controller.Snapshot) HostStatus {
+	status := HostStatus{Host: s.Self.Name, Domain: s.Self.Domain, Revision: s.Head.Revision, Ready: s.Ready, Why: s.Why}
+	if !s.InForceSince.IsZero() {
+		status.InForceSince = s.InForceSince.UTC().Format(time.RFC3339Nano)
+	}
+	return status
+}
+
+// ParseOperator splits partner/name.
+func ParseOperator(text string) (partner, name string, err error) {
+	partner, name, ok := strings.Cut(text, "/")
+	if !ok || partner == "" || name == "" {
+		return "", "", errors.Errorf("operator: want partner/name, got %q", text)
+	}
+	return partner, name, nil
+}
--- /dev/null
+++ b/internal/report/burn/report.go
@@ -0,0 +1,176 @@
+package burn
+
+// This file defines Report, the burn of all services, and how reports merge.
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"tamaracktiller.example/tamaracktiller/internal/contract/catalog"
+)
+
+// Window is the burn over one span.
+type Window struct {
+	Seconds int64 `json:"seconds"`
+	Good    int64 `json:"good-weight"`
+	Bad     int64 `json:"bad-weight"`
+	// Burn is the burn rate.
+	Burn float64 `json:"burn-rate"`
+}
+
+// Blame is the weight of a cause.
+type Blame struct {
+	Cause
+	Weight float64 `json:"weight"`
+}
+
+// Service is the burn of one service.
+type Service struct {
+	Name            string   `json:"service"`
+	Partner         string   `json:"partner"`
+	GoodPerThousand int      `json:"good-per-thousand"`
+	LatencyMillis   int64    `json:"latency-ms"`
+	Windows         []Window `json:"windows"`
+	// BudgetLeft is the share of the longest window's budget that is left. It is
+	// negative when more was used.
+	BudgetLeft float64 `json:"budget-left"`
+	Causes     []Blame `json:"causes,omitempty"`
+}
+
+// Report is the burn of all services.
+type Report struct {
+	// Hosts names the hosts that were counted, and Missing those that did not
+	// answer.
+	Hosts     []string  `json:"hosts"`
+	Missing   []string  `json:"missing,omitempty"`
+	UnixMilli int64     `json:"unix-milli"`
+	Services  []Service `json:"services"`
+}
+
+// Report returns the burn of this host.
+func (m *Meter) Report(now time.Time, host string, c *catalog.Catalog) Report {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := Report{Hosts: []string{host}, UnixMilli: now.UnixMilli()}
+	for name, sr := range m.services {
+		s := Service{Name: name, Partner: sr.partner}
+		if known, ok := c.Services[name]; ok {
+			s.GoodPerThousand = known.Objective.GoodPerThousand
+			s.LatencyMillis = known.Objective.Latency.Std().Milliseconds()
+		}
+		for _, w := range Windows {
+			good, bad := sr.sum(now, w)
+			s.Windows = append(s.Windows, Window{Seconds: int64(w / time.Second), Good: good, Bad: bad})
+		}
+		for cause, weight := range sr.causes {
+			s.Causes = append(s.Causes, Blame{Cause: cause, Weight: weight})
+		}
+		r.Services = append(r.Services, s)
+	}
+	r.finish()
+	return r
+}
+
+// Merge adds up the reports of several hosts.
+func Merge(reports []Report) Report {
+	var merged Report
+	byName := map[string]*Service{}
+	for _, r := range reports {
+		merged.Hosts = append(merged.Hosts, r.Hosts...)
+		merged.Missing = append(merged.Missing, r.Missing...)
+		merged.UnixMilli = max(merged.UnixMilli, r.UnixMilli)
+		for _, s := range r.Services {
+			mergeService(byName, s)
+		}
+	}
+	for _, s := range byName {
+		merged.Services = append(merged.Services, *s)
+	}
+	merged.finish()
+	return merged
+}
+
+func mergeService(byName map[string]*Service, s Service) {
+	m, ok := byName[s.Name]
+	if !ok {
+		s.Windows = slices.Clone(s.Windows)
+		s.Causes = slices.Clone(s.Causes)
+		byName[s.Name] = &s
+		return
+	}
+	for i := range m.Windows {
+		m.Windows[i].Good += s.Windows[i].Good
+		m.Windows[i].Bad += s.Windows[i].Bad
+	}
+	for _, b := range s.Causes {
+		at := slices.IndexFunc(m.Causes, func(o Blame) bool { return o.Cause == b.Cause })
+		if at < 0 {
+			m.Causes = append(m.Causes, b)
+			continue
+		}
+		m.Causes[at].Weight += b.Weight
+	}
+}
+
+// shownCauses is the number of causes in a report.
+const shownCauses = 5
+
+// finish computes the rates and puts everything in order.
+func (r *Report) finish() {
+	slices.Sort(r.Hosts)
+	slices.Sort(r.Missing)
+	slices.SortFunc(r.Services, func(a, b Service) int {
+		return cmp.Or(strings.Compare(a.Partner, b.Partner), strings.Compare(a.Name, b.Name))
+	})
+	for i := range r.Services {
+		s := &r.Services[i]
+		for w := range s.Windows {
+			s.Windows[w].Burn = rate(s.Windows[w], s.GoodPerThousand)
+		}
+		if n := len(s.Windows); n > 0 {
+			s.BudgetLeft = 1 - s.Windows[n-1].Burn
+		}
+		slices.SortFunc(s.Causes, func(a, b Blame) int {
+			return cmp.Or(cmp.Compare(b.Weight, a.Weight), strings.Compare(string(a.Fault)+a.Target, string(b.Fault)+b.Target))
+		})
+	}
+}
+
+// rate returns the share of bad weight over the allowed share.
+func rate(w Window, goodPerThousand int) float64 {
+	total := w.Good + w.Bad
+	allowed := float64(1000-goodPerThousand) / 1000
+	if total == 0 || allowed <= 0 {
+		return 0
+	}
+	return float64(w.Bad) / float64(total) / allowed
+}
+
+// WriteText writes the report as a table.
+func (r Report) WriteText(w io.Writer) error {
+	fmt.Fprintf(w, "service-level burn at %s, %d hosts", time.UnixMilli(r.UnixMilli).UTC().Format(time.RFC3339), len(r.Hosts))
+	if len(r.Missing) > 0 {
+		fmt.Fprintf(w, ", no answer from %s", strings.Join(r.Missing, " "))
+	}
+	fmt.Fprintf(w, "\n%-16s %-18s %-20s %8s %8s %8s %8s  %s\n", "partner", "service", "objective", "5m", "1h", "6h", "budget", "requests (weighted) in 6h")
+	for _, s := range r.Services {
+		objective := fmt.Sprintf("%.1f%% in %d ms", float64(s.GoodPerThousand)/10, s.LatencyMillis)
+		fmt.Fprintf(w, "%-16s %-18s %-20s", s.Partner, s.Name, objective)
+		for _, win := range s.Windows {
+			fmt.Fprintf(w, " %7.2fx", win.Burn)
+		}
+		last := s.Windows[len(s.Windows)-1]
+		fmt.Fprintf(w, " %7.1f%%  %d\n", 100*s.BudgetLeft, last.Good+last.Bad)
+		for i, b := range s.Causes {
+			if i == shownCauses {
+				break
+			}
+			fmt.Fprintf(w, "    %s %s %s: %.0f\n", b.Fault, b.Target, b.Domain, b.Weight)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/traffic/call/headers.go
@@ -0,0 +1,243 @@
+package call
+
+// This file defines the headers between processes and their codec.
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tamaracktiller.example/tamaracktiller/internal/traffic/dispatch"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/route"
+)
+
+// Headers that callers and targets see.
+const (
+	// HeaderOutcome tells the caller the outcome.
+	HeaderOutcome = "Tamarack-Outcome"
+	// HeaderRequestID carries the id of the request to the target and back.
+	HeaderRequestID = "Tamarack-Request-Id"
+	// HeaderDeadline carries the time left, in milliseconds. Callers may set it.
+	HeaderDeadline = "Tamarack-Deadline-Ms"
+	// HeaderMember names the Member that the caller acts for.
+	HeaderMember = "Tamarack-Member"
+	// HeaderNotRun is set by a target that refuses a request before running it.
+	HeaderNotRun = "Tamarack-Not-Run"
+	// HeaderRetryAfterMS tells when to come back, in milliseconds.
+	HeaderRetryAfterMS = "Tamarack-Retry-After-Ms"
+)
+
+// Headers between balancers. They are removed from what callers and targets send.
+const (
+	headerPrefix    = "Tamarack-"
+	HeaderHop       = "Tamarack-Hop"
+	headerService   = "Tamarack-Service"
+	headerPool      = "Tamarack-Pool"
+	headerKind      = "Tamarack-Kind"
+	headerPartner   = "Tamarack-Partner"
+	headerWeight    = "Tamarack-Weight"
+	headerFlags     = "Tamarack-Flags"
+	headerAvoid     = "Tamarack-Avoid"
+	headerReason    = "Tamarack-Reason"
+	headerTarget    = "Tamarack-Target"
+	headerReports   = "Tamarack-Cells"
+	flagIdempotent  = "i"
+	flagMayWait     = "w"
+	flagForwarded   = "f"
+	flagBadTarget   = "b"
+	maxReportsBytes = 4 << 10
+)
+
+// ErrBadHop reports a request between balancers that cannot be understood.
+var ErrBadHop = errors.New("call: bad request from a balancer")
+
+// StripInternal removes the headers between balancers from a message that came
+// from outside.
+func StripInternal(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, headerPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// HopRequest returns the request for the dispatcher of the call's cell. known is
+// what the sender knows of the cells of the pool.
+func (c *Call) HopRequest(out *http.Request, now time.Time, known []route.Report) {
+	h := out.Header
+	h.Set(HeaderHop, "1")
+	h.Set(HeaderRequestID, c.ID)
+	h.Set(headerService, c.Service)
+	h.Set(headerPool, c.Pool)
+	h.Set(headerKind, c.Kind)
+	h.Set(headerPartner, c.Partner)
+	h.Set(HeaderMember, c.Member)
+	h.Set(headerWeight, strconv.Itoa(c.Weight))
+	h.Set(HeaderDeadline, millis(c.Deadline.Sub(now)))
+	h.Set(headerFlags, c.flags())
+	if len(c.Avoid) > 0 {
+		h.Set(headerAvoid, strings.Join(c.Avoid, ","))
+	}
+	setReports(h, now, known)
+}
+
+func (c *Call) flags() string {
+	flags := ""
+	if c.Idempotent {
+		flags += flagIdempotent
+	}
+	if c.MayWait {
+		flags += flagMayWait
+	}
+	if c.Forwarded {
+		flags += flagForwarded
+	}
+	return flags
+}
+
+// FromHop reads the call from a request between balancers and removes the
+// headers. Error: ErrBadHop.
+func FromHop(r *http.Request, now time.Time) (*Call, []route.Report, error) {
+	h := r.Header
+	left, err := strconv.ParseInt(h.Get(HeaderDeadline), 10, 64)
+	if err != nil {
+		return nil, nil, errors.Wrap(ErrBadHop, "deadline")
+	}
+	weight, err := strconv.Atoi(h.Get(headerWeight))
+	if err != nil {
+		return nil, nil, errors.Wrap(ErrBadHop, "weight")
+	}
+	flags := h.Get(headerFlags)
+	c := &Call{
+		ID: h.Get(HeaderRequestID), Service: h.Get(headerService), Pool: h.Get(headerPool), Kind: h.Get(headerKind),
+		Partner: h.Get(headerPartner), Member: h.Get(HeaderMember), Weight: weight,
+		Idempotent: strings.Contains(flags, flagIdempotent),
+		MayWait:    strings.Contains(flags, flagMayWait),
+		Forwarded:  strings.Contains(flags, flagForwarded),
+		Deadline:   now.Add(time.Duration(left) * time.Millisecond),
+		Request:    r,
+	}
+	if avoid := h.Get(headerAvoid); avoid != "" {
+		c.Avoid = strings.Split(avoid, ",")
+	}
+	reports := getReports(h, c.Pool, now)
+	StripInternal(h)
+	return c, reports, nil
+}
+
+// TargetHeaders sets what the target is told.
+func (c *Call) TargetHeaders(out *http.Request, now time.Time) {
+	out.Header.Set(HeaderRequestID, c.ID)
+	out.Header.Set(HeaderDeadline, millis(c.Deadline.Sub(now)))
+	if c.Member != "" {
+		out.Header.Set(HeaderMember, c.Member)
+	}
+}
+
+// SetHopAnswer puts the answer into the headers of the answer to a balancer.
+func (a *Answer) SetHopAnswer(h http.Header, now time.Time) {
+	h.Set(HeaderOutcome, string(a.Outcome))
+	if a.Reason != "" {
+		h.Set(headerReason, a.Reason)
+	}
+	if a.RetryAfter > 0 {
+		h.Set(HeaderRetryAfterMS, millis(a.RetryAfter))
+	}
+	if a.Target != "" {
+		h.Set(headerTarget, a.Target)
+	}
+	if a.Failed {
+		h.Set(headerFlags, flagBadTarget)
+	}
+	setReports(h, now, a.Reports)
+}
+
+// FromHopAnswer reads the answer of a dispatcher and removes the headers.
+func FromHopAnswer(res *http.Response, pool string, now time.Time) (*Answer, error) {
+	h := res.Header
+	a := &Answer{
+		Outcome: Outcome(h.Get(HeaderOutcome)),
+		Reason:  h.Get(headerReason),
+		Target:  h.Get(headerTarget),
+		Failed:  h.Get(headerFlags) == flagBadTarget,
+		Reports: getReports(h, pool, now),
+	}
+	retry, _ := strconv.ParseInt(h.Get(HeaderRetryAfterMS), 10, 64)
+	a.RetryAfter = time.Duration(retry) * time.Millisecond
+	switch a.Outcome {
+	case Ran:
+		a.Response = res
+	case OutcomeNotRun, OutcomeUnknown:
+	default:
+		return nil, errors.Wrapf(ErrBadHop, "outcome %q", a.Outcome)
+	}
+	StripInternal(h)
+	return a, nil
+}
+
+// setReports writes the reports as domain=free/waiting/slots/service-us/age-us,
+// separated by commas.
+func setReports(h http.Header, now time.Time, reports []route.Report) {
+	if len(reports) == 0 {
+		return
+	}
+	var b strings.Builder
+	for i, r := range reports {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, "%s=%d/%d/%d/%d/%d", r.Cell.Domain, r.Load.Free, r.Load.Waiting, r.Load.Slots,
+			r.Load.Service.Microseconds(), max(0, now.Sub(r.At).Microseconds()))
+	}
+	if b.Len() <= maxReportsBytes {
+		h[headerReports] = []string{b.String()}
+	}
+}
+
+// getReports reads what setReports wrote. Reports that cannot be read are left
+// out: they are only advice.
+func getReports(h http.Header, pool string, now time.Time) []route.Report {
+	value := h.Get(headerReports)
+	if value == "" {
+		return nil
+	}
+	var reports []route.Report
+	for item := range strings.SplitSeq(value, ",") {
+		if r, ok := parseReport(item, pool, now); ok {
+			reports = append(reports, r)
+		}
+	}
+	return reports
+}
+
+// reportFields is the number of figures of a report.
+const reportFields = 5
+
+func parseReport(item, pool string, now time.Time) (route.Report, bool) {
+	domain, rest, ok := strings.Cut(item, "=")
+	parts := strings.Split(rest, "/")
+	if !ok || len(parts) != reportFields {
+		return route.Report{}, false
+	}
+	var n [reportFields]int64
+	for i, part := range parts {
+		v, err := strconv.ParseInt(part, 10, 64)
+		if err != nil {
+			return route.Report{}, false
+		}
+		n[i] = v
+	}
+	return route.Report{
+		Cell: route.CellID{Pool: pool, Domain: domain},
+		Load: dispatch.Load{Free: int(n[0]), Waiting: int(n[1]), Slots: int(n[2]), Service: time.Duration(n[3]) * time.Microsecond},
+		At:   now.Add(-time.Duration(n[4]) * time.Microsecond),
+	}, true
+}
+
+func millis(d time.Duration) string {
+	return strconv.FormatInt(max(0, d.Milliseconds()), 10)
+}
--- /dev/null
+++ b/internal/traffic/relay/relay.go
@@ -0,0 +1,225 @@
+// Package relay sends HTTP/1.1 requests to targets and to peer balancers over
+// pooled connections.
+//
+// It is built on the pieces of net/http (Request.Write and ReadResponse) and not
+// on its client, because the caller must know exactly what happened: whether a
+// byte of the request may have reached the other side, on which connection, and
+// whether the answer is whole. It never repeats a request by itself.
+//
+// # Usage
+//
+//	p := relay.NewPool(address, relay.Config{MaxConnections: 240, Dial: dial}, group)
+//	res, err := p.RoundTrip(ctx, request, relay.Options{Idempotent: true})
+//	if err != nil {
+//		relay.MayHaveRun(err) // false: no byte was sent
+//	}
+//	defer res.Body.Close()
+package relay
+
+// This file defines Pool, the connections to one address.
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
+)
+
+// Errors of a relay. Each is wrapped in an *Error.
+var (
+	// ErrNoConnection reports that all connections to the address are in use.
+	ErrNoConnection = errors.New("all connections are in use")
+	// ErrAmbiguous reports an answer whose length is not given exactly once.
+	ErrAmbiguous = errors.New("ambiguous framing of the answer")
+	// ErrHeadTooLarge reports an answer whose head exceeds maxHeadBytes.
+	ErrHeadTooLarge = errors.New("head of the answer is too large")
+	// ErrUpgrade reports an answer that switches protocols unasked.
+	ErrUpgrade = errors.New("answer switches protocols")
+	// ErrRequestBody reports that the caller's body could not be read.
+	ErrRequestBody = errors.New("body of the request could not be read")
+)
+
+// Error is a failed round trip.
+type Error struct {
+	Address netip.AddrPort
+	// Sent says that bytes of the request may have reached the address.
+	Sent bool
+	// Reused says that the connection had carried a request before.
+	Reused bool
+	Cause  error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("relay: %s (sent %t, reused %t): %v", e.Address, e.Sent, e.Reused, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// MayHaveRun reports whether the request may have reached the other side.
+func MayHaveRun(err error) bool {
+	var e *Error
+	return !errors.As(err, &e) || e.Sent
+}
+
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+
+// Config holds the parameters of a pool.
+type Config struct {
+	MaxConnections int
+	Dial           Dial
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// IdleTimeout closes connections that were not used for that long.
+	IdleTimeout time.Duration
+	// Fresh is the age of the last answer up to which a connection may carry a
+	// request that must not be repeated.
+	Fresh time.Duration
+}
+
+// Pool holds the connections to one address. It is safe for concurrent use.
+type Pool struct {
+	address netip.AddrPort
+	cfg     Config
+	g       *group.Group
+
+	mu     sync.Mutex
+	idle   []*conn
+	open   int
+	closed bool
+}
+
+// NewPool returns a pool for address. Request bodies are sent by goroutines of g.
+func NewPool(address netip.AddrPort, cfg Config, g *group.Group) *Pool {
+	return &Pool{address: address, cfg: cfg, g: g}
+}
+
+// Address returns the address of the pool.
+func (p *Pool) Address() netip.AddrPort { return p.address }
+
+// Close closes the idle connections; those in use close when their answer ends.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.closed = nil, true
+	p.open -= len(idle)
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.nc.Close()
+	}
+}
+
+// Trim closes connections that have been idle for the idle timeout.
+func (p *Pool) Trim(now time.Time) {
+	p.mu.Lock()
+	var old []*conn
+	keep := p.idle[:0]
+	for _, c := range p.idle {
+		if now.Sub(c.lastAnswer) > p.cfg.IdleTimeout {
+			old = append(old, c)
+		} else {
+			keep = append(keep, c)
+		}
+	}
+	p.idle = keep
+	p.open -= len(old)
+	p.mu.Unlock()
+	for _, c := range old {
+		_ = c.nc.Close()
+	}
+}
+
+// get returns an idle connection or opens one. A connection that must be fresh
+// has carried an answer very recently or is new, because an older one may be
+// dead without an error.
+func (p *Pool) get(ctx context.Context, fresh bool) (*conn, error) {
+	for {
+		c, mayDial := p.takeIdle(fresh)
+		if c != nil {
+			if c.quiet() {
+				return c, nil
+			}
+			p.discard(c)
+			continue
+		}
+		if !mayDial {
+			return nil, ErrNoConnection
+		}
+		return p.dial(ctx)
+	}
+}
+
+// takeIdle returns the connection used last, or says that one may be opened.
+func (p *Pool) takeIdle(fresh bool) (c *conn, mayDial bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := len(p.idle); n > 0 {
+		last := p.idle[n-1]
+		if !fresh || time.Since(last.lastAnswer) <= p.cfg.Fresh {
+			p.idle = p.idle[:n-1]
+			return last, false
+		}
+	}
+	if p.open >= p.cfg.MaxConnections && len(p.idle) > 0 {
+		oldest := p.idle[0]
+		p.idle = p.idle[1:]
+		p.open--
+		_ = oldest.nc.Close()
+	}
+	if p.open >= p.cfg.MaxConnections {
+		return nil, false
+	}
+	p.open++
+	return nil, true
+}
+
+func (p *Pool) dial(ctx context.Context) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
+	defer cancel()
+	nc, err := p.cfg.Dial(ctx, p.address)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, err
+	}
+	return newConn(nc), nil
+}
+
+// put returns a connection whose answer ended cleanly.
+func (p *Pool) put(c *conn) {
+	c.lastAnswer = time.Now()
+	c.reused = true
+	p.mu.Lock()
+	if !p.closed {
+		p.idle = append(p.idle, c)
+		p.mu.Unlock()
+		return
+	}
+	p.open--
+	p.mu.Unlock()
+	_ = c.nc.Close()
+}
+
+// discard closes a connection that must not be used again.
+func (p *Pool) discard(c *conn) {
+	_ = c.nc.Close()
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// Open returns the number of open connections.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
