Count a refused connection against its target

Cause: the station cancelled the call's context before it asked whether the caller had gone away, so every failed round trip looked cancelled, and a dead target was never paused. Ruled out: the retry budget alone; it ran dry because of the failures.

--- a/internal/bench/load/result.go
+++ b/internal/bench/load/result.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"time"
 
@@ -62,6 +63,7 @@
 	once     map[string]bool
 	errors   map[string]int
 	statuses map[int]int
+	reasons  map[string]int
 }
 
 const (
@@ -74,7 +76,7 @@
 func newResult() *Result {
 	return &Result{
 		latency: hdrhistogram.New(1, highest, digits), overhead: hdrhistogram.New(1, highest, digits), direct: hdrhistogram.New(1, highest, digits),
-		outcomes: map[string]Outcome{}, once: map[string]bool{}, errors: map[string]int{}, statuses: map[int]int{},
+		outcomes: map[string]Outcome{}, once: map[string]bool{}, errors: map[string]int{}, statuses: map[int]int{}, reasons: map[string]int{},
 	}
 }
 
@@ -103,6 +105,9 @@
 		r.note(a.err)
 	}
 	r.statuses[a.status]++
+	if a.reason != "" {
+		r.reasons[fmt.Sprintf("%s: %s", a.outcome, generalise(a.reason))]++
+	}
 }
 
 func (r *Result) addAnswer(a answer, latency time.Duration, overhead int64) {
@@ -118,6 +123,11 @@
 	}
 }
 
+// generalise drops port numbers, so that equal reasons count together.
+func generalise(reason string) string { return portPattern.ReplaceAllString(reason, ":*") }
+
+var portPattern = regexp.MustCompile(`:[0-9]{4,5}`)
+
 func (r *Result) note(err error) {
 	text := "no outcome in the answer"
 	if err != nil {
@@ -200,6 +210,9 @@
 	for text, n := range r.errors {
 		fmt.Fprintf(w, "  error %q: %d\n", text, n)
 	}
+	for text, n := range r.reasons {
+		fmt.Fprintf(w, "  %s: %d\n", text, n)
+	}
 	for status, n := range r.statuses {
 		if status >= 400 {
 			fmt.Fprintf(w, "  status %d: %d\n", status, n)
--- a/internal/bench/load/run.go
+++ b/internal/bench/load/run.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"crypto/tls"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -134,6 +135,7 @@
 	whole   bool
 	inside  time.Duration
 	status  int
+	reason  string
 	err     error
 }
 
@@ -226,6 +228,13 @@
 	if c.direct {
 		a.outcome = OutcomeRan
 	}
+	if a.outcome == OutcomeNotRun || a.outcome == OutcomeUnknown {
+		var told struct {
+			Reason string `json:"reason"`
+		}
+		_ = json.Unmarshal(body, &told)
+		a.reason = told.Reason
+	}
 	if a.outcome == OutcomeRan && res.StatusCode == http.StatusOK {
 		digest := proof.Digest(c.id, c.kind.Method, c.kind.Path, c.body)
 		a.whole = proof.Whole(body, digest, c.kind.AnswerBytes)
--- a/internal/traffic/station/station.go
+++ b/internal/traffic/station/station.go
@@ -293,8 +293,9 @@
 	in.TargetHeaders(out, began)
 	res, err := line.RoundTrip(ctx, out, relay.Options{Idempotent: in.Idempotent})
 	if err != nil {
+		result := resultOf(ctx, err)
 		cancel()
-		c.done(granted, dispatch.Sample{Result: resultOf(ctx, err)})
+		c.done(granted, dispatch.Sample{Result: result})
 		return answerOf(err, name)
 	}
 	slot := &slot{cell: c, granted: granted, latency: time.Since(began), cancel: cancel}
