Let the load tool skip balancers that are not ready

Cause: the 1,123 calls that were not run in scenario outage (811 'no configuration yet', 312 'listening to peers') went to two balancers that were just restarting; the platform's balancer, which the tool stands in for, asks for readiness.

--- a/cmd/tamarackbench/main.go
+++ b/cmd/tamarackbench/main.go
@@ -113,6 +113,7 @@
 type loadCommand struct {
 	Workload    string        `required:"" type:"existingfile" help:"Workload file."`
 	Balancer    []string      `required:"" help:"Callers' address of a balancer; may be repeated."`
+	ReadyPort   uint16        `default:"7304" help:"Port at which balancers tell that they are ready; 0 sends to all."`
 	Direct      []string      `help:"Address of a target for direct calls; may be repeated."`
 	DirectShare int           `default:"0" help:"Direct calls, of 1000."`
 	Rate        float64       `default:"500" help:"Calls per second."`
@@ -134,7 +135,7 @@
 	if err != nil {
 		return err
 	}
-	cfg := load.Config{DirectShare: c.DirectShare, Rate: c.Rate, Calls: c.Calls, Timeout: c.Timeout, Retries: c.Retries, Seed: c.Seed}
+	cfg := load.Config{ReadyPort: c.ReadyPort, DirectShare: c.DirectShare, Rate: c.Rate, Calls: c.Calls, Timeout: c.Timeout, Retries: c.Retries, Seed: c.Seed}
 	if cfg.Balancers, err = parseAddresses(c.Balancer); err != nil {
 		return err
 	}
--- a/internal/bench/load/run.go
+++ b/internal/bench/load/run.go
@@ -27,6 +27,9 @@
 type Config struct {
 	// Balancers are the callers' addresses of the balancers.
 	Balancers []netip.AddrPort
+	// ReadyPort is the port at which balancers tell that they are ready; 0 sends
+	// to all of them.
+	ReadyPort uint16
 	// Direct are addresses of targets for the comparison. It may be empty.
 	Direct []netip.AddrPort
 	// DirectShare is the share of calls, of 1000, that go directly.
@@ -62,6 +65,7 @@
 	w      *Workload
 	client *http.Client
 	g      *group.Group
+	ready  *readiness
 
 	mu     sync.Mutex
 	result *Result
@@ -73,7 +77,16 @@
 	r := &runner{
 		cfg: cfg, w: w, g: group.New(ctx), result: newResult(),
 		client: &http.Client{Transport: transport, Timeout: cfg.Timeout},
+		ready:  newReadiness(cfg.Balancers, cfg.ReadyPort),
 	}
+	asking := group.New(ctx)
+	if cfg.ReadyPort != 0 {
+		asking.Go("readiness", func(ctx context.Context) error {
+			r.ready.run(ctx)
+			return nil
+		})
+	}
+	defer func() { _ = asking.Stop() }()
 	r.sendAll()
 	_ = r.g.Wait()
 	r.result.finish()
@@ -157,13 +170,12 @@
 // send tries the addresses in turn until one takes the connection, as the
 // platform's balancer does.
 func (r *runner) send(ctx context.Context, c *outgoing) answer {
-	addresses := r.cfg.Balancers
+	addresses := r.ready.order(c.first)
 	if c.direct {
-		addresses = r.cfg.Direct
+		addresses = r.cfg.Direct[c.first%len(r.cfg.Direct):]
 	}
 	var a answer
-	for i := range addresses {
-		address := addresses[(c.first+i)%len(addresses)]
+	for _, address := range addresses {
 		a = r.sendTo(ctx, c, address)
 		if a.err == nil || !isDialError(a.err) {
 			return a
