--- a/internal/bench/layout/certificates.go
+++ b/internal/bench/layout/certificates.go
@@ -72,7 +72,7 @@
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(int64(n) + 1), Subject: pkix.Name{CommonName: name},
 		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(validity),
-		DNSNames: []string{settings.PeerServerName}, IPAddresses: []net.IP{BalancerAddress(n, portPeers).Addr().AsSlice()},
+		DNSNames: []string{settings.PeerServerName}, IPAddresses: []net.IP{l.Callers(n).Addr().AsSlice()},
 		KeyUsage:    x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
--- a/internal/bench/layout/layout.go
+++ b/internal/bench/layout/layout.go
@@ -55,6 +55,9 @@
 	Slots int
 	// CallerTLS serves callers over TLS.
 	CallerTLS bool
+	// Net is the second number of all addresses, so that installations on one
+	// machine do not meet.
+	Net byte
 }
 
 // Layout is an installation in a directory.
@@ -66,18 +69,24 @@
 // New returns the layout of an installation in dir.
 func New(dir string, size Size) *Layout { return &Layout{Dir: dir, Size: size} }
 
-func loopback(net, host byte, port uint16) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, net, host}), port)
+func (l *Layout) loopback(area, host byte, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, l.Size.Net, area, host}), port)
 }
 
 // Platform returns the address of the platform's stand-in.
-func Platform() netip.AddrPort { return loopback(0, 1, portPlatform) }
+func (l *Layout) Platform() netip.AddrPort { return l.loopback(0, 1, portPlatform) }
 
-// BalancerAddress returns an address of the n-th balancer, from 1.
-func BalancerAddress(n int, port uint16) netip.AddrPort { return loopback(1, byte(n), port) }
+// Balancer returns the settings file of the n-th balancer, from 1.
+func (l *Layout) Balancer(n int) string { return l.path(balancerName(n) + ".json") }
 
-// TargetAddress returns the address of the n-th target, from 1.
-func TargetAddress(n int) netip.AddrPort { return loopback(2, byte(n), portTarget) }
+// Callers returns the address at which the n-th balancer serves callers.
+func (l *Layout) Callers(n int) netip.AddrPort { return l.loopback(1, byte(n), portCallers) }
+
+// Operators returns the address at which the n-th balancer serves operators.
+func (l *Layout) Operators(n int) netip.AddrPort { return l.loopback(1, byte(n), portOperators) }
+
+// Target returns the address of the n-th target, from 1.
+func (l *Layout) Target(n int) netip.AddrPort { return l.loopback(2, byte(n), portTarget) }
 
 func (l *Layout) domain(n int) string { return fmt.Sprintf("domain-%d", (n-1)%l.Size.Domains+1) }
 
@@ -148,10 +157,10 @@
 		s.Name = balancerName(n)
 		s.Domain = l.domain(n)
 		s.Listen = settings.Listen{
-			Callers: BalancerAddress(n, portCallers), Peers: BalancerAddress(n, portPeers),
-			Operators: BalancerAddress(n, portOperators), Observe: BalancerAddress(n, portObserve),
+			Callers: l.Callers(n), Peers: l.loopback(1, byte(n), portPeers),
+			Operators: l.Operators(n), Observe: l.loopback(1, byte(n), portObserve),
 		}
-		s.Store = "http://" + Platform().String()
+		s.Store = "http://" + l.Platform().String()
 		s.PeerTLS.Certificate, s.PeerTLS.Key = l.path(s.Name+".pem"), l.path(s.Name+".key")
 		s.PeerTLS.Authority = l.path("authority.pem")
 		if l.Size.CallerTLS {
@@ -170,10 +179,10 @@
 func (l *Layout) writeHosts() error {
 	var hosts []store.Host
 	for n := 1; n <= l.Size.Balancers; n++ {
-		hosts = append(hosts, store.Host{Name: balancerName(n), Role: "balancer", Domain: l.domain(n), Address: BalancerAddress(n, portPeers), State: store.HostLive, Generation: 1})
+		hosts = append(hosts, store.Host{Name: balancerName(n), Role: "balancer", Domain: l.domain(n), Address: l.loopback(1, byte(n), portPeers), State: store.HostLive, Generation: 1})
 	}
 	for n := 1; n <= l.Size.Targets; n++ {
-		hosts = append(hosts, store.Host{Name: targetName(n), Role: "target", Domain: l.domain(n), Address: TargetAddress(n), State: store.HostLive, Generation: 1})
+		hosts = append(hosts, store.Host{Name: targetName(n), Role: "target", Domain: l.domain(n), Address: l.Target(n), State: store.HostLive, Generation: 1})
 	}
 	return l.writeJSON("hosts.json", hosts)
 }
@@ -200,7 +209,7 @@
 			owner = intents[Bitacora]
 		}
 		owner.Join = append(owner.Join, catalog.Join{Pool: l.pool(n), Target: catalog.Target{
-			Name: targetName(n), Address: TargetAddress(n), Domain: l.domain(n), Slots: l.Size.Slots, Connections: connections,
+			Name: targetName(n), Address: l.Target(n), Domain: l.domain(n), Slots: l.Size.Slots, Connections: connections,
 		}})
 	}
 	for partner, in := range intents {
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -133,6 +133,8 @@
 func (c *Call) NewRequest(ctx context.Context) *http.Request {
 	out := c.Request.Clone(ctx)
 	out.RequestURI = ""
+	// The values of trailers come at the end of the body, into this very map.
+	out.Trailer = c.Request.Trailer
 	out.Close = false
 	if out.URL.Host == "" {
 		out.URL.Host = out.Host
