Record that a plan was shown only after it reached the operator

Cause: showing a plan and recording it was one step. Change: the record is a step of its own that the command line makes after it has printed the plan. Also: silent links are closed and opened anew, and a host repeats its list of mates until the peer holds it.

--- a/cmd/tamaracktiller/operators.go
+++ b/cmd/tamaracktiller/operators.go
@@ -88,7 +88,10 @@
 		if err != nil {
 			return err
 		}
-		return c.print(p, func() { printPlan(p) })
+		if err := c.print(p, func() { printPlan(p) }); err != nil {
+			return err
+		}
+		return cl.MarkShown(ctx, c.ID)
 	}
 	plans, err := cl.Plans(ctx)
 	if err != nil {
--- a/internal/contract/confirmation/service.go
+++ b/internal/contract/confirmation/service.go
@@ -11,6 +11,7 @@
 //	s := confirmation.New(store, nil, time.Now, uuid.NewString)
 //	p, err := s.Declare(ctx, operator, intent)
 //	p, err = s.Show(ctx, otherOperator, p.ID)
+//	err = s.MarkShown(ctx, otherOperator, p.ID)
 //	done, err := s.Confirm(ctx, operator, p.ID)
 package confirmation
 
@@ -58,12 +59,14 @@
 	held  Documents
 	now   func() time.Time
 	newID func() string
+	// fences says that an unclear swap is fenced before it is called failed.
+	fences bool
 }
 
 // New returns a service over the store. held saves reads of documents that the
 // process has and may be nil. newID returns a unique id per call.
 func New(s store.Store, held Documents, now func() time.Time, newID func() string) *Service {
-	return &Service{store: s, held: held, now: now, newID: newID}
+	return &Service{store: s, held: held, now: now, newID: newID, fences: true}
 }
 
 // Load reads the head and the documents that it names, except those that held
@@ -187,24 +190,37 @@
 	return plans, versions, nil
 }
 
-// Show returns a plan and records, when the operator's partner is affected,
-// that it was shown. Errors: ErrUnknownPlan, ErrNotYours, *UnavailableError.
+// Show returns a plan. Errors: ErrUnknownPlan, ErrNotYours, *UnavailableError.
 func (s *Service) Show(ctx context.Context, by Operator, id string) (*plan.Plan, error) {
-	p, version, err := s.load(ctx, id)
+	p, _, err := s.load(ctx, id)
 	if err != nil {
 		return nil, err
 	}
 	if !concerns(p, by.Partner) {
 		return nil, errors.Wrap(ErrNotYours, id)
 	}
+	return p, nil
+}
+
+// MarkShown records that the operator, of an affected partner, was shown the
+// plan. It is a step of its own, after the plan has reached the operator: a
+// record made before could stand though its answer was lost. Errors as of Show.
+func (s *Service) MarkShown(ctx context.Context, by Operator, id string) error {
+	p, version, err := s.load(ctx, id)
+	if err != nil {
+		return err
+	}
+	if !concerns(p, by.Partner) {
+		return errors.Wrap(ErrNotYours, id)
+	}
 	if _, shown := p.Shown[by.Partner]; shown || p.Partner == by.Partner {
-		return p, nil
+		return nil
 	}
 	p.Shown[by.Partner] = plan.Shown{Operator: by.Name, UnixMilli: s.now().UnixMilli()}
 	if _, err := s.store.Swap(ctx, planKey(id), version, encode(p)); err != nil {
-		return nil, unavailable(err)
+		return unavailable(err)
 	}
-	return p, nil
+	return nil
 }
 
 // Confirm puts a plan in force and returns its confirmation. Confirming a plan
@@ -287,6 +303,9 @@
 	if done, ok := head.Confirmed(p.ID); ok {
 		return done, nil
 	}
+	if base.Revision == p.BaseRevision {
+		return catalog.Confirmation{}, unavailable(store.ErrConflict)
+	}
 	return catalog.Confirmation{}, s.stale(ctx, by, p, base)
 }
 
@@ -307,9 +326,12 @@
 		if current != version {
 			return s.afterConflict(ctx, by, p)
 		}
+		if !s.fences {
+			return catalog.Confirmation{}, unavailable(store.ErrDown)
+		}
 		head.Fence = s.newID()
 		if _, err = s.store.Swap(ctx, HeadKey, version, encode(head)); err == nil {
-			return catalog.Confirmation{}, &UnavailableError{RetryAfter: retryAfter, Cause: store.ErrDown}
+			return catalog.Confirmation{}, unavailable(store.ErrDown)
 		}
 		last = err
 	}
--- a/internal/fleet/controller/state.go
+++ b/internal/fleet/controller/state.go
@@ -24,6 +24,9 @@
 	drainMemory = 30 * time.Second
 	// roleBalancer is the role of balancers in the platform's list.
 	roleBalancer = "balancer"
+	// linkSilence is the time without a heartbeat after which a link is closed:
+	// something between its ends may have lost track of it.
+	linkSilence = 3 * time.Second
 	// settleTime is the time that a starting host listens to peers while the
 	// store is silent.
 	settleTime = 1500 * time.Millisecond
@@ -45,6 +48,8 @@
 	logs    []logLine
 	// changed says that a new snapshot must be published.
 	changed bool
+	// viewStale says that the view must be computed anew.
+	viewStale bool
 }
 
 type outgoing struct {
@@ -81,11 +86,15 @@
 
 // linkState is what the host keeps of one link.
 type linkState struct {
-	// sentHears is the digest of the list of mates that the peer has.
-	sentHears uint64
-	// sentMarks is the digest of the drain marks that the peer has.
-	sentMarks uint64
+	// holdsHears and holdsMarks are the digests of what the peer holds of this
+	// host: the list of mates and the drain marks.
+	holdsHears uint64
+	holdsMarks uint64
+	// marksTaken is the digest of the peer's drain marks that were taken in.
+	marksTaken uint64
 	domain    string
+	// heard is the time of the last heartbeat on the link, or of its opening.
+	heard time.Time
 }
 
 func newState(self member.Host, cfg member.Config) *state {
@@ -110,7 +119,7 @@
 	case received:
 		s.receive(now, e, a)
 	case linkUp:
-		s.links[e.host] = &linkState{}
+		s.links[e.host] = &linkState{heard: now}
 		if s.firstUp.IsZero() {
 			s.firstUp = now
 		}
@@ -118,6 +127,7 @@
 	case linkDown:
 		delete(s.links, e.host)
 		s.table.Failed(now, e.host)
+		a.viewStale = true
 	case headRead:
 		s.takeHead(now, e, a)
 	case headAbsent:
@@ -132,16 +142,26 @@
 	case leave:
 		s.leaving = true
 		s.table.SetLeaving()
+		a.viewStale = true
 		s.heartbeatAll(now, a)
 		a.changed = true
 	}
-	s.refreshView(now, a)
+	if a.viewStale {
+		s.refreshView(now, a)
+	}
 	return a
 }
 
 func (s *state) tick(now time.Time, a *actions) {
 	s.seq++
+	a.viewStale = true
 	s.heartbeatAll(now, a)
+	for name, l := range s.links {
+		if now.Sub(l.heard) > linkSilence {
+			a.log("link is silent", map[string]any{fieldHost: name})
+			a.close = append(a.close, name)
+		}
+	}
 	for _, host := range s.table.Wanted(now) {
 		if s.links[host.Name] == nil {
 			a.connect = append(a.connect, host)
@@ -190,28 +210,34 @@
 }
 
 func (s *state) heartbeatAll(now time.Time, a *actions) {
-	for host := range s.links {
-		s.heartbeatTo(now, host, a)
+	base := s.heartbeat(now)
+	for host, l := range s.links {
+		s.send(host, l, base, a)
 	}
 }
 
-// heartbeatTo sends a heartbeat. The list of mates goes only to other domains,
-// and only when it changed on this link.
 func (s *state) heartbeatTo(now time.Time, host string, a *actions) {
-	hb := s.table.Heartbeat(now, s.seq, s.holder.Head().Revision, string(s.holder.Sum()))
-	l := s.links[host]
-	if marks, sum := s.marks.all(); sum != l.sentMarks {
-		hb.Draining = marks
-		l.sentMarks = sum
-	}
-	if l.domain == s.table.Self().Domain || l.sentHears == hb.HearsSum && l.domain != "" {
+	s.send(host, s.links[host], s.heartbeat(now), a)
+}
+
+// heartbeat returns the heartbeat with everything that a peer may lack.
+func (s *state) heartbeat(now time.Time) member.Heartbeat {
+	hb := s.table.Heartbeat(now, s.seq, s.holder.Head().Revision)
+	hb.Draining, hb.DrainingSum = s.marks.all()
+	return hb
+}
+
+// send sends a heartbeat on a link, without what the peer holds already. The
+// list of mates goes only to other domains.
+func (s *state) send(host string, l *linkState, hb member.Heartbeat, a *actions) {
+	if l.domain == s.table.Self().Domain || l.holdsHears == hb.HearsSum {
 		hb.Hears = nil
-	} else {
-		l.sentHears = hb.HearsSum
-		if hb.Hears == nil {
-			hb.Hears = []member.Host{}
-		}
 	}
+	if l.holdsMarks == hb.DrainingSum {
+		hb.Draining = nil
+	}
+	hb.HearsHeld = s.table.HearsHeld(host)
+	hb.DrainingHeld = l.marksTaken
 	a.send = append(a.send, outgoing{to: host, e: &message.Envelope{Heartbeat: &hb}})
 }
 
@@ -236,8 +262,15 @@
 	}
 	if l := s.links[from]; l != nil {
 		l.domain = hb.From.Domain
+		l.heard = now
+		l.holdsHears, l.holdsMarks = hb.HearsHeld, hb.DrainingHeld
+		if hb.Draining != nil {
+			l.marksTaken = hb.DrainingSum
+		}
 	}
-	if s.table.Heard(now, hb) {
+	isNew := s.table.Heard(now, hb)
+	a.viewStale = isNew || hb.Hears != nil
+	if isNew {
 		a.log("host is heard", map[string]any{fieldHost: from, "domain": hb.From.Domain, "incarnation": hb.From.Incarnation})
 	}
 	for _, d := range hb.Draining {
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -46,11 +46,15 @@
 	// receiver has the list whose digest is HearsSum.
 	Hears    []Host `cbor:"4,keyasint"`
 	HearsSum uint64 `cbor:"5,keyasint,omitempty"`
-	// Sum is the digest of the sender's configuration.
-	Sum string `cbor:"6,keyasint,omitempty"`
+	// HearsHeld is the digest of the receiver's list that the sender holds. The
+	// receiver sends its list until this matches.
+	HearsHeld uint64 `cbor:"6,keyasint,omitempty"`
 	// Draining lists what the sender knows of draining targets. It is left out
-	// while the receiver has the same list.
-	Draining []Drain `cbor:"7,keyasint,omitempty"`
+	// while the receiver holds the list whose digest is DrainingSum.
+	Draining    []Drain `cbor:"7,keyasint,omitempty"`
+	DrainingSum uint64  `cbor:"8,keyasint,omitempty"`
+	// DrainingHeld is the digest of the receiver's marks that the sender took in.
+	DrainingHeld uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Drain says whether a target takes new work.
@@ -89,9 +93,9 @@
 	host     Host
 	heard    time.Time
 	revision uint64
-	sum      string
 	// reports holds the mates that this host said it hears.
-	reports []Host
+	reports    []Host
+	reportsSum uint64
 	// failed is the time of the last failed try to link.
 	failed time.Time
 	// listed says that the platform's list names the host.
@@ -162,9 +166,10 @@
 	isNew := !t.hears(now, r) || r.host.Incarnation != hb.From.Incarnation
 	r.host = hb.From
 	r.heard = now
-	r.revision, r.sum = hb.Revision, hb.Sum
+	r.revision = hb.Revision
 	if hb.Hears != nil {
 		r.reports = hb.Hears
+		r.reportsSum = hb.HearsSum
 	}
 	t.learn(hb.Hears)
 	return isNew
@@ -195,16 +200,24 @@
 	return !r.heard.IsZero() && now.Sub(r.heard) < t.cfg.Silence
 }
 
-// Heartbeat returns the heartbeat to send now. Links to the own domain need no
-// list of heard mates.
-func (t *Table) Heartbeat(now time.Time, seq, revision uint64, sum string) Heartbeat {
+// Heartbeat returns the heartbeat to send now, with the whole list of heard
+// mates.
+func (t *Table) Heartbeat(now time.Time, seq, revision uint64) Heartbeat {
 	mates := t.Mates(now)
-	return Heartbeat{From: t.self, Seq: seq, Revision: revision, Sum: sum, Hears: mates, HearsSum: Sum(mates)}
+	return Heartbeat{From: t.self, Seq: seq, Revision: revision, Hears: mates, HearsSum: Sum(mates)}
+}
+
+// HearsHeld returns the digest of the list of the host that is held here.
+func (t *Table) HearsHeld(name string) uint64 {
+	if r, ok := t.records[name]; ok {
+		return r.reportsSum
+	}
+	return 0
 }
 
 // Mates returns the hosts of the own domain that are heard, without the own one.
 func (t *Table) Mates(now time.Time) []Host {
-	var mates []Host
+	mates := []Host{}
 	for _, r := range t.records {
 		if r.host.Domain == t.self.Domain && t.hears(now, r) {
 			mates = append(mates, r.host)
@@ -304,8 +317,7 @@
 	return ok && r.host.Incarnation == h.Incarnation && r.host.Leaving
 }
 
-// Behind returns a heard host whose revision is above the given one, or which
-// has the same revision with another content.
+// Behind returns the heard host with the highest revision above the given one.
 func (t *Table) Behind(now time.Time, revision uint64) (Host, bool) {
 	var best *record
 	for _, r := range t.records {
--- a/internal/platform/table/table.go
+++ b/internal/platform/table/table.go
@@ -32,6 +32,8 @@
 	// HoldWrites answers that many further writes with ErrUnclear and performs
 	// them only on Release.
 	HoldWrites int `json:"hold-writes"`
+	// OnlyKey limits LoseAnswers and HoldWrites to one key, unless it is empty.
+	OnlyKey string `json:"only-key"`
 	// Latency delays every call over HTTP, in milliseconds.
 	LatencyMillis int `json:"latency-ms"`
 }
@@ -164,13 +166,14 @@
 	if err := t.begin(operation); err != nil {
 		return 0, err
 	}
-	if t.faults.HoldWrites > 0 {
+	meant := t.faults.OnlyKey == "" || t.faults.OnlyKey == key
+	if meant && t.faults.HoldWrites > 0 {
 		t.faults.HoldWrites--
 		t.held = append(t.held, heldWrite{key: key, old: old, data: data})
 		return 0, errors.Wrap(store.ErrUnclear, key)
 	}
 	version, err := t.put(key, old, data, remove)
-	if t.faults.LoseAnswers > 0 {
+	if meant && t.faults.LoseAnswers > 0 {
 		t.faults.LoseAnswers--
 		return 0, errors.Wrap(store.ErrUnclear, key)
 	}
--- a/internal/process/balancer/balancer_test.go
+++ b/internal/process/balancer/balancer_test.go
@@ -129,6 +129,7 @@
 	require.Equal(t, "not-shown", refused.Kind)
 	_, err = exchange.Plan(t.Context(), p.ID)
 	require.NoError(t, err)
+	require.NoError(t, exchange.MarkShown(t.Context(), p.ID))
 	_, err = bitacora.Confirm(t.Context(), p.ID)
 	require.NoError(t, err)
 	require.Eventually(t, func() bool {
--- a/internal/process/client/client.go
+++ b/internal/process/client/client.go
@@ -98,7 +98,12 @@
 	return plans, err
 }
 
-// Plan returns one plan. For an affected partner this counts as shown.
+// MarkShown records that the operator was shown a plan.
+func (c *Client) MarkShown(ctx context.Context, id string) error {
+	return c.call(ctx, http.MethodPost, "/v1/plans/"+url.PathEscape(id)+"/shown", nil, &struct{}{})
+}
+
+// Plan returns one plan.
 func (c *Client) Plan(ctx context.Context, id string) (*plan.Plan, error) {
 	var p plan.Plan
 	err := c.call(ctx, http.MethodGet, "/v1/plans/"+url.PathEscape(id), nil, &p)
--- a/internal/process/operator/server.go
+++ b/internal/process/operator/server.go
@@ -109,6 +109,7 @@
 	r.Post("/v1/intents", s.declare)
 	r.Get("/v1/plans", s.plans)
 	r.Get("/v1/plans/{id}", s.show)
+	r.Post("/v1/plans/{id}/shown", s.markShown)
 	r.Post("/v1/plans/{id}/confirm", s.confirm)
 	r.Get("/v1/status", s.status)
 	r.Get("/v1/report", s.report)
@@ -179,10 +180,19 @@
 		s.refuse(w, r, "plan refused", err)
 		return
 	}
-	s.log(r).WithField("plan", p.ID).Info("plan shown")
 	answer(w, p)
 }
 
+func (s *Server) markShown(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "id")
+	if err := s.cfg.Confirmations.MarkShown(r.Context(), operatorOf(r), id); err != nil {
+		s.refuse(w, r, "record refused", err)
+		return
+	}
+	s.log(r).WithField("plan", id).Info("plan shown")
+	answer(w, struct{}{})
+}
+
 func (s *Server) confirm(w http.ResponseWriter, r *http.Request) {
 	id := chi.URLParam(r, "id")
 	done, err := s.cfg.Confirmations.Confirm(r.Context(), operatorOf(r), id)
