Bound the bytes of heartbeats as the fleet grows

Cause: every link carried a whole description of the sender twice a second, so the bytes of a host grew with its links without a bound. Change: the description and the list of mates are left out while the peer holds them; the period grows with the number of links (30 ms per link, at least 500 ms) and is announced, so that silence is judged by it. Ruled out: dropping links between domains; their frames were a third only.

--- a/internal/fleet/controller/marks.go
+++ b/internal/fleet/controller/marks.go
@@ -80,6 +80,9 @@
 
 // all returns the marks in target order, for other hosts, with their digest.
 func (m *drainMarks) all() ([]member.Drain, uint64) {
+	if len(m.listed)+len(m.observed) == 0 {
+		return nil, 0
+	}
 	list := make([]member.Drain, 0, len(m.listed)+len(m.observed))
 	for _, d := range m.listed {
 		list = append(list, d)
--- a/internal/fleet/controller/state.go
+++ b/internal/fleet/controller/state.go
@@ -24,9 +24,9 @@
 	drainMemory = 30 * time.Second
 	// roleBalancer is the role of balancers in the platform's list.
 	roleBalancer = "balancer"
-	// linkSilence is the time without a heartbeat after which a link is closed:
-	// something between its ends may have lost track of it.
-	linkSilence = 3 * time.Second
+	// linkSilence is the number of the peer's periods without a heartbeat after
+	// which a link is closed: something between its ends may have lost track of it.
+	linkSilence = 6
 	// settleTime is the time that a starting host listens to peers while the
 	// store is silent.
 	settleTime = 1500 * time.Millisecond
@@ -68,10 +68,12 @@
 
 // state is the control state of one host. It is not safe for concurrent use.
 type state struct {
-	table    *member.Table
-	holder   *revision.Holder
-	links    map[string]*linkState
-	seq      uint64
+	table  *member.Table
+	holder *revision.Holder
+	links  map[string]*linkState
+	ticks  uint64
+	// beaten is the time of the last heartbeat to all links.
+	beaten   time.Time
 	marks    *drainMarks
 	inForce  time.Time
 	leaving  bool
@@ -92,7 +94,12 @@
 	holdsMarks uint64
 	// marksTaken is the digest of the peer's drain marks that were taken in.
 	marksTaken uint64
-	domain    string
+	// holdsFrom says that the peer holds the description of this host.
+	holdsFrom bool
+	// host is the peer's description, once it came.
+	host   member.Host
+	period time.Duration
+	domain string
 	// heard is the time of the last heartbeat on the link, or of its opening.
 	heard time.Time
 }
@@ -119,7 +126,7 @@
 	case received:
 		s.receive(now, e, a)
 	case linkUp:
-		s.links[e.host] = &linkState{heard: now}
+		s.links[e.host] = &linkState{heard: now, period: s.table.Period(0)}
 		if s.firstUp.IsZero() {
 			s.firstUp = now
 		}
@@ -153,11 +160,13 @@
 }
 
 func (s *state) tick(now time.Time, a *actions) {
-	s.seq++
+	s.ticks++
 	a.viewStale = true
-	s.heartbeatAll(now, a)
+	if now.Sub(s.beaten) >= s.table.Period(len(s.links))-tickTolerance {
+		s.heartbeatAll(now, a)
+	}
 	for name, l := range s.links {
-		if now.Sub(l.heard) > linkSilence {
+		if now.Sub(l.heard) > linkSilence*l.period {
 			a.log("link is silent", map[string]any{fieldHost: name})
 			a.close = append(a.close, name)
 		}
@@ -168,11 +177,14 @@
 		}
 	}
 	s.pullIfBehind(now, a)
-	if s.marks.expire(now) || s.seq%publishEvery == 0 {
+	if s.marks.expire(now) || s.ticks%publishEvery == 0 {
 		a.changed = true
 	}
 }
 
+// tickTolerance keeps a tick that comes a little early from skipping a heartbeat.
+const tickTolerance = 50 * time.Millisecond
+
 // publishEvery is the number of heartbeat periods between two snapshots without
 // a change, which keep the status of peers fresh.
 const publishEvery = 4
@@ -210,6 +222,7 @@
 }
 
 func (s *state) heartbeatAll(now time.Time, a *actions) {
+	s.beaten = now
 	base := s.heartbeat(now)
 	for host, l := range s.links {
 		s.send(host, l, base, a)
@@ -222,7 +235,7 @@
 
 // heartbeat returns the heartbeat with everything that a peer may lack.
 func (s *state) heartbeat(now time.Time) member.Heartbeat {
-	hb := s.table.Heartbeat(now, s.seq, s.holder.Head().Revision)
+	hb := s.table.Heartbeat(now, len(s.links), s.holder.Head().Revision)
 	hb.Draining, hb.DrainingSum = s.marks.all()
 	return hb
 }
@@ -230,13 +243,21 @@
 // send sends a heartbeat on a link, without what the peer holds already. The
 // list of mates goes only to other domains.
 func (s *state) send(host string, l *linkState, hb member.Heartbeat, a *actions) {
-	if l.domain == s.table.Self().Domain || l.holdsHears == hb.HearsSum {
+	if l.domain == s.table.Self().Domain {
+		hb.Hears, hb.HearsSum = nil, 0
+	} else {
+		hb.HearsHeld = s.table.HearsHeld(host)
+	}
+	if l.holdsHears == hb.HearsSum {
 		hb.Hears = nil
 	}
+	if l.holdsFrom && !s.leaving {
+		hb.From = nil
+	}
+	hb.FromHeld = l.host.Name != ""
 	if l.holdsMarks == hb.DrainingSum {
 		hb.Draining = nil
 	}
-	hb.HearsHeld = s.table.HearsHeld(host)
 	hb.DrainingHeld = l.marksTaken
 	a.send = append(a.send, outgoing{to: host, e: &message.Envelope{Heartbeat: &hb}})
 }
@@ -255,23 +276,26 @@
 }
 
 func (s *state) takeHeartbeat(now time.Time, from string, hb member.Heartbeat, a *actions) {
-	if hb.From.Name != from {
-		a.log("heartbeat names another host", map[string]any{"link": from, fieldHost: hb.From.Name})
-		a.close = append(a.close, from)
+	l := s.links[from]
+	if l == nil {
 		return
 	}
-	if l := s.links[from]; l != nil {
-		l.domain = hb.From.Domain
-		l.heard = now
-		l.holdsHears, l.holdsMarks = hb.HearsHeld, hb.DrainingHeld
-		if hb.Draining != nil {
-			l.marksTaken = hb.DrainingSum
+	if hb.From != nil {
+		if hb.From.Name != from {
+			a.log("heartbeat names another host", map[string]any{"link": from, fieldHost: hb.From.Name})
+			a.close = append(a.close, from)
+			return
 		}
+		l.host, l.domain = *hb.From, hb.From.Domain
+	}
+	if l.host.Name == "" {
+		return
 	}
-	isNew := s.table.Heard(now, hb)
+	l.take(now, hb)
+	isNew := s.table.Heard(now, l.host, hb)
 	a.viewStale = isNew || hb.Hears != nil
 	if isNew {
-		a.log("host is heard", map[string]any{fieldHost: from, "domain": hb.From.Domain, "incarnation": hb.From.Incarnation})
+		a.log("host is heard", map[string]any{fieldHost: from, "domain": l.domain, "incarnation": l.host.Incarnation})
 	}
 	for _, d := range hb.Draining {
 		if s.marks.merge(now, d) {
@@ -281,6 +305,16 @@
 	s.pullIfBehind(now, a)
 }
 
+// take notes what the peer holds.
+func (l *linkState) take(now time.Time, hb member.Heartbeat) {
+	l.heard = now
+	l.period = max(l.period, time.Duration(hb.PeriodMillis)*time.Millisecond)
+	l.holdsHears, l.holdsMarks, l.holdsFrom = hb.HearsHeld, hb.DrainingHeld, hb.FromHeld
+	if hb.Draining != nil {
+		l.marksTaken = hb.DrainingSum
+	}
+}
+
 // pullPeriod is the least time between two pulls.
 const pullPeriod = 200 * time.Millisecond
 
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -12,7 +12,7 @@
 //
 //	t := member.NewTable(self, member.DefaultConfig())
 //	t.Seed(list)
-//	t.Heard(now, heartbeat)
+//	t.Heard(now, from, heartbeat)
 //	for _, peer := range t.Wanted(now) { dial(peer) }
 //	view := t.View(now)
 package member
@@ -39,12 +39,16 @@
 
 // Heartbeat is what a host tells over each of its links.
 type Heartbeat struct {
-	From     Host   `cbor:"1,keyasint"`
-	Seq      uint64 `cbor:"2,keyasint"`
+	// From describes the sender. It is left out while the receiver holds it.
+	From *Host `cbor:"1,keyasint,omitempty"`
+	// FromHeld says that the sender holds the receiver's description.
+	FromHeld bool   `cbor:"2,keyasint,omitempty"`
 	Revision uint64 `cbor:"3,keyasint"`
+	// PeriodMillis is the time until the sender's next heartbeat.
+	PeriodMillis uint32 `cbor:"10,keyasint,omitempty"`
 	// Hears lists the mates that the sender hears. It is left out while the
 	// receiver has the list whose digest is HearsSum.
-	Hears    []Host `cbor:"4,keyasint"`
+	Hears    []Host `cbor:"4,keyasint,omitempty"`
 	HearsSum uint64 `cbor:"5,keyasint,omitempty"`
 	// HearsHeld is the digest of the receiver's list that the sender holds. The
 	// receiver sends its list until this matches.
@@ -73,10 +77,14 @@
 
 // Config holds the parameters of a table.
 type Config struct {
-	// Period is the time between two heartbeats on a link.
+	// Period is the least time between two heartbeats on a link.
 	Period time.Duration
-	// Silence is the time without a heartbeat after which a host is not heard.
-	Silence time.Duration
+	// PeriodPerLink makes the period grow with the links of a host, so that
+	// heartbeats keep to their share of the bytes.
+	PeriodPerLink time.Duration
+	// Missed is the number of periods without a heartbeat after which a host is
+	// not heard.
+	Missed int
 	// Contacts is the number of links to every other domain.
 	Contacts int
 	// Retry is the time after which a failed contact is tried again.
@@ -85,13 +93,14 @@
 
 // DefaultConfig returns the parameters in use.
 func DefaultConfig() Config {
-	return Config{Period: 500 * time.Millisecond, Silence: 2 * time.Second, Contacts: 2, Retry: 3 * time.Second}
+	return Config{Period: 500 * time.Millisecond, PeriodPerLink: 30 * time.Millisecond, Missed: 4, Contacts: 2, Retry: 3 * time.Second}
 }
 
 // record is what a table keeps of one host.
 type record struct {
 	host     Host
 	heard    time.Time
+	period   time.Duration
 	revision uint64
 	// reports holds the mates that this host said it hears.
 	reports    []Host
@@ -156,16 +165,17 @@
 // forgetAfter is the silence after which an unlisted host is forgotten.
 const forgetAfter = time.Minute
 
-// Heard takes in a heartbeat. It reports whether the host was not heard before,
-// or is a new incarnation.
-func (t *Table) Heard(now time.Time, hb Heartbeat) bool {
-	if hb.From.Name == t.self.Name {
+// Heard takes in a heartbeat of a host. It reports whether the host was not heard
+// before, is a new incarnation, or leaves.
+func (t *Table) Heard(now time.Time, from Host, hb Heartbeat) bool {
+	if from.Name == t.self.Name {
 		return false
 	}
-	r := t.record(hb.From)
-	isNew := !t.hears(now, r) || r.host.Incarnation != hb.From.Incarnation
-	r.host = hb.From
+	r := t.record(from)
+	isNew := !t.hears(now, r) || r.host.Incarnation != from.Incarnation || r.host.Leaving != from.Leaving
+	r.host = from
 	r.heard = now
+	r.period = max(t.cfg.Period, time.Duration(hb.PeriodMillis)*time.Millisecond)
 	r.revision = hb.Revision
 	if hb.Hears != nil {
 		r.reports = hb.Hears
@@ -197,14 +207,20 @@
 }
 
 func (t *Table) hears(now time.Time, r *record) bool {
-	return !r.heard.IsZero() && now.Sub(r.heard) < t.cfg.Silence
+	return !r.heard.IsZero() && now.Sub(r.heard) < time.Duration(t.cfg.Missed)*r.period
 }
 
 // Heartbeat returns the heartbeat to send now, with the whole list of heard
 // mates.
-func (t *Table) Heartbeat(now time.Time, seq, revision uint64) Heartbeat {
+func (t *Table) Heartbeat(now time.Time, links int, revision uint64) Heartbeat {
 	mates := t.Mates(now)
-	return Heartbeat{From: t.self, Seq: seq, Revision: revision, Hears: mates, HearsSum: Sum(mates)}
+	self := t.self
+	return Heartbeat{From: &self, Revision: revision, PeriodMillis: uint32(t.Period(links).Milliseconds()), Hears: mates, HearsSum: Sum(mates)}
+}
+
+// Period returns the time between heartbeats of a host with that many links.
+func (t *Table) Period(links int) time.Duration {
+	return max(t.cfg.Period, time.Duration(links)*t.cfg.PeriodPerLink)
 }
 
 // HearsHeld returns the digest of the list of the host that is held here.
