Run keyed requests at most once, across hosts and failures

The ledger: 64 partitions of keys, each with an owner and up to two witnesses in other failure domains, by epoch and incarnation in the platform's store; no store call per request. Repeatable calls that are late are tried a second time in another cell, within the retry budget.

Witnesses that go on after their seal let keys run twice (TestNaiveWitnessRunsTwice).

Ruled out: leases by the clock; a paused owner can wake between its check and its grant.

--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -70,6 +70,9 @@
 	links    *link.Service
 	snapshot atomic.Pointer[Snapshot]
 	watches  atomic.Bool
+	// pausing is set from the moment a pause is noticed until the control state
+	// knows of it.
+	pausing atomic.Bool
 }
 
 var _ link.Handler = (*Controller)(nil)
@@ -88,9 +91,18 @@
 // Snapshot returns the latest control state.
 func (c *Controller) Snapshot() *Snapshot { return c.snapshot.Load() }
 
+// Fresh reports whether the snapshot may be acted on: the host may serve, and was
+// not paused since the snapshot was made.
+func (c *Controller) Fresh() bool {
+	return !c.pausing.Load() && !c.cfg.Timer.Stale(time.Now()) && c.Snapshot().Ready
+}
+
 // Start implements registry.Starter.
 func (c *Controller) Start(ctx context.Context) error {
-	c.cfg.Timer.OnPause(func(p timer.Pause) { c.loop.Post(paused{length: p.Length}) })
+	c.cfg.Timer.OnPause(func(p timer.Pause) {
+		c.pausing.Store(true)
+		c.loop.Post(paused{length: p.Length})
+	})
 	c.cfg.Timer.Every("heartbeat", c.cfg.Member.Period, func(now time.Time) { c.loop.Post(tick{now: now}) })
 	c.g.Go("store watch", c.watchStore)
 	c.g.Go("host list", c.readHosts)
@@ -133,6 +145,9 @@
 	for _, m := range a.send {
 		_ = c.links.Send(m.to, m.e)
 	}
+	if _, wasPaused := e.(paused); wasPaused {
+		defer c.pausing.Store(false)
+	}
 	last := c.snapshot.Load()
 	ready, _ := c.state.ready(now)
 	if a.changed || ready != last.Ready {
--- a/internal/fleet/controller/snapshot.go
+++ b/internal/fleet/controller/snapshot.go
@@ -71,6 +71,9 @@
 	return route.First(id.Pool+"/"+id.Domain, hosts)
 }
 
+// HostNames returns the names of all hosts in the view.
+func (s *Snapshot) HostNames() []string { return s.hosts[""] }
+
 // PeerAddress returns the address of another host.
 func (s *Snapshot) PeerAddress(host string) (netip.AddrPort, bool) {
 	a, ok := s.peers[host]
--- a/internal/fleet/controller/state.go
+++ b/internal/fleet/controller/state.go
@@ -82,6 +82,11 @@
 	firstUp  time.Time
 	storeHas bool
 	pulled   time.Time
+	// pausedAt is the end of the last pause. Until peers are heard again, what the
+	// host knows may be old.
+	pausedAt time.Time
+	// hostsBefore is the number of hosts in the view before the pause.
+	hostsBefore int
 	// watches says that this host is one of those that ask the store.
 	watches bool
 }
@@ -123,6 +128,9 @@
 		s.tick(now, a)
 	case paused:
 		a.log("process was paused", map[string]any{"length": e.length.String()})
+		s.pausedAt = now
+		s.hostsBefore = hostCount(s.view)
+		a.viewStale = true
 	case received:
 		s.receive(now, e, a)
 	case linkUp:
@@ -400,6 +408,8 @@
 		return false, "closing down"
 	case !s.holder.Loaded():
 		return false, "no configuration yet"
+	case now.Sub(s.pausedAt) < settleTime && 2*hostCount(s.view) < s.hostsBefore:
+		return false, "was paused, listening to peers"
 	case s.storeHas:
 		return true, ""
 	case s.firstUp.IsZero() || now.Sub(s.firstUp) < settleTime:
--- a/internal/kernel/timer/timer.go
+++ b/internal/kernel/timer/timer.go
@@ -97,6 +97,14 @@
 	}
 }
 
+// Stale reports whether the timer has not run for so long that the process must
+// have been paused, although no tick has noticed it yet.
+func (s *Service) Stale(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.last.IsZero() && now.Sub(s.last) >= PauseThreshold
+}
+
 // Tick runs what is due at now. The timer goroutine calls it; tests call it
 // with virtual times.
 func (s *Service) Tick(now time.Time) {
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -37,6 +37,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/report/burn"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/dispatch"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/gateway"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/ledger"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/station"
 )
 
@@ -60,6 +61,7 @@
 	serviceStation    = "station"
 	serviceGateway    = "gateway"
 	serviceBurn       = "burn"
+	serviceLedger     = "ledger"
 )
 
 // Balancer is one balancer process.
@@ -155,18 +157,37 @@
 	if err != nil {
 		return err
 	}
+	s, err := registry.Find[*store.Client](b.services, serviceStore)
+	if err != nil {
+		return err
+	}
+	var gw *gateway.Gateway
+	fleet := newLedgerFleet(c.Snapshot, c.Fresh)
+	keys := ledger.NewService(ledger.Config{
+		Self: memberOf(c.Snapshot().Self), Store: s, Now: time.Now, Fleet: fleet,
+		Transport: &ledgerTransport{fleet: fleet, gateway: func() *gateway.Gateway { return gw }},
+	})
+	m.watchLedger(keys)
 	st := station.New(station.Config{Cell: dispatch.DefaultConfig(), Draining: c.TargetDrains}, b.g)
-	gw := gateway.New(gateway.Config{
+	gw = gateway.New(gateway.Config{
 		Snapshot: c.Snapshot, Station: st, DialPeer: b.dialPeer,
 		Limits:   gateway.Limits{MaxBodyBytes: b.s.Limits.MaxBodyBytes, BufferBytes: b.s.Limits.BufferBytes},
 		Observer: &observer{metrics: m, meter: meter, snapshot: c.Snapshot},
 		Log:      b.log.For("gateway"),
+		Ledger:   keys,
 	}, b.g)
 	timers.Every("pump", st.PumpPeriod(), st.Pump)
 	timers.Every("trim", trimPeriod, func(now time.Time) {
 		st.Trim(now)
 		gw.Trim(now)
 	})
+	timers.Every("ledger", maintainPeriod, func(time.Time) {
+		b.g.Go("ledger", func(ctx context.Context) error {
+			keys.Maintain(ctx)
+			return nil
+		})
+	})
+	b.services.Provide(serviceLedger, keys)
 	b.services.Provide(serviceStation, st)
 	b.services.Provide(serviceGateway, gw)
 	return nil
--- a/internal/process/balancer/metrics.go
+++ b/internal/process/balancer/metrics.go
@@ -13,6 +13,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/report/burn"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/gateway"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/ledger"
 )
 
 // metrics holds the collectors of one process.
@@ -54,6 +55,24 @@
 	return m
 }
 
+// watchLedger exports what the ledger holds.
+func (m *metrics) watchLedger(s *ledger.Service) {
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "tamarack_ledger_keys", Help: "Idempotency keys held as owner or witness.",
+		}, func() float64 {
+			keys, _ := s.Held()
+			return float64(keys)
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "tamarack_ledger_answer_bytes", Help: "Bytes of answers held for repeats.",
+		}, func() float64 {
+			_, answers := s.Held()
+			return float64(answers)
+		}),
+	)
+}
+
 // observer counts finished calls.
 type observer struct {
 	metrics  *metrics
--- a/internal/process/balancer/servers.go
+++ b/internal/process/balancer/servers.go
@@ -25,6 +25,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/report/burn"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/gateway"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/ledger"
 )
 
 const (
@@ -62,7 +63,11 @@
 		return err
 	}
 	b.services.Provide("observe", b.observeServer(c, m))
-	b.services.Provide("peers", b.peerServer(c, links, gw, meter))
+	keys, err := registry.Find[*ledger.Service](b.services, serviceLedger)
+	if err != nil {
+		return err
+	}
+	b.services.Provide("peers", b.peerServer(c, links, gw, meter, keys))
 	operators := operator.NewServer(operator.Config{
 		Operators: b.s.Operators, Confirmations: b.confirmations(c, client), Snapshot: c.Snapshot,
 		Peers: operator.NewPeers(c.Snapshot, meter, b.client), Log: b.log.For("operators"),
@@ -97,9 +102,10 @@
 }
 
 // peerServer serves links, calls of other balancers, and their questions.
-func (b *Balancer) peerServer(c *controller.Controller, links *link.Service, gw *gateway.Gateway, meter *burn.Meter) *httpService {
+func (b *Balancer) peerServer(c *controller.Controller, links *link.Service, gw *gateway.Gateway, meter *burn.Meter, keys *ledger.Service) *httpService {
 	r := chi.NewRouter()
 	r.Handle(link.Path, links)
+	r.Post(ledgerPath, serveLedger(keys))
 	r.Get(operator.StatusPath, func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(operator.StatusOf(c.Snapshot()))
 	})
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -21,6 +21,7 @@
 
 	"github.com/pkg/errors"
 
+	"tamaracktiller.example/tamaracktiller/internal/traffic/ledger"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/route"
 )
 
@@ -65,6 +66,11 @@
 	IsBuffered bool
 	// Stream is the body that was not buffered.
 	Stream *Stream
+
+	// Keyed calls carry an idempotency key and run at most once under it.
+	Keyed   bool
+	Key     ledger.Key
+	KeyTime time.Time
 }
 
 // Stream is a body that is read once, while it is sent on.
@@ -106,6 +112,8 @@
 	// must be closed.
 	Response *http.Response
 	Reason   string
+	// Status is the HTTP status of a refusal when it is not the usual one.
+	Status int
 	// RetryAfter tells when to come back after a refusal.
 	RetryAfter time.Duration
 	// Target names the target that ran the call or may have.
--- a/internal/traffic/gateway/gateway.go
+++ b/internal/traffic/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/fleet/controller"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/ledger"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/relay"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/route"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/station"
@@ -71,6 +72,8 @@
 	Limits   Limits
 	Observer Observer
 	Log      *logrus.Entry
+	// Ledger decides on keyed requests.
+	Ledger Ledger
 }
 
 const (
@@ -98,6 +101,7 @@
 	mu     sync.Mutex
 	router *route.Router
 	budget *retryBudget
+	usual  *usualTimes
 	peers  map[netip.AddrPort]*relay.Pool
 }
 
@@ -109,6 +113,7 @@
 		cfg: cfg, g: g,
 		router: route.NewRouter(self.Domain, route.DefaultConfig(), rng),
 		budget: newRetryBudget(),
+		usual:  newUsualTimes(),
 		peers:  map[netip.AddrPort]*relay.Pool{},
 	}
 }
@@ -127,7 +132,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
-	answer := g.carry(ctx, snapshot, c, informational(w))
+	answer := g.decide(ctx, snapshot, c, informational(w))
 	g.observe(service, c, answer, began)
 	defer abandonBody(w, c)
 	g.reply(w, r, c, answer)
@@ -184,6 +189,7 @@
 		return c, service, &refused{http.StatusRequestEntityTooLarge, "the body is too large", 0}
 	}
 	member := r.Header.Get(call.HeaderMember)
+	idempotencyKey := r.Header.Get(headerIdempotencyKey)
 	timeout := callerTimeout(r, kind.Deadline.Std())
 	call.StripHopByHop(r.Header)
 	call.StripInternal(r.Header)
@@ -193,9 +199,16 @@
 		Deadline: now.Add(timeout), Request: r,
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(c.Deadline)
-	if err := g.buffer(w, c); err != nil {
+	err := g.buffer(w, c)
+	if err != nil {
 		return c, service, &refused{http.StatusBadRequest, "the body could not be read", 0}
 	}
+	if !kind.Idempotent && idempotencyKey != "" {
+		if c.Key, c.KeyTime, err = ledger.ParseKey(service.Name, idempotencyKey); err != nil {
+			return c, service, &refused{http.StatusBadRequest, err.Error(), 0}
+		}
+		c.Keyed = true
+	}
 	return c, service, nil
 }
 
@@ -247,7 +260,11 @@
 		if !ok {
 			return call.NotRun("the service has no targets", notReadyRetry)
 		}
-		next := g.try(ctx, s, id, c, info)
+		began := time.Now()
+		id, next := g.race(ctx, s, id, c, info)
+		if isGood(next) {
+			g.usual.add(c.Service+"/"+c.Kind, time.Since(began))
+		}
 		if !g.again(ctx, c, next, attempt) {
 			g.budget.earn()
 			return keepUnknown(last, next)
--- a/internal/traffic/gateway/reply.go
+++ b/internal/traffic/gateway/reply.go
@@ -117,6 +117,9 @@
 			status = http.StatusGatewayTimeout
 		}
 	}
+	if a.Status != 0 {
+		status = a.Status
+	}
 	writeOutcome(w, r, status, noAnswer{Outcome: a.Outcome, Reason: a.Reason, RetryAfterMS: a.RetryAfter.Milliseconds(), RequestID: c.ID})
 }
 
