--- a/internal/bench/load/run.go
+++ b/internal/bench/load/run.go
@@ -66,6 +66,8 @@
 	client *http.Client
 	g      *group.Group
 	ready  *readiness
+	// id is unique per run, so that journals of several runs do not meet.
+	id string
 
 	mu     sync.Mutex
 	result *Result
@@ -78,6 +80,7 @@
 		cfg: cfg, w: w, g: group.New(ctx), result: newResult(),
 		client: &http.Client{Transport: transport, Timeout: cfg.Timeout},
 		ready:  newReadiness(cfg.Balancers, cfg.ReadyPort),
+		id:     uuid.NewString(),
 	}
 	asking := group.New(ctx)
 	if cfg.ReadyPort != 0 {
@@ -131,7 +134,7 @@
 
 func (r *runner) newCall(rng *rand.Rand, n int, due time.Time) *outgoing {
 	kind := r.w.pick(rng)
-	c := &outgoing{id: fmt.Sprintf("%d-%d", r.cfg.Seed, n), kind: kind, due: due, first: rng.IntN(1 << 20)}
+	c := &outgoing{id: fmt.Sprintf("%s-%d", r.id, n), kind: kind, due: due, first: rng.IntN(1 << 20)}
 	c.direct = len(r.cfg.Direct) > 0 && !kind.Once && rng.IntN(1000) < r.cfg.DirectShare
 	if kind.Keyed {
 		c.key = uuid.Must(uuid.NewV7()).String()
--- a/internal/contract/catalog/assemble.go
+++ b/internal/contract/catalog/assemble.go
@@ -21,9 +21,19 @@
 
 // Assemble builds the configuration that head names.
 func Assemble(head *Head, fetch Fetch) (*Catalog, error) {
+	return AssembleFrom(&Head{}, New(), head, fetch)
+}
+
+// AssembleFrom builds the configuration that head names from an earlier one. Only
+// documents that differ are fetched and read.
+func AssembleFrom(oldHead *Head, old *Catalog, head *Head, fetch Fetch) (*Catalog, error) {
 	c := New()
 	c.Revision = head.Revision
 	for _, name := range sortedKeys(head.Services) {
+		if known, ok := old.Services[name]; ok && oldHead.Services[name] == head.Services[name] {
+			c.Services[name] = known
+			continue
+		}
 		var s Service
 		if err := fetchInto(fetch, false, name, head.Services[name], &s); err != nil {
 			return nil, err
@@ -31,6 +41,10 @@
 		c.Services[name] = s
 	}
 	for _, name := range sortedKeys(head.Pools) {
+		if known, ok := old.Pools[name]; ok && oldHead.Pools[name] == head.Pools[name] {
+			c.Pools[name] = known
+			continue
+		}
 		var p Pool
 		if err := fetchInto(fetch, true, name, head.Pools[name], &p); err != nil {
 			return nil, err
--- a/internal/fleet/revision/holder.go
+++ b/internal/fleet/revision/holder.go
@@ -104,7 +104,7 @@
 		return false, nil
 	}
 	documents := make(map[string][]byte, len(head.Services)+len(head.Pools))
-	next, err := catalog.Assemble(head, func(isPool bool, name string, digest catalog.Digest) ([]byte, error) {
+	next, err := catalog.AssembleFrom(h.head, h.catalog, head, func(isPool bool, name string, digest catalog.Digest) ([]byte, error) {
 		key := catalog.DocumentKey(isPool, name, digest)
 		content, ok := h.documents[key]
 		if !ok {
@@ -119,10 +119,27 @@
 	if err != nil {
 		return false, err
 	}
+	h.carryOver(head, documents)
 	h.accept(head, next, documents)
 	return true, nil
 }
 
+// carryOver adds the documents that did not change.
+func (h *Holder) carryOver(head *catalog.Head, documents map[string][]byte) {
+	keep := func(isPool bool, name string, digest catalog.Digest) {
+		key := catalog.DocumentKey(isPool, name, digest)
+		if content, ok := h.documents[key]; ok {
+			documents[key] = content
+		}
+	}
+	for name, digest := range head.Services {
+		keep(false, name, digest)
+	}
+	for name, digest := range head.Pools {
+		keep(true, name, digest)
+	}
+}
+
 // Offer takes in an update from a peer and reports whether the configuration
 // changed. Errors: ErrIncomplete, ErrSum.
 func (h *Holder) Offer(u Update) (bool, error) {
--- a/internal/traffic/ledger/book_test.go
+++ b/internal/traffic/ledger/book_test.go
@@ -1,9 +1,12 @@
 package ledger
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 )
 
@@ -122,3 +125,33 @@
 		}
 	}
 }
+
+// BenchmarkKeys reports the heap bytes of one key at its owner.
+func BenchmarkKeys(b *testing.B) {
+	for _, keys := range []int{10_000, 40_000, 160_000} {
+		b.Run(fmt.Sprint(keys), func(b *testing.B) {
+			for range b.N {
+				before := heap()
+				book := newBook(owner)
+				now := time.UnixMilli(1_000_000_000)
+				for p := range Partitions {
+					r := record(1, "a")
+					r.Partition = p
+					book.activate(r, Journal{})
+				}
+				for n := range keys {
+					book.claim(now, Claim{Key: Key{byte(n), byte(n >> 8), byte(n >> 16)}, TimeMilli: now.UnixMilli(), Attempt: uuid.NewString()})
+				}
+				b.ReportMetric(float64(heap()-before)/float64(keys), "bytes/key")
+				runtime.KeepAlive(book)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
