Let cells with a free slot take waiting calls from other cells

Cause: with answers alone, what an entry host knows of a cell is about as old as a service time, so calls waited in one cell while another had free slots. Change: a cell whose queue is empty offers its free slot to the cell that probably waits most, within a budget of offers per thousand calls that partners set per pool; targets hold one call beyond their slots while four or more wait; slow targets rank behind others instead of being passed over. Also: a greedy Member could fill its partner's queue for all others.

Reconnect at once after a pause: a link that broke was not opened anew for 3 s, and the other end refused a new link while it held the old one.

--- a/internal/contract/catalog/catalog.go
+++ b/internal/contract/catalog/catalog.go
@@ -82,8 +82,14 @@
 type Pool struct {
 	Name    string   `json:"name"`
 	Targets []Target `json:"targets"`
+	// OffersPerThousand is the budget for measuring: the messages that its cells
+	// may spend on telling each other of free slots, per thousand calls.
+	OffersPerThousand int `json:"offers-per-thousand"`
 }
 
+// DefaultOffers is the budget of a new pool.
+const DefaultOffers = 50
+
 // Catalog is a whole configuration.
 type Catalog struct {
 	Revision uint64
--- a/internal/contract/catalog/intent.go
+++ b/internal/contract/catalog/intent.go
@@ -49,6 +49,15 @@
 	Share   int    `json:"share"`
 }
 
+// Budget sets the budget for measuring of a pool.
+type Budget struct {
+	Pool              string `json:"pool"`
+	OffersPerThousand int    `json:"offers-per-thousand"`
+}
+
+// maxOffers is the largest budget for measuring.
+const maxOffers = 1000
+
 // Intent is a set of changes that one partner declares together.
 type Intent struct {
 	Partner  Partner       `json:"partner"`
@@ -58,6 +67,7 @@
 	Shares   []ShareChange `json:"shares,omitempty"`
 	Join     []Join        `json:"join,omitempty"`
 	Leave    []Leave       `json:"leave,omitempty"`
+	Budgets  []Budget      `json:"budgets,omitempty"`
 }
 
 // FieldError reports a wrong value in an intent.
@@ -216,7 +226,7 @@
 	}
 	next := c.Clone()
 	next.Revision = c.Revision + 1
-	steps := []func(*Catalog, *Intent) error{applyLeaves, applyJoins, applyWithdrawals, applyFronts, applyShares}
+	steps := []func(*Catalog, *Intent) error{applyLeaves, applyJoins, applyWithdrawals, applyFronts, applyShares, applyBudgets}
 	for _, step := range steps {
 		if err := step(next, in); err != nil {
 			return nil, err
@@ -248,8 +258,10 @@
 
 func applyJoins(c *Catalog, in *Intent) error {
 	for i, j := range in.Join {
-		pool := c.Pools[j.Pool]
-		pool.Name = j.Pool
+		pool, exists := c.Pools[j.Pool]
+		if !exists {
+			pool = Pool{Name: j.Pool, OffersPerThousand: DefaultOffers}
+		}
 		if slices.ContainsFunc(pool.Targets, func(t Target) bool { return t.Name == j.Target.Name }) {
 			return wrong(fmt.Sprintf("join[%d].target.name", i), "pool %q has a target %q", j.Pool, j.Target.Name)
 		}
@@ -295,6 +307,21 @@
 	return nil
 }
 
+func applyBudgets(c *Catalog, in *Intent) error {
+	for i, b := range in.Budgets {
+		pool, ok := c.Pools[b.Pool]
+		if !ok {
+			return wrong(fmt.Sprintf("budgets[%d].pool", i), "no pool %q", b.Pool)
+		}
+		if b.OffersPerThousand < 0 || b.OffersPerThousand > maxOffers {
+			return wrong(fmt.Sprintf("budgets[%d].offers-per-thousand", i), "want 0 to %d, got %d", maxOffers, b.OffersPerThousand)
+		}
+		pool.OffersPerThousand = b.OffersPerThousand
+		c.Pools[b.Pool] = pool
+	}
+	return nil
+}
+
 func ownService(c *Catalog, in *Intent, name, field string) error {
 	s, ok := c.Services[name]
 	if !ok {
--- a/internal/contract/plan/plan.go
+++ b/internal/contract/plan/plan.go
@@ -169,6 +169,9 @@
 	e.TargetsLost = missing(targets[0], targets[1])
 	e.TargetsGained = missing(targets[1], targets[0])
 	e.Changed = changedFields(before, after, existed, exists)
+	if existed && exists && views[0].catalog.Pools[before.Pool].OffersPerThousand != views[1].catalog.Pools[after.Pool].OffersPerThousand {
+		e.Changed = append(e.Changed, "measuring-budget")
+	}
 	differs := e.SlotsBefore != e.SlotsAfter || e.SharePerMille[0] != e.SharePerMille[1] ||
 		len(e.TargetsLost)+len(e.TargetsGained)+len(e.Changed) > 0
 	return e, differs
--- a/internal/fleet/controller/state.go
+++ b/internal/fleet/controller/state.go
@@ -140,8 +140,7 @@
 		}
 		s.heartbeatTo(now, e.host, a)
 	case linkDown:
-		delete(s.links, e.host)
-		s.table.Failed(now, e.host)
+		s.dropLink(now, e.host)
 		a.viewStale = true
 	case headRead:
 		s.takeHead(now, e, a)
@@ -399,6 +398,16 @@
 	s.table.Seed(now, balancers)
 }
 
+// dropLink forgets a link that broke, or notes that none could be opened.
+func (s *state) dropLink(now time.Time, host string) {
+	if s.links[host] == nil {
+		s.table.Failed(now, host)
+		return
+	}
+	delete(s.links, host)
+	s.table.Broke(host)
+}
+
 // ready reports whether the host may serve, and what is missing. A host that
 // starts serves nothing before the store or, while that is silent, its peers had
 // time to tell the newest configuration.
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -191,13 +191,15 @@
 	s.unregister(p)
 }
 
-// register adds the link. Of two links between the same hosts both sides keep
-// the one that the host with the smaller name opened.
+// register adds the link. Of two links that both hosts opened at the same time
+// both sides keep the one of the host with the smaller name. A later link replaces
+// an older one, which its other end may have given up.
 func (s *Service) register(p *peer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.links[p.name]
-	if old != nil && old.opened != p.opened && old.opened == (s.cfg.Self < p.name) {
+	atOnce := old != nil && p.since.Sub(old.since) < dialTimeout
+	if atOnce && old.opened != p.opened && old.opened == (s.cfg.Self < p.name) {
 		return false
 	}
 	s.links[p.name] = p
--- a/internal/fleet/link/peer.go
+++ b/internal/fleet/link/peer.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/coder/websocket"
 
@@ -15,6 +16,7 @@
 	ws   *websocket.Conn
 	// opened says that the own host opened the link.
 	opened bool
+	since  time.Time
 	out    chan []byte
 	done   chan struct{}
 	once   sync.Once
@@ -25,7 +27,7 @@
 
 func newPeer(name string, ws *websocket.Conn, opened bool) *peer {
 	return &peer{
-		name: name, ws: ws, opened: opened,
+		name: name, ws: ws, opened: opened, since: time.Now(),
 		out: make(chan []byte, queueLength), done: make(chan struct{}),
 		waiting: map[uint64]chan *message.Envelope{},
 	}
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -198,7 +198,8 @@
 	}
 }
 
-// Failed notes that a link to the host could not be opened, or broke.
+// Failed notes that a link to the host could not be opened. It is tried again
+// after a while.
 func (t *Table) Failed(now time.Time, name string) {
 	if r, ok := t.records[name]; ok {
 		r.failed = now
@@ -206,6 +207,13 @@
 	}
 }
 
+// Broke notes that a link to the host ended. A new one may be opened at once.
+func (t *Table) Broke(name string) {
+	if r, ok := t.records[name]; ok {
+		r.heard = time.Time{}
+	}
+}
+
 func (t *Table) hears(now time.Time, r *record) bool {
 	return !r.heard.IsZero() && now.Sub(r.heard) < time.Duration(t.cfg.Missed)*r.period
 }
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -38,6 +38,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/traffic/dispatch"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/gateway"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/ledger"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/route"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/station"
 )
 
@@ -168,13 +169,14 @@
 		Transport: &ledgerTransport{fleet: fleet, gateway: func() *gateway.Gateway { return gw }},
 	})
 	m.watchLedger(keys)
-	st := station.New(station.Config{Cell: dispatch.DefaultConfig(), Draining: c.TargetDrains}, b.g)
+	st := station.New(station.Config{Cell: dispatch.DefaultConfig(), Draining: c.TargetDrains, Offering: func(from route.CellID) { gw.Offer(from) }}, b.g)
 	gw = gateway.New(gateway.Config{
 		Snapshot: c.Snapshot, Station: st, DialPeer: b.dialPeer,
 		Limits:   gateway.Limits{MaxBodyBytes: b.s.Limits.MaxBodyBytes, BufferBytes: b.s.Limits.BufferBytes},
 		Observer: &observer{metrics: m, meter: meter, snapshot: c.Snapshot},
 		Log:      b.log.For("gateway"),
 		Ledger:   keys,
+		Offers:   m.offers,
 	}, b.g)
 	timers.Every("pump", st.PumpPeriod(), st.Pump)
 	timers.Every("trim", trimPeriod, func(now time.Time) {
--- a/internal/process/balancer/metrics.go
+++ b/internal/process/balancer/metrics.go
@@ -25,6 +25,7 @@
 	linkBytes    *prometheus.CounterVec
 	linkMessages *prometheus.CounterVec
 	revision     prometheus.Gauge
+	offers       prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -50,7 +51,10 @@
 			Name: "tamarack_revision", Help: "Revision of the configuration in force.",
 		}),
 	}
-	m.registry.MustRegister(m.calls, m.latency, m.storeCalls, m.linkBytes, m.linkMessages, m.revision,
+	m.offers = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "tamarack_offers_total", Help: "Messages spent on telling other cells of free slots.",
+	})
+	m.registry.MustRegister(m.offers, m.calls, m.latency, m.storeCalls, m.linkBytes, m.linkMessages, m.revision,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
--- a/internal/process/balancer/servers.go
+++ b/internal/process/balancer/servers.go
@@ -106,6 +106,7 @@
 	r := chi.NewRouter()
 	r.Handle(link.Path, links)
 	r.Post(ledgerPath, serveLedger(keys))
+	r.Post(gateway.OfferPath, gw.ServeOffer)
 	r.Get(operator.StatusPath, func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(operator.StatusOf(c.Snapshot()))
 	})
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -122,6 +122,8 @@
 	Domain string
 	// Reports holds what the dispatcher knows of the cells of the pool.
 	Reports []route.Report
+	// MoveTo is the domain of the cell that the call must be passed on to.
+	MoveTo string
 	// Failed says that the answer speaks against the target or the dispatcher, so
 	// that a repeatable call is better tried elsewhere.
 	Failed bool
--- a/internal/traffic/dispatch/cell.go
+++ b/internal/traffic/dispatch/cell.go
@@ -39,11 +39,9 @@
 	MaxEjectTime time.Duration
 	// EjectAfter is the number of failures in a row that pause a target.
 	EjectAfter int
-	// TrialPeriod is the time after which a target that was passed over as slow
-	// gets one idempotent call.
-	TrialPeriod time.Duration
-	// AvoidSlow passes over slow targets when waiting is faster.
-	AvoidSlow bool
+	// Ahead is the number of calls that a target may hold beyond its slots while
+	// others wait, so that its slots do not idle for the time of a crossing.
+	Ahead int
 	// Fair serves partners by share and Members equally; otherwise first come
 	// first served.
 	Fair bool
@@ -57,8 +55,7 @@
 		EjectTime:    100 * time.Millisecond,
 		MaxEjectTime: 5 * time.Second,
 		EjectAfter:   3,
-		TrialPeriod:  500 * time.Millisecond,
-		AvoidSlow:    true,
+		Ahead:        1,
 		Fair:         true,
 	}
 }
@@ -74,9 +71,9 @@
 	Weight int
 	// MayWait calls yield to all others.
 	MayWait bool
-	// Idempotent calls may be used to try a target.
-	Idempotent bool
-	Deadline   time.Time
+	// Pinned calls came from another cell and are not given to a third.
+	Pinned   bool
+	Deadline time.Time
 	// Avoid names targets that failed this call before.
 	Avoid []string
 
@@ -101,6 +98,8 @@
 	Run Action = iota
 	Queue
 	Refuse
+	// Move gives the call to another cell, which Target names by its domain.
+	Move
 )
 
 // Reason says why a call was refused.
@@ -136,6 +135,11 @@
 	means   map[string]*mean
 	// runs counts the calls in flight and is checked against the targets.
 	runs int
+	// offers is the number of offers that may be made now; earned and made count
+	// since the start.
+	offers float64
+	earned float64
+	made   int
 }
 
 // NewCell returns a cell without targets.
@@ -161,7 +165,7 @@
 			return Verdict{Action: Run, Target: t.spec.Name}
 		}
 	}
-	if c.queue.lengthOf(call.Partner) >= c.cfg.QueuePerSlot*c.slots(now) {
+	if c.queue.full(call, c.cfg.QueuePerSlot*c.slots(now)) {
 		return refusal(ReasonQueueFull, wait)
 	}
 	c.queue.push(call)
@@ -192,6 +196,49 @@
 // Withdraw removes a queued call and reports whether it was queued.
 func (c *Cell) Withdraw(call *Call) bool { return c.queue.remove(call) }
 
+// Yield takes the call that is to be served next out of the queue, for a cell
+// that has a free slot. It returns nil when none waits or the call is pinned.
+func (c *Cell) Yield() *Call {
+	call := c.queue.peek()
+	if call == nil || call.Pinned {
+		return nil
+	}
+	c.queue.pop(call)
+	return call
+}
+
+// Earn counts a finished call towards the offers that the cell may make; the
+// share is in offers per thousand calls.
+func (c *Cell) Earn(perThousand int) {
+	c.offers = min(maxOffers, c.offers+float64(perThousand)/perMille)
+	c.earned += float64(perThousand) / perMille
+}
+
+const (
+	perMille = 1000
+	// maxOffers bounds the offers that may be saved up.
+	maxOffers = 5
+)
+
+// Offers reports whether the cell should tell another one of a free slot, and
+// counts the message. The budget is an invariant: a cell never makes more offers
+// than it earned, whoever else believes that it dispatches the cell, since each
+// earns only by the calls that it served itself.
+func (c *Cell) Offers(now time.Time) bool {
+	if c.offers < 1 || c.queue.length() > 0 || c.Load(now).Free == 0 {
+		return false
+	}
+	c.offers--
+	c.made++
+	if float64(c.made) > c.earned+budgetTolerance {
+		panic(fmt.Sprintf("dispatch: %d offers made, %.1f earned", c.made, c.earned))
+	}
+	return true
+}
+
+// budgetTolerance absorbs the rounding of sums of shares.
+const budgetTolerance = 1e-6
+
 // Pump grants free slots to queued calls and refuses those that cannot make
 // their deadline any more. Shells call it after Done and periodically, since
 // slots also come back with time.
@@ -232,7 +279,7 @@
 func (c *Cell) check() {
 	total := 0
 	for _, t := range c.targets {
-		if len(t.running) > t.spec.Slots && !t.shrunk {
+		if len(t.running) > t.spec.Slots+c.cfg.Ahead && !t.shrunk {
 			panic(fmt.Sprintf("dispatch: target %s runs %d calls on %d slots", t.spec.Name, len(t.running), t.spec.Slots))
 		}
 		total += len(t.running)
--- /dev/null
+++ b/internal/traffic/dispatch/cell_test.go
@@ -0,0 +1,220 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func targets(n, slots int) []Target {
+	list := make([]Target, n)
+	for i := range list {
+		list[i] = Target{Name: fmt.Sprint("t", i), Slots: slots}
+	}
+	return list
+}
+
+// TestEveryCallEndsOnce runs random offers, ends, withdrawals and changes of the
+// targets. Each call must end in exactly one way, no free slot may stay idle while
+// a call waits, and a leaving target gets nothing (asserted in the cell).
+func TestEveryCallEndsOnce(t *testing.T) {
+	for seed := range uint64(40) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		now := start
+		c := NewCell(DefaultConfig())
+		specs := targets(4, 2)
+		c.SetTargets(now, specs)
+		c.SetShares(map[string]int{"exchange": 3, "bitacora": 1})
+		running, waiting := map[*Call]bool{}, map[*Call]bool{}
+		ended := map[*Call]int{}
+		take := func(grants []Grant) {
+			for _, g := range grants {
+				require.True(t, waiting[g.Call])
+				delete(waiting, g.Call)
+				if g.Verdict.Action == Run {
+					running[g.Call] = true
+				} else {
+					ended[g.Call]++
+				}
+			}
+		}
+		one := func(m map[*Call]bool) *Call {
+			for call := range m {
+				return call
+			}
+			return nil
+		}
+		for range 3000 {
+			now = now.Add(time.Duration(rng.Int64N(int64(3 * time.Millisecond))))
+			switch rng.IntN(10) {
+			case 0, 1, 2, 3:
+				call := &Call{Partner: []string{"exchange", "bitacora"}[rng.IntN(2)], Member: fmt.Sprint(rng.IntN(4)), Kind: "k", Weight: 1 + rng.IntN(3), MayWait: rng.IntN(5) == 0, Deadline: now.Add(200 * time.Millisecond)}
+				switch v := c.Offer(now, call); v.Action {
+				case Run:
+					running[call] = true
+				case Queue:
+					waiting[call] = true
+				default:
+					require.Positive(t, v.RetryAfter)
+					ended[call]++
+				}
+			case 4, 5, 6, 7:
+				if call := one(running); call != nil {
+					delete(running, call)
+					ended[call]++
+					take(c.Done(now, call, Sample{Result: Result(rng.IntN(8) / 7 * rng.IntN(4)), Latency: 10 * time.Millisecond}))
+				}
+			case 8:
+				if call := one(waiting); call != nil && c.Withdraw(call) {
+					delete(waiting, call)
+					ended[call]++
+				}
+			default:
+				specs[rng.IntN(len(specs))].Leaving = rng.IntN(3) == 0
+				c.SetTargets(now, specs)
+			}
+			take(c.Pump(now))
+			if len(waiting) > 0 {
+				require.Zero(t, c.Load(now).Free, "a slot idles while a call waits")
+			}
+			require.Equal(t, len(waiting), c.Load(now).Waiting)
+		}
+		for call, n := range ended {
+			require.Equal(t, 1, n, "%+v", call)
+		}
+	}
+}
+
+// serve lets every flow keep a backlog and returns the units served per flow.
+func serve(cfg Config, flows []Call, arrivals []int, rounds int) []float64 {
+	cfg.QueuePerSlot = 1000
+	now := start
+	c := NewCell(cfg)
+	c.SetTargets(now, targets(1, 1))
+	c.SetShares(map[string]int{"exchange": 3, "bitacora": 1})
+	served := make([]float64, len(flows))
+	owner := map[*Call]int{}
+	var running *Call
+	began := func(call *Call) {
+		running = call
+		served[owner[call]] += float64(call.Weight)
+	}
+	for range rounds {
+		for i, flow := range flows {
+			for range arrivals[i] {
+				call := flow
+				call.Kind, call.Deadline = "k", now.Add(time.Hour)
+				owner[&call] = i
+				if c.Offer(now, &call).Action == Run {
+					began(&call)
+				}
+			}
+		}
+		now = now.Add(time.Millisecond)
+		for _, g := range c.Done(now, running, Sample{Latency: time.Millisecond}) {
+			if g.Verdict.Action == Run {
+				began(g.Call)
+			}
+		}
+	}
+	return served
+}
+
+// jain returns Jain's fairness index (Jain, Chiu and Hawe, 1984): 1 is fair, 1/n
+// is one taking everything.
+func jain(x []float64) float64 {
+	sum, squares := 0.0, 0.0
+	for _, v := range x {
+		sum += v
+		squares += v * v
+	}
+	return sum * sum / (float64(len(x)) * squares)
+}
+
+func TestGreedyMemberGetsNoMoreThanTheOthers(t *testing.T) {
+	flows := make([]Call, 4)
+	for i := range flows {
+		flows[i] = Call{Partner: "exchange", Member: fmt.Sprint(i), Weight: 1}
+	}
+	arrivals := []int{20, 1, 1, 1}
+	cfg := DefaultConfig()
+	cfg.Ahead = 0
+	fair := jain(serve(cfg, flows, arrivals, 400))
+	cfg.Fair = false
+	naive := jain(serve(cfg, flows, arrivals, 400))
+	t.Logf("Jain's index: %.3f first come first served, %.3f fair", naive, fair)
+	require.Greater(t, fair, 0.99)
+	require.Less(t, naive, 0.5, "the naive queue must be unfair, or the check proves nothing")
+}
+
+func TestSurgeOfOnePartnerLeavesTheOthersShare(t *testing.T) {
+	flows := []Call{{Partner: "exchange", Member: "m", Weight: 2}, {Partner: "bitacora", Member: "m", Weight: 2}}
+	cfg := DefaultConfig()
+	cfg.Ahead = 0
+	served := serve(cfg, flows, []int{1, 50}, 400)
+	require.InDelta(t, 0.75, served[0]/(served[0]+served[1]), 0.02, "the Exchange holds three shares of four")
+}
+
+func TestOrderOfService(t *testing.T) {
+	now := start
+	c := NewCell(DefaultConfig())
+	c.SetTargets(now, targets(1, 1))
+	first := &Call{Kind: "k", Deadline: now.Add(time.Hour)}
+	c.Offer(now, first)
+	export := &Call{Kind: "k", MayWait: true, Deadline: now.Add(time.Hour)}
+	search := &Call{Kind: "k", Deadline: now.Add(time.Hour)}
+	require.Equal(t, Queue, c.Offer(now, export).Action)
+	require.Equal(t, Queue, c.Offer(now, search).Action)
+	now = now.Add(100 * time.Millisecond)
+	grants := c.Done(now, first, Sample{Latency: 100 * time.Millisecond})
+	require.Len(t, grants, 1)
+	require.Same(t, search, grants[0].Call, "work that may wait yields")
+	late := c.Offer(now, &Call{Kind: "k", Deadline: now.Add(50 * time.Millisecond)})
+	require.Equal(t, Refuse, late.Action, "a call that cannot make its deadline is refused at once")
+	require.Equal(t, ReasonDeadline, late.Reason)
+	require.Positive(t, late.RetryAfter)
+}
+
+func TestFastFailingTargetIsPaused(t *testing.T) {
+	now := start
+	c := NewCell(DefaultConfig())
+	c.SetTargets(now, targets(2, 2))
+	failures := 0
+	for range 200 {
+		now = now.Add(time.Millisecond)
+		call := &Call{Kind: "k", Deadline: now.Add(time.Second)}
+		if c.Offer(now, call).Action != Run {
+			continue
+		}
+		if call.Target() == "t0" {
+			failures++
+			c.Done(now, call, Sample{Result: Failed, Latency: time.Millisecond})
+			continue
+		}
+		c.Done(now, call, Sample{Result: OK, Latency: 20 * time.Millisecond})
+	}
+	require.LessOrEqual(t, failures, 5)
+}
+
+func TestOffersKeepToTheBudget(t *testing.T) {
+	now := start
+	c := NewCell(DefaultConfig())
+	c.SetTargets(now, targets(1, 1))
+	offers := 0
+	for range 1000 {
+		now = now.Add(time.Millisecond)
+		call := &Call{Kind: "k", Deadline: now.Add(time.Second)}
+		c.Offer(now, call)
+		c.Done(now, call, Sample{Latency: time.Millisecond})
+		c.Earn(50)
+		for c.Offers(now) {
+			offers++
+		}
+	}
+	require.Equal(t, 50, offers)
+}
--- a/internal/traffic/dispatch/fair.go
+++ b/internal/traffic/dispatch/fair.go
@@ -63,14 +63,27 @@
 	return q.classes[0].length == 0
 }
 
-func (q *fairQueue) lengthOf(partner string) int {
-	n := 0
+// full reports whether the call exceeds its partner's bound. A Member below its
+// equal part of the bound may always wait, so that a greedy Member cannot fill the
+// queue for the others of its partner; at most twice the bound waits.
+func (q *fairQueue) full(call *Call, bound int) bool {
+	waiting, own, members := 0, 0, 1
 	for _, c := range q.classes {
-		if p, ok := c.partners[partner]; ok {
-			n += p.length
+		p, ok := c.partners[call.Partner]
+		if !ok {
+			continue
+		}
+		waiting += p.length
+		for name, m := range p.members {
+			switch {
+			case name == call.Member:
+				own += len(m.calls)
+			case len(m.calls) > 0:
+				members++
+			}
 		}
 	}
-	return n
+	return waiting >= bound && (!q.fair || own >= bound/members)
 }
 
 // ahead returns the number of waiting calls that would be served before call.
--- a/internal/traffic/dispatch/target.go
+++ b/internal/traffic/dispatch/target.go
@@ -45,8 +45,6 @@
 	slownessGain = 0.2
 	// minRatio bounds the logarithm of very short calls.
 	minRatio = 0.05
-	// slowFactor is the slowness from which a target may be passed over.
-	slowFactor = 2.0
 )
 
 // mean is a moving mean of service times.
@@ -70,7 +68,8 @@
 	// logSlowness is the moving mean of the logarithm of its latencies over the
 	// mean of their kind. A logarithm keeps one long call from looking slow.
 	logSlowness float64
-	sampled     time.Time
+	// strict targets shed what exceeds their slots.
+	strict bool
 	// failures counts failures in a row.
 	failures int
 	ejected  time.Time
@@ -152,7 +151,6 @@
 		t.rampFrom = now
 	}
 	t.failures = 0
-	t.sampled = now
 	m := c.meanFor(call.Kind)
 	if m.known && m.value > 0 {
 		ratio := math.Log(max(minRatio, float64(s.Latency)/float64(m.value)))
@@ -166,6 +164,7 @@
 func (t *target) fail(now time.Time, cfg Config, result Result) {
 	t.failures++
 	if result == Shed {
+		t.strict = true
 		t.ejected = now.Add(cfg.EjectTime)
 		return
 	}
@@ -247,7 +246,7 @@
 	var best *target
 	var bestSlow float64
 	for _, t := range c.targets {
-		if len(t.running) >= t.allowed(now, c.cfg) || slices.Contains(call.Avoid, t.spec.Name) && c.others(t, now) {
+		if len(t.running) >= c.limit(now, t) || slices.Contains(call.Avoid, t.spec.Name) && c.others(t, now) {
 			continue
 		}
 		slow := c.slownessAt(now, t)
@@ -255,15 +254,22 @@
 			best, bestSlow = t, slow
 		}
 	}
-	if best == nil || !c.cfg.AvoidSlow || bestSlow < slowFactor {
-		return best
-	}
-	if c.trialDue(now, best, call) || c.worthIt(now, best, bestSlow) {
-		return best
+	return best
+}
+
+// limit returns the number of calls that the target may hold now.
+func (c *Cell) limit(now time.Time, t *target) int {
+	allowed := t.allowed(now, c.cfg)
+	if !t.strict && allowed == t.spec.Slots && c.queue.length() >= aheadFrom {
+		return allowed + c.cfg.Ahead
 	}
-	return nil
+	return allowed
 }
 
+// aheadFrom is the number of waiting calls from which targets hold more than they
+// have slots.
+const aheadFrom = 4
+
 // others reports whether a target besides t may run calls.
 func (c *Cell) others(t *target, now time.Time) bool {
 	for _, other := range c.targets {
@@ -280,25 +286,3 @@
 	loadB := float64(len(b.running)+1) / float64(b.spec.Slots) * slowB
 	return loadA < loadB
 }
-
-// trialDue reports whether a slow target should get a call to learn its speed.
-func (c *Cell) trialDue(now time.Time, t *target, call *Call) bool {
-	return call.Idempotent && len(t.running) == 0 && now.Sub(t.sampled) >= c.cfg.TrialPeriod
-}
-
-// worthIt compares the expected end of the call on a slow target with that of
-// waiting for the next slot of a faster one: with k busy slots of mean service
-// time m, the next one is free after m/k on average.
-func (c *Cell) worthIt(now time.Time, t *target, slow float64) bool {
-	busy := 0
-	for _, other := range c.targets {
-		if other != t && other.allowed(now, c.cfg) > 0 && c.slownessAt(now, other) < slowFactor {
-			busy += len(other.running)
-		}
-	}
-	if busy == 0 {
-		return true
-	}
-	waiting := float64(c.queue.length() + 1)
-	return slow <= 1+waiting/float64(busy)
-}
--- a/internal/traffic/gateway/gateway.go
+++ b/internal/traffic/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"tamaracktiller.example/tamaracktiller/internal/contract/catalog"
@@ -74,6 +75,8 @@
 	Log      *logrus.Entry
 	// Ledger decides on keyed requests.
 	Ledger Ledger
+	// Offers counts the messages spent on telling of free slots.
+	Offers prometheus.Counter
 }
 
 const (
@@ -332,7 +335,7 @@
 	host := s.Dispatcher(id)
 	var a *call.Answer
 	if host == s.Self.Name {
-		a = g.dispatchHere(ctx, id, c)
+		a = g.dispatchHere(ctx, s, id, c)
 	} else {
 		a = g.dispatchAt(ctx, s, id, host, c, info)
 	}
@@ -341,13 +344,44 @@
 	return a
 }
 
-func (g *Gateway) dispatchHere(ctx context.Context, id route.CellID, c *call.Call) *call.Answer {
-	a := g.cfg.Station.Do(ctx, id, c)
+func (g *Gateway) dispatchHere(ctx context.Context, s *controller.Snapshot, id route.CellID, c *call.Call) *call.Answer {
+	a := g.serveCell(ctx, s, id, c)
 	now := time.Now()
 	a.Reports = append(a.Reports, route.Report{Cell: id, Load: g.cfg.Station.Load(now, id), At: now})
 	return a
 }
 
+// serveCell dispatches the call in a cell of this host, or passes it on to a cell
+// that has a free slot. A call is passed on once.
+func (g *Gateway) serveCell(ctx context.Context, s *controller.Snapshot, id route.CellID, c *call.Call) *call.Answer {
+	if other, ok := g.freeElsewhere(s, id, c); ok {
+		return g.passOn(ctx, s, other, c)
+	}
+	a := g.cfg.Station.Do(ctx, id, c)
+	if a.MoveTo == "" {
+		return a
+	}
+	return g.passOn(ctx, s, route.CellID{Pool: id.Pool, Domain: a.MoveTo}, c)
+}
+
+func (g *Gateway) freeElsewhere(s *controller.Snapshot, id route.CellID, c *call.Call) (route.CellID, bool) {
+	now := time.Now()
+	if c.Forwarded || g.cfg.Station.Load(now, id).Free > 0 {
+		return route.CellID{}, false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.router.FreeElsewhere(now, s.Cells(id.Pool), id)
+}
+
+func (g *Gateway) passOn(ctx context.Context, s *controller.Snapshot, id route.CellID, c *call.Call) *call.Answer {
+	c.Forwarded = true
+	g.mu.Lock()
+	g.router.Sent(time.Now(), id)
+	g.mu.Unlock()
+	return g.try(ctx, s, id, c, nil)
+}
+
 func (g *Gateway) learn(id route.CellID, a *call.Answer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -369,7 +403,7 @@
 			continue
 		}
 		if host == s.Self.Name {
-			return g.dispatchHere(ctx, id, c)
+			return g.dispatchHere(ctx, s, id, c)
 		}
 		if a, reached = g.hop(ctx, s, id, host, c, info); reached {
 			return a
--- a/internal/traffic/gateway/hop.go
+++ b/internal/traffic/gateway/hop.go
@@ -36,7 +36,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	g.takeReports(known)
-	a := g.cfg.Station.Do(ctx, id, c)
+	a := g.serveCell(ctx, g.cfg.Snapshot(), id, c)
 	g.addReports(id, a)
 	writeHop(w, a)
 }
--- a/internal/traffic/route/loop_test.go
+++ b/internal/traffic/route/loop_test.go
@@ -146,6 +146,7 @@
 	refused  int
 	messages int
 	open     int
+	sent     int
 }
 
 var epoch = time.Unix(1_000_000, 0)
@@ -208,11 +209,12 @@
 		}
 		j := &job{id: n, entry: l.rng.IntN(l.size.entries), arrived: l.now, service: l.lognormal()}
 		l.open++
+		l.sent++
 		p.send(j, func(o outcome) { l.finish(j, o) })
 		l.after(time.Duration(gap*l.rng.ExpFloat64()), func() { arrive(n + 1) })
 	}
 	arrive(0)
-	for l.events.Len() > 0 && (l.open > 0 || l.now == 0) {
+	for l.events.Len() > 0 && (l.open > 0 || l.sent < calls) {
 		e := heap.Pop(&l.events).(event)
 		l.now = e.at
 		e.fn()
--- a/internal/traffic/route/measure_test.go
+++ b/internal/traffic/route/measure_test.go
@@ -22,19 +22,22 @@
 	{"least-own", func(l *loop) policy { return newDirect(l, pickLeastOwn) }},
 	{"probe-0.5", func(l *loop) policy { return newDirect(l, pickProbed(0.5)) }},
 	{"probe-3", func(l *loop) policy { return newDirect(l, pickProbed(3)) }},
-	{"cell", func(l *loop) policy { return newDispatched(l, dispatchOptions{cell: cellConfig(true)}) }},
-	{"cell-overflow", func(l *loop) policy { return newDispatched(l, dispatchOptions{cell: cellConfig(true), overflow: true}) }},
-	{"cell-use-slow", func(l *loop) policy {
-		return newDispatched(l, dispatchOptions{cell: cellConfig(false), overflow: true})
+	{"cell", func(l *loop) policy { return newDispatched(l, dispatchOptions{cell: cellConfig(0)}) }},
+	{"cell-ahead", func(l *loop) policy { return newDispatched(l, dispatchOptions{cell: cellConfig(1)}) }},
+	{"cell-offers-50", func(l *loop) policy {
+		return newDispatched(l, dispatchOptions{cell: cellConfig(1), overflow: true, offers: 50})
+	}},
+	{"cell-offers-100", func(l *loop) policy {
+		return newDispatched(l, dispatchOptions{cell: cellConfig(1), overflow: true, offers: 100})
 	}},
 	{"ideal", func(l *loop) policy { return &ideal{l: l} }},
 }
 
 // cellConfig has no bound on the queue, as the direct policies have none.
-func cellConfig(avoidSlow bool) dispatch.Config {
+func cellConfig(ahead int) dispatch.Config {
 	cfg := dispatch.DefaultConfig()
 	cfg.QueuePerSlot = 1 << 20
-	cfg.AvoidSlow = avoidSlow
+	cfg.Ahead = ahead
 	return cfg
 }
 
--- a/internal/traffic/route/policies_test.go
+++ b/internal/traffic/route/policies_test.go
@@ -183,6 +183,8 @@
 	routers  []*route.Router
 	stations []*station
 	overflow bool
+	// offers is the number of offers of free slots per thousand calls.
+	offers int
 }
 
 type station struct {
@@ -194,15 +196,17 @@
 	router  *route.Router
 	pending map[*dispatch.Call]func(target string)
 	refuse  map[*dispatch.Call]func()
+	moves   map[*dispatch.Call]func(to *station)
 }
 
 type dispatchOptions struct {
 	cell     dispatch.Config
 	overflow bool
+	offers   int
 }
 
 func newDispatched(l *loop, o dispatchOptions) *dispatched {
-	p := &dispatched{l: l, overflow: o.overflow}
+	p := &dispatched{l: l, overflow: o.overflow, offers: o.offers}
 	cfg := route.DefaultConfig()
 	cfg.Crossing = 2 * l.size.crossing
 	for d := range l.size.domains {
@@ -215,7 +219,7 @@
 		s := &station{
 			p: p, id: p.cells[d], domain: d, cell: dispatch.NewCell(o.cell), targets: map[string]*slotTarget{},
 			router:  route.NewRouter(domainName(d), cfg, l.rng),
-			pending: map[*dispatch.Call]func(string){}, refuse: map[*dispatch.Call]func(){},
+			pending: map[*dispatch.Call]func(string){}, refuse: map[*dispatch.Call]func(){}, moves: map[*dispatch.Call]func(*station){},
 		}
 		var specs []dispatch.Target
 		for i, t := range l.targets {
@@ -283,7 +287,7 @@
 
 func (s *station) accept(j *job, mayForward bool, reply func(outcome)) {
 	now := s.p.l.clock()
-	call := &dispatch.Call{Partner: "p", Member: "m", Kind: "k", Weight: 1, Idempotent: true, Deadline: epoch.Add(j.arrived + callDeadline)}
+	call := &dispatch.Call{Partner: "p", Member: "m", Kind: "k", Weight: 1, Pinned: !mayForward, Deadline: epoch.Add(j.arrived + callDeadline)}
 	if mayForward && s.cell.Load(now).Free == 0 {
 		if other, ok := s.router.FreeElsewhere(now, s.p.cells, s.id); ok {
 			s.forward(other, j, reply)
@@ -296,6 +300,7 @@
 	case dispatch.Queue:
 		s.pending[call] = func(target string) { s.start(j, call, target, reply) }
 		s.refuse[call] = func() { reply(refused) }
+		s.moves[call] = func(to *station) { s.forward(to.id, j, reply) }
 		s.p.l.after(50*time.Millisecond, func() { s.serve(s.cell.Pump(s.p.l.clock())) })
 	default:
 		reply(refused)
@@ -331,17 +336,39 @@
 					o = failed
 				}
 				s.serve(s.cell.Done(s.p.l.clock(), call, sample))
+				s.cell.Earn(s.p.offers)
+				s.offer()
 				reply(o)
 			})
 		})
 	})
 }
 
+// offer tells the station that probably waits most that this one has a free slot.
+func (s *station) offer() {
+	if !s.cell.Offers(s.p.l.clock()) {
+		return
+	}
+	id, _ := s.router.Longest(s.p.cells, s.id)
+	to := s.p.stations[slices.Index(s.p.cells, id)]
+	s.p.l.messages++
+	s.p.l.after(s.p.l.distance(s.domain, to.domain), func() {
+		if call := to.cell.Yield(); call != nil {
+			move := to.moves[call]
+			delete(to.pending, call)
+			delete(to.refuse, call)
+			delete(to.moves, call)
+			move(s)
+		}
+	})
+}
+
 func (s *station) serve(grants []dispatch.Grant) {
 	for _, g := range grants {
 		start, refuse := s.pending[g.Call], s.refuse[g.Call]
 		delete(s.pending, g.Call)
 		delete(s.refuse, g.Call)
+		delete(s.moves, g.Call)
 		if g.Verdict.Action == dispatch.Run {
 			start(g.Verdict.Target)
 		} else {
--- a/internal/traffic/route/route.go
+++ b/internal/traffic/route/route.go
@@ -211,6 +211,28 @@
 	return best, found
 }
 
+// Longest returns the cell other than self with the longest queue by the last
+// reports, any of them when none is known to wait.
+func (r *Router) Longest(cells []CellID, self CellID) (CellID, bool) {
+	best, found, most, ties := CellID{}, false, -1, 0
+	for _, id := range cells {
+		if id == self {
+			continue
+		}
+		waiting := r.view(id).load.Waiting
+		switch {
+		case waiting > most:
+			best, found, most, ties = id, true, waiting, 1
+		case waiting == most:
+			ties++
+			if r.rng.IntN(ties) == 0 {
+				best = id
+			}
+		}
+	}
+	return best, found
+}
+
 // Known returns the reports that this router holds of the cells, for passing on.
 func (r *Router) Known(now time.Time, cells []CellID) []Report {
 	var reports []Report
--- a/internal/traffic/station/station.go
+++ b/internal/traffic/station/station.go
@@ -49,10 +49,14 @@
 // Draining is told that a target says that it drains.
 type Draining func(target string)
 
+// Offering is told that a cell has a free slot for another cell of its pool.
+type Offering func(from route.CellID)
+
 // Config holds the dependencies of a station.
 type Config struct {
 	Cell     dispatch.Config
 	Draining Draining
+	Offering Offering
 }
 
 // Station holds the cells of one host. It is safe for concurrent use.
@@ -79,6 +83,10 @@
 	core    *dispatch.Cell
 	waiting map[*dispatch.Call]chan dispatch.Verdict
 	targets map[string]catalog.Target
+	// offersPerThousand is the budget for offers; hasSiblings says that the pool
+	// has other cells.
+	offersPerThousand int
+	hasSiblings       bool
 }
 
 // SetPools brings the cells in line with the configuration.
@@ -103,7 +111,8 @@
 	}
 	s.mu.Unlock()
 	for id, targets := range specs {
-		s.cell(id).set(now, targets, shares[id.Pool])
+		pool := c.Pools[id.Pool]
+		s.cell(id).set(now, pool, targets, shares[id.Pool])
 	}
 }
 
@@ -152,9 +161,11 @@
 	return c
 }
 
-func (c *cell) set(now time.Time, targets []catalog.Target, shares map[string]int) {
+func (c *cell) set(now time.Time, pool catalog.Pool, targets []catalog.Target, shares map[string]int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.offersPerThousand = pool.OffersPerThousand
+	c.hasSiblings = len(targets) < len(pool.Targets)
 	c.targets = make(map[string]catalog.Target, len(targets))
 	specs := make([]dispatch.Target, 0, len(targets))
 	for _, t := range targets {
@@ -222,9 +233,12 @@
 	cl := s.cell(id)
 	granted := &dispatch.Call{
 		Partner: c.Partner, Member: c.Member, Kind: c.Service + "/" + c.Kind, Weight: c.Weight,
-		MayWait: c.MayWait, Idempotent: c.Idempotent, Deadline: c.Deadline, Avoid: c.Avoid,
+		MayWait: c.MayWait, Pinned: c.Forwarded, Deadline: c.Deadline, Avoid: c.Avoid,
 	}
 	verdict := cl.admit(ctx, granted)
+	if verdict.Action == dispatch.Move {
+		return &call.Answer{Outcome: call.OutcomeNotRun, MoveTo: verdict.Target}
+	}
 	if verdict.Action != dispatch.Run {
 		return call.NotRun(string(verdict.Reason), verdict.RetryAfter)
 	}
@@ -267,11 +281,32 @@
 	return dispatch.Verdict{Action: dispatch.Refuse, Reason: reasonCancelled, RetryAfter: time.Second}
 }
 
-// done ends a granted call.
+// done ends a granted call. When a slot is free then and nobody waits for it,
+// another cell may be told.
 func (c *cell) done(granted *dispatch.Call, sample dispatch.Sample) {
+	now := time.Now()
+	c.mu.Lock()
+	c.deliver(c.core.Done(now, granted, sample))
+	c.core.Earn(c.offersPerThousand)
+	offers := c.hasSiblings && c.core.Offers(now)
+	c.mu.Unlock()
+	if offers && c.station.cfg.Offering != nil {
+		c.station.cfg.Offering(c.id)
+	}
+}
+
+// Yield moves the call that waits longest in a cell to another cell that offered
+// a free slot. It reports whether one waited.
+func (s *Station) Yield(id route.CellID, to string) bool {
+	c := s.cell(id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.deliver(c.core.Done(time.Now(), granted, sample))
+	call := c.core.Yield()
+	if call == nil {
+		return false
+	}
+	c.deliver([]dispatch.Grant{{Call: call, Verdict: dispatch.Verdict{Action: dispatch.Move, Target: to}}})
+	return true
 }
 
 // reasonGone is the reason of a call whose target left the configuration.
