Refuse requests that crash targets, on all hosts

Cause: a request on which a connection died was tried on up to four targets per call, and again through the next host.

--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -34,6 +34,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
 	"tamaracktiller.example/tamaracktiller/internal/platform/store"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/crash"
 )
 
 const (
@@ -59,6 +60,9 @@
 	// Changed is called after each new snapshot, on the control goroutine. It
 	// may be nil.
 	Changed func(*Snapshot)
+	// Death is called for each death of a target that another host tells of. It
+	// must not block, and may be nil.
+	Death func(crash.Death)
 }
 
 // Controller is the control side of a balancer.
@@ -120,6 +124,12 @@
 
 // Received implements link.Handler.
 func (c *Controller) Received(from string, e *message.Envelope, reply func(*message.Envelope)) {
+	if e.Death != nil {
+		if c.cfg.Death != nil {
+			c.cfg.Death(*e.Death)
+		}
+		return
+	}
 	c.loop.Post(received{from: from, e: e, reply: reply})
 }
 
--- a/internal/fleet/message/message.go
+++ b/internal/fleet/message/message.go
@@ -17,6 +17,7 @@
 
 	"tamaracktiller.example/tamaracktiller/internal/fleet/member"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/revision"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/crash"
 )
 
 // Envelope is one frame.
@@ -28,7 +29,7 @@
 	Heartbeat *member.Heartbeat `cbor:"3,keyasint,omitempty"`
 	Pull      *Pull             `cbor:"4,keyasint,omitempty"`
 	Update    *revision.Update  `cbor:"5,keyasint,omitempty"`
-	Report    *Report           `cbor:"6,keyasint,omitempty"`
+	Death     *crash.Death      `cbor:"6,keyasint,omitempty"`
 }
 
 // Pull asks for the configuration after a revision.
@@ -36,11 +37,6 @@
 	Revision uint64 `cbor:"1,keyasint"`
 }
 
-// Report asks for, or carries, an encoded service-level report of one host.
-type Report struct {
-	Content []byte `cbor:"1,keyasint,omitempty"`
-}
-
 // MaxBytes bounds one frame.
 const MaxBytes = 8 << 20
 
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -28,6 +28,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/fleet/controller"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/link"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/member"
+	"tamaracktiller.example/tamaracktiller/internal/fleet/message"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/registry"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
@@ -35,6 +36,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/process/logs"
 	"tamaracktiller.example/tamaracktiller/internal/process/settings"
 	"tamaracktiller.example/tamaracktiller/internal/report/burn"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/crash"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/dispatch"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/gateway"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/ledger"
@@ -119,7 +121,7 @@
 	self := member.Host{Name: b.s.Name, Incarnation: uuid.NewString(), Domain: b.s.Domain, Peer: b.s.Listen.Peers}
 	cfg := controller.Config{
 		Self: self, Member: member.DefaultConfig(), Store: client, Lister: client, Timer: timers,
-		Log: b.log.For("control"), Changed: b.applySnapshot,
+		Log: b.log.For("control"), Changed: b.applySnapshot, Death: b.mergeDeath,
 	}
 	c := controller.New(cfg, b.g)
 	links := link.NewService(link.Config{Self: b.s.Name, TLS: b.client, Log: b.log.For("links"), Bytes: m.linkBytes, Messages: m.linkMessages}, b.g, c)
@@ -141,6 +143,24 @@
 	}
 }
 
+// mergeDeath passes the death of a target on to the gateway.
+func (b *Balancer) mergeDeath(d crash.Death) {
+	if gw, err := registry.Find[*gateway.Gateway](b.services, serviceGateway); err == nil {
+		gw.MergeDeath(d)
+	}
+}
+
+// spreadDeath tells all linked hosts of the death of a target.
+func (b *Balancer) spreadDeath(d crash.Death) {
+	links, err := registry.Find[*link.Service](b.services, serviceLinks)
+	if err != nil {
+		return
+	}
+	for _, host := range links.Hosts() {
+		_ = links.Send(host, &message.Envelope{Death: &d})
+	}
+}
+
 func (b *Balancer) addTraffic() error {
 	c, err := registry.Find[*controller.Controller](b.services, serviceController)
 	if err != nil {
@@ -176,7 +196,7 @@
 		Observer: &observer{metrics: m, meter: meter, snapshot: c.Snapshot},
 		Log:      b.log.For("gateway"),
 		Ledger:   keys,
-		Offers:   m.offers,
+		Offers:   m.offers, SpreadDeath: b.spreadDeath,
 	}, b.g)
 	timers.Every("pump", st.PumpPeriod(), st.Pump)
 	timers.Every("trim", trimPeriod, func(now time.Time) {
--- a/internal/process/balancer/balancer_test.go
+++ b/internal/process/balancer/balancer_test.go
@@ -28,6 +28,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/process/logs"
 	"tamaracktiller.example/tamaracktiller/internal/process/settings"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/crash"
 )
 
 // installation is a fleet of real balancers in this process.
@@ -173,6 +174,8 @@
 			w.Header().Set("Content-Length", strconv.Itoa(largeAnswer))
 			_, _ = w.Write(make([]byte, largeAnswer/2))
 			panic(http.ErrAbortHandler)
+		case "/poison":
+			panic(http.ErrAbortHandler)
 		case "/hop":
 			_ = json.NewEncoder(w).Encode(r.Header)
 		default:
@@ -243,7 +246,7 @@
 
 func TestCallsOverEveryProtocol(t *testing.T) {
 	var seen atomic.Int64
-	plain := start(t, layout.Size{Balancers: 2, Targets: 4, Domains: 2, Slots: 4, Net: 41}, echo(&seen))
+	plain := start(t, layout.Size{Balancers: 2, Targets: 8, Domains: 2, Slots: 4, Net: 41}, echo(&seen))
 	secure := start(t, layout.Size{Balancers: 2, Targets: 4, Domains: 2, Slots: 4, Net: 42, CallerTLS: true}, echo(&seen))
 	insecure := &tls.Config{InsecureSkipVerify: true}
 	h1, h2, h2c := new(http.Protocols), new(http.Protocols), new(http.Protocols)
@@ -276,6 +279,7 @@
 	t.Run("raw", func(t *testing.T) { rawRequests(t, plain, &seen) })
 	t.Run("headers", func(t *testing.T) { hopHeaders(t, plain) })
 	t.Run("harm", func(t *testing.T) { harmfulIntents(t, plain) })
+	t.Run("crash", func(t *testing.T) { crashingRequest(t, plain, &seen) })
 }
 
 // rawRequests sends requests whose end is ambiguous or missing. None may reach a
@@ -308,6 +312,26 @@
 	}
 }
 
+// crashingRequest sends a request on which targets die through both hosts. After
+// few deaths it must be refused everywhere, and other requests must go on.
+func crashingRequest(t *testing.T, i *installation, seen *atomic.Int64) {
+	var last *http.Response
+	before := seen.Load()
+	for n := range 12 {
+		r, err := http.NewRequestWithContext(t.Context(), "GET", "http://"+i.l.Callers(1+n%2).String()+"/poison", nil)
+		require.NoError(t, err)
+		r.Host = "notes.test"
+		last, err = http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		_ = last.Body.Close()
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.Equal(t, http.StatusUnprocessableEntity, last.StatusCode)
+	require.Equal(t, string(call.OutcomeNotRun), last.Header.Get(call.HeaderOutcome))
+	require.LessOrEqual(t, seen.Load()-before, int64(2*crash.Threshold), "few targets may die of one request")
+	request{method: "GET", path: "/", status: 200}.send(t, http.DefaultClient, "http://"+i.l.Callers(1).String(), "notes.test")
+}
+
 // hopHeaders checks that internal and hop-by-hop headers do not pass.
 func hopHeaders(t *testing.T, i *installation) {
 	r, err := http.NewRequestWithContext(t.Context(), "GET", "http://"+i.l.Callers(1).String()+"/hop", nil)
@@ -355,7 +379,7 @@
 			require.Equal(t, tt.kind, refused.Kind)
 		})
 	}
-	drain, err := json.Marshal(&catalog.Intent{Partner: layout.Exchange, Reason: "r", Leave: []catalog.Leave{{Pool: "booking", Target: "target-3"}}})
+	drain, err := json.Marshal(&catalog.Intent{Partner: layout.Exchange, Reason: "r", Leave: []catalog.Leave{{Pool: "booking", Target: "target-5"}}})
 	require.NoError(t, err)
 	p, err := exchange.Declare(t.Context(), drain)
 	require.NoError(t, err)
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -67,6 +67,9 @@
 	// Stream is the body that was not buffered.
 	Stream *Stream
 
+	// Fingerprint identifies the content of the request.
+	Fingerprint uint64
+
 	// Keyed calls carry an idempotency key and run at most once under it.
 	Keyed   bool
 	Key     ledger.Key
@@ -122,6 +125,8 @@
 	Domain string
 	// Reports holds what the dispatcher knows of the cells of the pool.
 	Reports []route.Report
+	// Died says that the target's connection died without an answer.
+	Died bool
 	// MoveTo is the domain of the cell that the call must be passed on to.
 	MoveTo string
 	// Failed says that the answer speaks against the target or the dispatcher, so
--- a/internal/traffic/call/headers.go
+++ b/internal/traffic/call/headers.go
@@ -49,6 +49,7 @@
 	flagMayWait     = "w"
 	flagForwarded   = "f"
 	flagBadTarget   = "b"
+	flagDied        = "d"
 	maxReportsBytes = 4 << 10
 )
 
@@ -150,8 +151,15 @@
 	if a.Target != "" {
 		h.Set(headerTarget, a.Target)
 	}
+	flags := ""
 	if a.Failed {
-		h.Set(headerFlags, flagBadTarget)
+		flags += flagBadTarget
+	}
+	if a.Died {
+		flags += flagDied
+	}
+	if flags != "" {
+		h.Set(headerFlags, flags)
 	}
 	setReports(h, now, a.Reports)
 }
@@ -163,7 +171,8 @@
 		Outcome: Outcome(h.Get(HeaderOutcome)),
 		Reason:  h.Get(headerReason),
 		Target:  h.Get(headerTarget),
-		Failed:  h.Get(headerFlags) == flagBadTarget,
+		Failed:  strings.Contains(h.Get(headerFlags), flagBadTarget),
+		Died:    strings.Contains(h.Get(headerFlags), flagDied),
 		Reports: getReports(h, pool, now),
 	}
 	retry, _ := strconv.ParseInt(h.Get(HeaderRetryAfterMS), 10, 64)
--- a/internal/traffic/gateway/gateway.go
+++ b/internal/traffic/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/fleet/controller"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/crash"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/ledger"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/relay"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/route"
@@ -75,6 +76,8 @@
 	Log      *logrus.Entry
 	// Ledger decides on keyed requests.
 	Ledger Ledger
+	// SpreadDeath tells the linked hosts of a death. It may be nil.
+	SpreadDeath func(crash.Death)
 	// Offers counts the messages spent on telling of free slots.
 	Offers prometheus.Counter
 }
@@ -101,11 +104,12 @@
 	cfg Config
 	g   *group.Group
 
-	mu     sync.Mutex
-	router *route.Router
-	budget *retryBudget
-	usual  *usualTimes
-	peers  map[netip.AddrPort]*relay.Pool
+	mu      sync.Mutex
+	router  *route.Router
+	budget  *retryBudget
+	usual   *usualTimes
+	crashes *crashes
+	peers   map[netip.AddrPort]*relay.Pool
 }
 
 // New returns a gateway. Its goroutines run in g.
@@ -114,10 +118,11 @@
 	self := cfg.Snapshot().Self
 	return &Gateway{
 		cfg: cfg, g: g,
-		router: route.NewRouter(self.Domain, route.DefaultConfig(), rng),
-		budget: newRetryBudget(),
-		usual:  newUsualTimes(),
-		peers:  map[netip.AddrPort]*relay.Pool{},
+		router:  route.NewRouter(self.Domain, route.DefaultConfig(), rng),
+		budget:  newRetryBudget(),
+		usual:   newUsualTimes(),
+		crashes: &crashes{guard: crash.NewGuard(), spread: cfg.SpreadDeath},
+		peers:   map[netip.AddrPort]*relay.Pool{},
 	}
 }
 
@@ -268,6 +273,9 @@
 		if isGood(next) {
 			g.usual.add(c.Service+"/"+c.Kind, time.Since(began))
 		}
+		if next.Died {
+			g.crashes.died(c.Fingerprint, next.Target)
+		}
 		if !g.again(ctx, c, next, attempt) {
 			g.budget.earn()
 			return keepUnknown(last, next)
@@ -308,6 +316,9 @@
 	if attempt+1 >= maxAttempts || ctx.Err() != nil || time.Until(c.Deadline) < minTimeLeft {
 		return false
 	}
+	if a.Died && g.crashes.refuses(c.Fingerprint) {
+		return false
+	}
 	switch a.Outcome {
 	case call.OutcomeNotRun:
 		mayMove := a.Failed || attempt == 0
--- a/internal/traffic/gateway/keyed.go
+++ b/internal/traffic/gateway/keyed.go
@@ -40,12 +40,16 @@
 
 // decide runs a call, a keyed one only with the grant of its key's owner.
 func (g *Gateway) decide(ctx context.Context, s *controller.Snapshot, c *call.Call, info informer) *call.Answer {
+	c.Fingerprint = fingerprint(c)
+	if g.crashes.refuses(c.Fingerprint) {
+		return refusedAsCrash()
+	}
 	if !c.Keyed {
 		return g.carry(ctx, s, c, info)
 	}
 	claim := ledger.Claim{
 		Key: c.Key, TimeMilli: c.KeyTime.UnixMilli(), Attempt: uuid.NewString(),
-		Fingerprint: fingerprint(c), UntilMilli: c.Deadline.UnixMilli(),
+		Fingerprint: c.Fingerprint, UntilMilli: c.Deadline.UnixMilli(),
 	}
 	reply := g.claim(ctx, claim)
 	if reply.Verdict == ledger.Granted {
@@ -81,7 +85,7 @@
 // length.
 func fingerprint(c *call.Call) uint64 {
 	d := xxhash.New()
-	_, _ = d.WriteString(c.Request.Method + "\x00" + c.Request.URL.RequestURI() + "\x00")
+	_, _ = d.WriteString(c.Service + "\x00" + c.Request.Method + "\x00" + c.Request.URL.RequestURI() + "\x00")
 	if c.IsBuffered {
 		_, _ = d.Write(c.Buffered)
 	}
--- a/internal/traffic/station/station.go
+++ b/internal/traffic/station/station.go
@@ -15,10 +15,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -348,7 +350,9 @@
 
 func answerOf(err error, target string) *call.Answer {
 	if relay.MayHaveRun(err) {
-		return call.Unknown(err.Error(), target)
+		a := call.Unknown(err.Error(), target)
+		a.Died = errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+		return a
 	}
 	a := call.NotRun(err.Error(), retryAfterFailure)
 	a.Target, a.Failed = target, true
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -59,7 +59,7 @@
 
 figures() { grep -E '^Benchmark' | sed 's/^Benchmark//; s/ns\/op//'; }
 
-policies() { go test ./internal/traffic/route -run NONE -bench 'Policies/.*/(50|70|85|95)/' -benchtime 1x -timeout 30m | figures; }
+policies() { go test ./internal/traffic/route -run NONE -bench Policies -benchtime 1x -timeout 30m | figures; }
 fleet() { go test ./internal/fleet/controller -run NONE -bench Fleet -benchtime 1x | figures; }
 state() { go test ./internal/fleet/revision ./internal/traffic/ledger -run NONE -bench 'Holder|Keys' -benchtime 20x | figures; }
 failures() {
