Tell witnesses of ended attempts together

Cause: a keyed call cost six questions between hosts, two of them for endings, which safety does not need.

--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -209,6 +209,12 @@
 			return nil
 		})
 	})
+	timers.Every("ledger endings", ledger.FlushPeriod, func(time.Time) {
+		b.g.Go("ledger endings", func(ctx context.Context) error {
+			keys.Flush(ctx)
+			return nil
+		})
+	})
 	b.services.Provide(serviceLedger, keys)
 	b.services.Provide(serviceStation, st)
 	b.services.Provide(serviceGateway, gw)
--- a/internal/traffic/ledger/book.go
+++ b/internal/traffic/ledger/book.go
@@ -204,6 +204,15 @@
 	return true
 }
 
+// noteEndings writes several endings down and reports whether it did all.
+func (b *book) noteEndings(notes []Note) bool {
+	all := true
+	for _, n := range notes {
+		all = b.note(n) && all
+	}
+	return all
+}
+
 // use notes that the epoch is in force: older ones are over.
 func (j *journal) use(b *book) {
 	if j.used {
--- a/internal/traffic/ledger/ledger.go
+++ b/internal/traffic/ledger/ledger.go
@@ -236,6 +236,8 @@
 	Seal    *Seal    `cbor:"5,keyasint,omitempty"`
 	Journal *Journal `cbor:"6,keyasint,omitempty"`
 	Install *Install `cbor:"7,keyasint,omitempty"`
-	// OK answers Note, Install and Finish.
+	// Endings are notes of ended attempts, several at a time.
+	Endings []Note `cbor:"9,keyasint,omitempty"`
+	// OK answers Note, Install, Finish and Endings.
 	OK bool `cbor:"8,keyasint,omitempty"`
 }
--- a/internal/traffic/ledger/seeded_test.go
+++ b/internal/traffic/ledger/seeded_test.go
@@ -251,6 +251,10 @@
 		}
 	}
 	service.Finish(ctx, f)
+	w.mu.Lock()
+	owner := w.hosts[w.names[w.rng.IntN(len(w.names))]].service
+	w.mu.Unlock()
+	owner.Flush(ctx)
 }
 
 // caller repeats one key through random hosts.
--- a/internal/traffic/ledger/service.go
+++ b/internal/traffic/ledger/service.go
@@ -60,11 +60,13 @@
 	known map[int]Member
 	// taking holds, per partition, the take-over under way.
 	taking map[int]chan struct{}
+	// endings holds, per witness, the notes of ended attempts that wait for Flush.
+	endings map[string][]Note
 }
 
 // NewService returns a service that owns nothing.
 func NewService(cfg Config) *Service {
-	return &Service{cfg: cfg, book: newBook(cfg.Self), known: map[int]Member{}, taking: map[int]chan struct{}{}}
+	return &Service{cfg: cfg, book: newBook(cfg.Self), known: map[int]Member{}, taking: map[int]chan struct{}{}, endings: map[string][]Note{}}
 }
 
 const (
@@ -157,7 +159,7 @@
 func (s *Service) Finish(ctx context.Context, f Finish) {
 	owner := s.guess(f.Key.Partition())
 	if owner.Host == s.cfg.Self.Host {
-		s.handleFinish(ctx, f)
+		s.handleFinish(f)
 		return
 	}
 	_, _ = s.cfg.Transport.Ask(ctx, owner.Host, &Message{Finish: &f})
@@ -170,10 +172,12 @@
 		reply := s.handleClaim(ctx, *q.Claim)
 		return &Message{Reply: &reply}
 	case q.Finish != nil:
-		s.handleFinish(ctx, *q.Finish)
+		s.handleFinish(*q.Finish)
 		return &Message{OK: true}
 	case q.Note != nil:
 		return &Message{OK: s.locked(func() bool { return s.book.note(*q.Note) })}
+	case q.Endings != nil:
+		return &Message{OK: s.locked(func() bool { return s.book.noteEndings(q.Endings) })}
 	case q.Install != nil:
 		return &Message{OK: s.locked(func() bool { return s.book.install(*q.Install) })}
 	case q.Seal != nil:
@@ -258,16 +262,40 @@
 	return all
 }
 
-func (s *Service) handleFinish(ctx context.Context, f Finish) {
+func (s *Service) handleFinish(f Finish) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	note := s.book.finish(f)
-	var record Record
-	if note != nil {
-		record = s.book.owned[note.Partition].record
+	if note == nil {
+		return
+	}
+	for _, w := range s.book.owned[note.Partition].record.Witnesses {
+		if len(s.endings[w.Host]) < maxEndings {
+			s.endings[w.Host] = append(s.endings[w.Host], *note)
+		}
+	}
+}
+
+// maxEndings bounds the notes that wait for one witness. A lost one makes a key
+// uncertain after a take-over, no more.
+const maxEndings = 4096
+
+// FlushPeriod is the period at which Flush must be called.
+const FlushPeriod = 50 * time.Millisecond
+
+// Flush tells the witnesses of the attempts that have ended. Safety does not need
+// it, so that endings travel together.
+func (s *Service) Flush(ctx context.Context) {
+	s.mu.Lock()
+	endings := s.endings
+	if len(endings) == 0 {
+		s.mu.Unlock()
+		return
 	}
+	s.endings = map[string][]Note{}
 	s.mu.Unlock()
-	if note != nil {
-		s.noteAll(ctx, record, *note)
+	for host, notes := range endings {
+		_, _ = s.cfg.Transport.Ask(ctx, host, &Message{Endings: notes})
 	}
 }
 
