--- a/internal/process/balancer/balancer_test.go
+++ b/internal/process/balancer/balancer_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -246,7 +247,20 @@
 
 func TestCallsOverEveryProtocol(t *testing.T) {
 	var seen atomic.Int64
-	plain := start(t, layout.Size{Balancers: 2, Targets: 8, Domains: 2, Slots: 4, Net: 41}, echo(&seen))
+	var mu sync.Mutex
+	perTarget := map[string]int64{}
+	served := func(target string) int64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return perTarget[target]
+	}
+	counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		perTarget[r.Context().Value(http.LocalAddrContextKey).(net.Addr).String()]++
+		mu.Unlock()
+		echo(&seen).ServeHTTP(w, r)
+	})
+	plain := start(t, layout.Size{Balancers: 2, Targets: 8, Domains: 2, Slots: 4, Net: 41}, counted)
 	secure := start(t, layout.Size{Balancers: 2, Targets: 4, Domains: 2, Slots: 4, Net: 42, CallerTLS: true}, echo(&seen))
 	insecure := &tls.Config{InsecureSkipVerify: true}
 	h1, h2, h2c := new(http.Protocols), new(http.Protocols), new(http.Protocols)
@@ -278,6 +292,7 @@
 	}
 	t.Run("raw", func(t *testing.T) { rawRequests(t, plain, &seen) })
 	t.Run("headers", func(t *testing.T) { hopHeaders(t, plain) })
+	t.Run("leaving", func(t *testing.T) { leavingTarget(t, plain, served) })
 	t.Run("harm", func(t *testing.T) { harmfulIntents(t, plain) })
 	t.Run("crash", func(t *testing.T) { crashingRequest(t, plain, &seen) })
 }
@@ -332,6 +347,41 @@
 	request{method: "GET", path: "/", status: 200}.send(t, http.DefaultClient, "http://"+i.l.Callers(1).String(), "notes.test")
 }
 
+// leavingTarget lets the platform's list show a target as leaving, then, stale, as
+// live again, and at last as replaced.
+func leavingTarget(t *testing.T, i *installation, served func(target string) int64) {
+	const target = "target-1"
+	address := i.l.Target(1).String()
+	hosts, err := i.table.Hosts(t.Context())
+	require.NoError(t, err)
+	list := func(state store.HostState, generation uint64) {
+		for n := range hosts {
+			if hosts[n].Name == target {
+				hosts[n].State, hosts[n].Generation = state, generation
+			}
+		}
+		i.table.SetHosts(hosts)
+	}
+	// gets reports whether the target serves any of 40 calls.
+	gets := func() bool {
+		before := served(address)
+		for n := range 40 {
+			request{method: "GET", path: "/", status: 200}.send(t, http.DefaultClient, "http://"+i.l.Callers(1+n%2).String(), "notes.test")
+		}
+		return served(address) > before
+	}
+	require.True(t, gets(), "the target must serve before it leaves")
+	list(store.HostLeaving, 1)
+	require.Eventually(t, func() bool { return !gets() }, 20*time.Second, 100*time.Millisecond)
+	list(store.HostLive, 1)
+	for range 6 {
+		time.Sleep(time.Second)
+		require.False(t, gets(), "a stale list must not bring the target back")
+	}
+	list(store.HostLive, 2)
+	require.Eventually(t, gets, 20*time.Second, 100*time.Millisecond)
+}
+
 // hopHeaders checks that internal and hop-by-hop headers do not pass.
 func hopHeaders(t *testing.T, i *installation) {
 	r, err := http.NewRequestWithContext(t.Context(), "GET", "http://"+i.l.Callers(1).String()+"/hop", nil)
