Tell unknown when any earlier try may have run

Reading found it: after a try that may have run and two refusals, only the last two tries were compared, and the caller was told not-run; the same in a race of two tries.

--- a/internal/process/balancer/balancer_test.go
+++ b/internal/process/balancer/balancer_test.go
@@ -175,6 +175,8 @@
 			w.Header().Set("Content-Length", strconv.Itoa(largeAnswer))
 			_, _ = w.Write(make([]byte, largeAnswer/2))
 			panic(http.ErrAbortHandler)
+		case "/slow":
+			time.Sleep(20 * time.Millisecond)
 		case "/poison":
 			panic(http.ErrAbortHandler)
 		case "/hop":
@@ -362,12 +364,18 @@
 		}
 		i.table.SetHosts(hosts)
 	}
-	// gets reports whether the target serves any of 40 calls.
+	// gets reports whether the target serves any of 40 calls at once, which fill
+	// the slots of all targets.
 	gets := func() bool {
 		before := served(address)
+		g := group.New(t.Context())
 		for n := range 40 {
-			request{method: "GET", path: "/", status: 200}.send(t, http.DefaultClient, "http://"+i.l.Callers(1+n%2).String(), "notes.test")
+			g.Go("call", func(context.Context) error {
+				request{method: "GET", path: "/slow", status: 200}.send(t, http.DefaultClient, "http://"+i.l.Callers(1+n%2).String(), "notes.test")
+				return nil
+			})
 		}
+		_ = g.Wait()
 		return served(address) > before
 	}
 	require.True(t, gets(), "the target must serve before it leaves")
--- a/internal/report/burn/html.go
+++ b/internal/report/burn/html.go
@@ -3,6 +3,7 @@
 // This file defines the HTML form of a report: one page without outside parts.
 
 import (
+	"fmt"
 	"html/template"
 	"io"
 	"math"
@@ -17,7 +18,7 @@
 	"budget":  func(left float64) int { return int(math.Max(0, math.Min(1, left)) * barWidth) },
 	"percent": func(x float64) float64 { return 100 * x },
 	"tenth":   func(n int) float64 { return float64(n) / 10 },
-	"span":    func(s int64) string { return (time.Duration(s) * time.Second).String() },
+	"span":    spanText,
 	"when":    func(ms int64) string { return time.UnixMilli(ms).UTC().Format(time.RFC3339) },
 	"top": func(b []Blame) []Blame {
 		return b[:min(len(b), shownCauses)]
@@ -47,7 +48,7 @@
 <table>
 {{range .Windows}}<tr><td>{{span .Seconds}}</td>
 <td><svg width="260" height="14" role="img"><rect width="260" height="14" fill="#eceaf0"/><rect width="{{bar .Burn}}" height="14" fill="{{colour .Burn}}"/></svg></td>
-<td class="n">{{printf "%.2f" .Burn}}x</td><td class="n">{{.Bad}} bad of {{.Good}} good</td></tr>
+<td class="n">{{printf "%.2f" .Burn}}x</td><td class="n">{{.Bad}} bad of {{.Total}}</td></tr>
 {{end}}<tr><td>budget left</td>
 <td><svg width="260" height="14" role="img"><rect width="260" height="14" fill="#eceaf0"/><rect width="{{budget .BudgetLeft}}" height="14" fill="#3f51b5"/></svg></td>
 <td class="n">{{printf "%.1f" (percent .BudgetLeft)}}%</td><td></td></tr>
@@ -66,5 +67,14 @@
 	fastBurn = 14.4
 )
 
+// spanText returns a span in hours or minutes.
+func spanText(seconds int64) string {
+	d := time.Duration(seconds) * time.Second
+	if d%time.Hour == 0 {
+		return fmt.Sprintf("%d h", d/time.Hour)
+	}
+	return fmt.Sprintf("%d min", d/time.Minute)
+}
+
 // WriteHTML writes the report as one self-contained page.
 func (r Report) WriteHTML(w io.Writer) error { return page.Execute(w, r) }
--- a/internal/report/burn/report.go
+++ b/internal/report/burn/report.go
@@ -22,6 +22,9 @@
 	Burn float64 `json:"burn-rate"`
 }
 
+// Total returns the weight of all requests.
+func (w Window) Total() int64 { return w.Good + w.Bad }
+
 // Blame is the weight of a cause.
 type Blame struct {
 	Cause
@@ -142,7 +145,7 @@
 
 // rate returns the share of bad weight over the allowed share.
 func rate(w Window, goodPerThousand int) float64 {
-	total := w.Good + w.Bad
+	total := w.Total()
 	allowed := float64(1000-goodPerThousand) / 1000
 	if total == 0 || allowed <= 0 {
 		return 0
@@ -164,7 +167,7 @@
 			fmt.Fprintf(w, " %7.2fx", win.Burn)
 		}
 		last := s.Windows[len(s.Windows)-1]
-		fmt.Fprintf(w, " %7.1f%%  %d\n", 100*s.BudgetLeft, last.Good+last.Bad)
+		fmt.Fprintf(w, " %7.1f%%  %d\n", 100*s.BudgetLeft, last.Total())
 		for i, b := range s.Causes {
 			if i == shownCauses {
 				break
--- a/internal/traffic/call/call.go
+++ b/internal/traffic/call/call.go
@@ -115,6 +115,8 @@
 	// must be closed.
 	Response *http.Response
 	Reason   string
+	// Detail is for the log only: it may name addresses.
+	Detail string
 	// Status is the HTTP status of a refusal when it is not the usual one.
 	Status int
 	// RetryAfter tells when to come back after a refusal.
@@ -134,6 +136,26 @@
 	Failed bool
 }
 
+// Summary remembers whether any try of a call may have run.
+type Summary struct {
+	mayHaveRun bool
+	target     string
+}
+
+// Add takes in the answer of a try and returns what the caller is told if it was
+// the last one: a refusal after a try that may have run is not a not-run.
+func (s *Summary) Add(a *Answer) *Answer {
+	if a.Outcome == OutcomeNotRun && s.mayHaveRun {
+		unknown := Unknown(a.Reason, s.target)
+		unknown.RetryAfter, unknown.Detail = a.RetryAfter, a.Detail
+		return unknown
+	}
+	if a.Outcome != OutcomeNotRun {
+		s.mayHaveRun, s.target = true, a.Target
+	}
+	return a
+}
+
 // NotRun returns the answer of a refused call.
 func NotRun(reason string, retryAfter time.Duration) *Answer {
 	return &Answer{Outcome: OutcomeNotRun, Reason: reason, RetryAfter: retryAfter}
--- a/internal/traffic/gateway/carry.go
+++ b/internal/traffic/gateway/carry.go
@@ -16,6 +16,7 @@
 func (g *Gateway) carry(ctx context.Context, s *controller.Snapshot, c *call.Call, info informer) *call.Answer {
 	var avoid []route.CellID
 	var last *call.Answer
+	var tries call.Summary
 	for attempt := range maxAttempts {
 		id, ok := g.choose(s, c.Pool, avoid)
 		if !ok {
@@ -31,10 +32,10 @@
 		}
 		if !g.again(ctx, c, next, attempt) {
 			g.budget.earn()
-			return keepUnknown(last, next)
+			return tries.Add(next)
 		}
 		discard(next)
-		last = next
+		last = tries.Add(next)
 		if next.Target != "" {
 			c.Avoid = append(c.Avoid, next.Target)
 		} else {
@@ -45,17 +46,6 @@
 	return last
 }
 
-// keepUnknown keeps the worse news: when an earlier try may have run, a refusal
-// of the last one does not make the call not run.
-func keepUnknown(earlier, last *call.Answer) *call.Answer {
-	if earlier != nil && earlier.Outcome != call.OutcomeNotRun && last.Outcome == call.OutcomeNotRun {
-		unknown := call.Unknown(last.Reason, earlier.Target)
-		unknown.RetryAfter = last.RetryAfter
-		return unknown
-	}
-	return last
-}
-
 func discard(a *call.Answer) {
 	if a.Response != nil {
 		_ = a.Response.Body.Close()
--- a/internal/traffic/gateway/gateway.go
+++ b/internal/traffic/gateway/gateway.go
@@ -150,6 +150,11 @@
 }
 
 func (g *Gateway) observe(service catalog.Service, c *call.Call, a *call.Answer, began time.Time) {
+	if a.Outcome != call.Ran {
+		g.cfg.Log.WithFields(logrus.Fields{
+			"request-id": c.ID, "service": service.Name, "outcome": a.Outcome, "target": a.Target, "detail": a.Detail,
+		}).Debug(a.Reason)
+	}
 	if g.cfg.Observer == nil {
 		return
 	}
--- a/internal/traffic/gateway/hedge.go
+++ b/internal/traffic/gateway/hedge.go
@@ -65,7 +65,8 @@
 
 // race tries the call in a cell and, when the answer is late and the budget
 // allows, in another one. The first good answer wins; the other try is cancelled,
-// which closes its connection. Only repeatable calls are raced.
+// which closes its connection. Only repeatable calls are raced, and their 1xx
+// answers are not passed on, since two tries could send them.
 func (g *Gateway) race(ctx context.Context, s *controller.Snapshot, id route.CellID, c *call.Call, info informer) (route.CellID, *call.Answer) {
 	if !c.Repeatable() {
 		return id, g.try(ctx, s, id, c, info)
@@ -75,10 +76,12 @@
 	timer := time.NewTimer(g.usual.delay(c.Service + "/" + c.Kind))
 	defer timer.Stop()
 	open := 1
+	var tries call.Summary
 	for {
 		select {
 		case r := <-results:
 			open--
+			r.answer = tries.Add(r.answer)
 			if open == 0 || isGood(r.answer) {
 				g.settle(r, cancels, results, open)
 				return r.id, r.answer
--- a/internal/traffic/gateway/peers.go
+++ b/internal/traffic/gateway/peers.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"tamaracktiller.example/tamaracktiller/internal/fleet/controller"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/relay"
@@ -46,7 +48,7 @@
 func (g *Gateway) hop(ctx context.Context, s *controller.Snapshot, id route.CellID, host string, c *call.Call, info informer) (*call.Answer, bool) {
 	address, ok := s.PeerAddress(host)
 	if !ok {
-		return unreachable("host " + host + " is unknown"), false
+		return unreachable("a balancer could not be reached", errors.Errorf("host %s is unknown", host)), false
 	}
 	now := time.Now()
 	out := c.NewRequest(ctx)
@@ -55,14 +57,14 @@
 	res, err := g.peer(address).RoundTrip(ctx, out, relay.Options{Idempotent: c.Idempotent, Informational: info})
 	if err != nil {
 		if !relay.MayHaveRun(err) {
-			return unreachable(err.Error()), !c.CanSend()
+			return unreachable("a balancer could not be reached", err), !c.CanSend()
 		}
-		return call.Unknown(err.Error(), ""), true
+		return lost(err), true
 	}
 	a, err := call.FromHopAnswer(res, c.Pool, time.Now())
 	if err != nil {
 		_ = res.Body.Close()
-		return call.Unknown(err.Error(), ""), true
+		return lost(err), true
 	}
 	if a.Response == nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxRefusalBytes))
@@ -74,9 +76,16 @@
 // maxRefusalBytes bounds the body of a dispatcher's refusal.
 const maxRefusalBytes = 4 << 10
 
-func unreachable(reason string) *call.Answer {
+func unreachable(reason string, err error) *call.Answer {
 	a := call.NotRun(reason, notReadyRetry)
-	a.Failed = true
+	a.Failed, a.Detail = true, err.Error()
+	return a
+}
+
+// lost returns the answer of a call whose dispatcher did not answer.
+func lost(err error) *call.Answer {
+	a := call.Unknown("a balancer did not answer", "")
+	a.Detail = err.Error()
 	return a
 }
 
--- a/internal/traffic/ledger/service.go
+++ b/internal/traffic/ledger/service.go
@@ -208,7 +208,7 @@
 	if !s.owns(partition) {
 		owner, err := s.acquire(ctx, partition)
 		if err != nil {
-			return Reply{Verdict: Refused, Reason: err.Error()}
+			return Reply{Verdict: Refused, Reason: "the owner of the key changes"}
 		}
 		if owner != s.cfg.Self {
 			return Reply{Verdict: Moved, Owner: owner}
--- a/internal/traffic/station/slot.go
+++ b/internal/traffic/station/slot.go
@@ -52,7 +52,9 @@
 	_ = res.Body.Close()
 	if err != nil {
 		s.end(dispatch.Failed)
-		return call.Unknown("answer was cut short: "+err.Error(), target)
+		a := call.Unknown("the answer was cut short", target)
+		a.Detail = err.Error()
+		return a
 	}
 	res.Body = whole
 	s.end(result(answer.Failed))
--- a/internal/traffic/station/station.go
+++ b/internal/traffic/station/station.go
@@ -350,11 +350,13 @@
 
 func answerOf(err error, target string) *call.Answer {
 	if relay.MayHaveRun(err) {
-		a := call.Unknown(err.Error(), target)
+		a := call.Unknown("the target did not answer", target)
+		a.Detail = err.Error()
 		a.Died = errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 		return a
 	}
-	a := call.NotRun(err.Error(), retryAfterFailure)
+	a := call.NotRun("the target could not be reached", retryAfterFailure)
+	a.Detail = err.Error()
 	a.Target, a.Failed = target, true
 	return a
 }
