Keep work that may wait in the platform's store until it is done

Kinds with may-wait are accepted, on 'Prefer: respond-async', only when they lie in the store (jobs that arrive together as one value), leased by one host, and retried until done. Overdue and failing work shows in a metric, a log line and the report. Kinds that may wait must be idempotent, since a retry may run them again. End to end: refused with Retry-After while the store is down, accepted and done after. Not built: runs of several jobs of a batch at the same time.

--- a/internal/bench/layout/layout.go
+++ b/internal/bench/layout/layout.go
@@ -199,7 +199,9 @@
 			service("booking", Exchange, "booking", 1, catalog.Kind{Name: "book", PathPrefix: "/", Weight: 3, Deadline: seconds(4)}),
 		}},
 		Bitacora: {Partner: Bitacora, Reason: "open session notes and loot", Front: []catalog.Service{
-			service("notes", Bitacora, "common", 1, catalog.Kind{Name: "recap", PathPrefix: "/", Weight: 1, Deadline: seconds(2), Idempotent: true}),
+			service("notes", Bitacora, "common", 1,
+				catalog.Kind{Name: "recap", PathPrefix: "/", Weight: 1, Deadline: seconds(2), Idempotent: true},
+				catalog.Kind{Name: "export", PathPrefix: "/export", Weight: 1, Deadline: seconds(20), Idempotent: true, MayWait: true, ArriveWithin: seconds(3600)}),
 			service("loot", Bitacora, "loot", 1, catalog.Kind{Name: "award", PathPrefix: "/", Weight: 3, Deadline: seconds(4)}),
 		}},
 	}
@@ -222,9 +224,9 @@
 
 func seconds(n int) document.Duration { return document.Duration(time.Duration(n) * time.Second) }
 
-func service(name string, partner catalog.Partner, pool string, share int, kind catalog.Kind) catalog.Service {
+func service(name string, partner catalog.Partner, pool string, share int, kinds ...catalog.Kind) catalog.Service {
 	return catalog.Service{
-		Name: name, Partner: partner, Hosts: []string{name + ".test"}, Pool: pool, Share: share, Kinds: []catalog.Kind{kind},
+		Name: name, Partner: partner, Hosts: []string{name + ".test"}, Pool: pool, Share: share, Kinds: kinds,
 		Objective: catalog.Objective{Latency: document.Duration(100 * time.Millisecond), GoodPerThousand: 990},
 	}
 }
--- a/internal/contract/catalog/catalog.go
+++ b/internal/contract/catalog/catalog.go
@@ -41,6 +41,8 @@
 	Idempotent bool `json:"idempotent"`
 	// MayWait marks work that yields to all other kinds.
 	MayWait bool `json:"may-wait,omitempty"`
+	// ArriveWithin is the time by which accepted work that may wait must be done.
+	ArriveWithin document.Duration `json:"arrive-within,omitempty"`
 }
 
 // Objective is the service-level objective of a service.
--- a/internal/contract/catalog/intent.go
+++ b/internal/contract/catalog/intent.go
@@ -162,6 +162,10 @@
 		return wrong(path+".weight", "want at least 1, got %d", k.Weight)
 	case k.Deadline.Std() <= 0 || k.Deadline.Std() > maxDeadline:
 		return wrong(path+".deadline", "want a time above zero and up to %s", maxDeadline)
+	case k.MayWait && !k.Idempotent:
+		return wrong(path+".may-wait", "work that may wait is retried, so the kind must be idempotent")
+	case k.MayWait != (k.ArriveWithin > 0):
+		return wrong(path+".arrive-within", "want a time above zero for work that may wait, and for no other")
 	}
 	return nil
 }
--- a/internal/contract/plan/plan.go
+++ b/internal/contract/plan/plan.go
@@ -220,7 +220,7 @@
 	}
 	a.Methods, b.Methods = nil, nil
 	return a.Name == b.Name && a.PathPrefix == b.PathPrefix && a.Weight == b.Weight &&
-		a.Deadline == b.Deadline && a.Idempotent == b.Idempotent && a.MayWait == b.MayWait
+		a.Deadline == b.Deadline && a.Idempotent == b.Idempotent && a.MayWait == b.MayWait && a.ArriveWithin == b.ArriveWithin
 }
 
 // missing returns the names of a that b lacks.
--- a/internal/fleet/controller/snapshot.go
+++ b/internal/fleet/controller/snapshot.go
@@ -28,7 +28,9 @@
 	// InForceSince is the time at which the revision was accepted here.
 	InForceSince time.Time
 
-	View *member.View
+	// Watches says that this host is one of those that ask the store.
+	Watches bool
+	View    *member.View
 	// Peers is what is known of each other host.
 	Peers []member.Status
 	// LeavingTargets are targets that take no new work, whichever source said so.
--- a/internal/fleet/controller/state.go
+++ b/internal/fleet/controller/state.go
@@ -316,7 +316,7 @@
 func (s *state) snapshot(now time.Time, last *Snapshot) *Snapshot {
 	next := &Snapshot{
 		Self: s.table.Self(), Leaving: s.leaving, Head: s.holder.Head(), Catalog: s.holder.Catalog(),
-		Documents: s.holder.Documents(), InForceSince: s.inForce, View: s.view,
+		Documents: s.holder.Documents(), InForceSince: s.inForce, View: s.view, Watches: s.watches,
 		Peers: s.table.Status(now), LeavingTargets: s.marks.names(),
 	}
 	next.Ready, next.Why = s.ready(now)
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -37,10 +37,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/process/settings"
 	"tamaracktiller.example/tamaracktiller/internal/report/burn"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/crash"
-	"tamaracktiller.example/tamaracktiller/internal/traffic/dispatch"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/gateway"
-	"tamaracktiller.example/tamaracktiller/internal/traffic/ledger"
-	"tamaracktiller.example/tamaracktiller/internal/traffic/route"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/station"
 )
 
@@ -65,6 +62,7 @@
 	serviceGateway    = "gateway"
 	serviceBurn       = "burn"
 	serviceLedger     = "ledger"
+	serviceJobs       = "jobs"
 )
 
 // Balancer is one balancer process.
@@ -161,66 +159,6 @@
 	}
 }
 
-func (b *Balancer) addTraffic() error {
-	c, err := registry.Find[*controller.Controller](b.services, serviceController)
-	if err != nil {
-		return err
-	}
-	m, err := registry.Find[*metrics](b.services, serviceMetrics)
-	if err != nil {
-		return err
-	}
-	meter, err := registry.Find[*burn.Meter](b.services, serviceBurn)
-	if err != nil {
-		return err
-	}
-	timers, err := registry.Find[*timer.Service](b.services, serviceTimer)
-	if err != nil {
-		return err
-	}
-	s, err := registry.Find[*store.Client](b.services, serviceStore)
-	if err != nil {
-		return err
-	}
-	var gw *gateway.Gateway
-	fleet := newLedgerFleet(c.Snapshot, c.Fresh)
-	keys := ledger.NewService(ledger.Config{
-		Self: memberOf(c.Snapshot().Self), Store: s, Now: time.Now, Fleet: fleet,
-		Transport: &ledgerTransport{fleet: fleet, gateway: func() *gateway.Gateway { return gw }},
-	})
-	m.watchLedger(keys)
-	st := station.New(station.Config{Cell: dispatch.DefaultConfig(), Draining: c.TargetDrains, Offering: func(from route.CellID) { gw.Offer(from) }}, b.g)
-	gw = gateway.New(gateway.Config{
-		Snapshot: c.Snapshot, Station: st, DialPeer: b.dialPeer,
-		Limits:   gateway.Limits{MaxBodyBytes: b.s.Limits.MaxBodyBytes, BufferBytes: b.s.Limits.BufferBytes},
-		Observer: &observer{metrics: m, meter: meter, snapshot: c.Snapshot},
-		Log:      b.log.For("gateway"),
-		Ledger:   keys,
-		Offers:   m.offers, SpreadDeath: b.spreadDeath,
-	}, b.g)
-	timers.Every("pump", st.PumpPeriod(), st.Pump)
-	timers.Every("trim", trimPeriod, func(now time.Time) {
-		st.Trim(now)
-		gw.Trim(now)
-	})
-	timers.Every("ledger", maintainPeriod, func(time.Time) {
-		b.g.Go("ledger", func(ctx context.Context) error {
-			keys.Maintain(ctx)
-			return nil
-		})
-	})
-	timers.Every("ledger endings", ledger.FlushPeriod, func(time.Time) {
-		b.g.Go("ledger endings", func(ctx context.Context) error {
-			keys.Flush(ctx)
-			return nil
-		})
-	})
-	b.services.Provide(serviceLedger, keys)
-	b.services.Provide(serviceStation, st)
-	b.services.Provide(serviceGateway, gw)
-	return nil
-}
-
 // dialPeer opens a connection to another balancer for calls.
 func (b *Balancer) dialPeer(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 	d := tls.Dialer{NetDialer: &net.Dialer{Control: setSilentTimeout}, Config: b.client}
--- a/internal/process/balancer/balancer_test.go
+++ b/internal/process/balancer/balancer_test.go
@@ -295,6 +295,7 @@
 	t.Run("raw", func(t *testing.T) { rawRequests(t, plain, &seen) })
 	t.Run("headers", func(t *testing.T) { hopHeaders(t, plain) })
 	t.Run("leaving", func(t *testing.T) { leavingTarget(t, plain, served) })
+	t.Run("later", func(t *testing.T) { workThatMayWait(t, plain, &seen) })
 	t.Run("harm", func(t *testing.T) { harmfulIntents(t, plain) })
 	t.Run("crash", func(t *testing.T) { crashingRequest(t, plain, &seen) })
 }
@@ -390,6 +391,35 @@
 	require.Eventually(t, gets, 20*time.Second, 100*time.Millisecond)
 }
 
+// workThatMayWait accepts an export while targets fail, and refuses one while the
+// store is down.
+func workThatMayWait(t *testing.T, i *installation, seen *atomic.Int64) {
+	submit := func() *http.Response {
+		r, err := http.NewRequestWithContext(t.Context(), "POST", "http://"+i.l.Callers(1).String()+"/export/7", strings.NewReader("all"))
+		require.NoError(t, err)
+		r.Host = "notes.test"
+		r.Header.Set("Prefer", "respond-async")
+		res, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		_ = res.Body.Close()
+		return res
+	}
+	i.table.SetFaults(table.Faults{Down: true})
+	refused := submit()
+	require.Equal(t, http.StatusServiceUnavailable, refused.StatusCode)
+	require.Equal(t, string(call.OutcomeNotRun), refused.Header.Get(call.HeaderOutcome))
+	require.NotEmpty(t, refused.Header.Get("Retry-After"))
+	i.table.SetFaults(table.Faults{})
+	before := seen.Load()
+	accepted := submit()
+	require.Equal(t, http.StatusAccepted, accepted.StatusCode)
+	require.Eventually(t, func() bool { return seen.Load() > before }, 20*time.Second, 50*time.Millisecond)
+	require.Eventually(t, func() bool {
+		left, err := i.table.List(t.Context(), "jobs/")
+		return err == nil && len(left) == 0
+	}, 20*time.Second, 50*time.Millisecond, "a job that is done must leave the store")
+}
+
 // hopHeaders checks that internal and hop-by-hop headers do not pass.
 func hopHeaders(t *testing.T, i *installation) {
 	r, err := http.NewRequestWithContext(t.Context(), "GET", "http://"+i.l.Callers(1).String()+"/hop", nil)
--- a/internal/process/balancer/metrics.go
+++ b/internal/process/balancer/metrics.go
@@ -13,6 +13,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/report/burn"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/gateway"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/job"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/ledger"
 )
 
@@ -77,6 +78,21 @@
 	)
 }
 
+// watchJobs exports the backlog of work that may wait.
+func (m *metrics) watchJobs(s *job.Service) {
+	states := map[string]func(job.Backlog) int{
+		"waiting": func(b job.Backlog) int { return b.Waiting },
+		"overdue": func(b job.Backlog) int { return b.Overdue },
+		"failing": func(b job.Backlog) int { return b.Failing },
+	}
+	for state, count := range states {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "tamarack_jobs", Help: "Work that may wait, by state, as seen by the hosts that watch the store.",
+			ConstLabels: prometheus.Labels{"state": state},
+		}, func() float64 { return float64(count(s.Backlog())) }))
+	}
+}
+
 // observer counts finished calls.
 type observer struct {
 	metrics  *metrics
--- a/internal/process/balancer/servers.go
+++ b/internal/process/balancer/servers.go
@@ -25,6 +25,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/report/burn"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/gateway"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/job"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/ledger"
 )
 
@@ -67,10 +68,14 @@
 	if err != nil {
 		return err
 	}
-	b.services.Provide("peers", b.peerServer(c, links, gw, meter, keys))
+	jobs, err := registry.Find[*job.Service](b.services, serviceJobs)
+	if err != nil {
+		return err
+	}
+	b.services.Provide("peers", b.peerServer(c, links, gw, meter, keys, jobs))
 	operators := operator.NewServer(operator.Config{
 		Operators: b.s.Operators, Confirmations: b.confirmations(c, client), Snapshot: c.Snapshot,
-		Peers: operator.NewPeers(c.Snapshot, meter, b.client), Log: b.log.For("operators"),
+		Peers: operator.NewPeers(c.Snapshot, meter, jobs, b.client), Log: b.log.For("operators"),
 	})
 	b.services.Provide("operators", b.operatorServer(operators))
 	callers, err := b.callerServer(gw)
@@ -102,7 +107,7 @@
 }
 
 // peerServer serves links, calls of other balancers, and their questions.
-func (b *Balancer) peerServer(c *controller.Controller, links *link.Service, gw *gateway.Gateway, meter *burn.Meter, keys *ledger.Service) *httpService {
+func (b *Balancer) peerServer(c *controller.Controller, links *link.Service, gw *gateway.Gateway, meter *burn.Meter, keys *ledger.Service, jobs *job.Service) *httpService {
 	r := chi.NewRouter()
 	r.Handle(link.Path, links)
 	r.Post(ledgerPath, serveLedger(keys))
@@ -112,7 +117,9 @@
 	})
 	r.Get(operator.ReportPath, func(w http.ResponseWriter, _ *http.Request) {
 		s := c.Snapshot()
-		_ = json.NewEncoder(w).Encode(meter.Report(time.Now(), s.Self.Name, s.Catalog))
+		report := meter.Report(time.Now(), s.Self.Name, s.Catalog)
+		report.Jobs = jobs.Backlog()
+		_ = json.NewEncoder(w).Encode(report)
 	})
 	hop := gw.Hop()
 	handler := http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
--- a/internal/process/operator/peers.go
+++ b/internal/process/operator/peers.go
@@ -19,6 +19,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/fleet/member"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/report/burn"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/job"
 )
 
 // Paths of the questions between balancers.
@@ -37,12 +38,13 @@
 type fleetPeers struct {
 	snapshot func() *controller.Snapshot
 	meter    *burn.Meter
+	jobs     *job.Service
 	http     *http.Client
 }
 
 // NewPeers returns the Peers that ask every host in the view.
-func NewPeers(snapshot func() *controller.Snapshot, meter *burn.Meter, cfg *tls.Config) Peers {
-	return &fleetPeers{snapshot: snapshot, meter: meter, http: &http.Client{Transport: &http.Transport{TLSClientConfig: cfg}}}
+func NewPeers(snapshot func() *controller.Snapshot, meter *burn.Meter, jobs *job.Service, cfg *tls.Config) Peers {
+	return &fleetPeers{snapshot: snapshot, meter: meter, jobs: jobs, http: &http.Client{Transport: &http.Transport{TLSClientConfig: cfg}}}
 }
 
 // Status implements Peers.
@@ -66,7 +68,9 @@
 // Report implements Peers.
 func (p *fleetPeers) Report(ctx context.Context) burn.Report {
 	s := p.snapshot()
-	reports := []burn.Report{p.meter.Report(time.Now(), s.Self.Name, s.Catalog)}
+	own := p.meter.Report(time.Now(), s.Self.Name, s.Catalog)
+	own.Jobs = p.jobs.Backlog()
+	reports := []burn.Report{own}
 	var mu sync.Mutex
 	p.askAll(ctx, s, func(h member.Host) {
 		var r burn.Report
--- a/internal/report/burn/html.go
+++ b/internal/report/burn/html.go
@@ -42,6 +42,7 @@
 </style>
 <h1>Service-level burn</h1>
 <p class="muted">{{when .UnixMilli}}, {{len .Hosts}} hosts{{if .Missing}}; no answer from{{range .Missing}} {{.}}{{end}}{{end}}</p>
+<p{{if .Jobs.Overdue}} style="color:#b3261e"{{end}}>Work that may wait: {{.Jobs.Waiting}} waiting, {{.Jobs.Overdue}} overdue, {{.Jobs.Failing}} failing.</p>
 {{range .Services}}
 <h2>{{.Partner}} / {{.Name}}</h2>
 <p class="muted">objective: {{tenth .GoodPerThousand}}% good within {{.LatencyMillis}} ms</p>
--- a/internal/report/burn/report.go
+++ b/internal/report/burn/report.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"tamaracktiller.example/tamaracktiller/internal/contract/catalog"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/job"
 )
 
 // Window is the burn over one span.
@@ -52,6 +53,8 @@
 	Missing   []string  `json:"missing,omitempty"`
 	UnixMilli int64     `json:"unix-milli"`
 	Services  []Service `json:"services"`
+	// Jobs is the work that may wait, as the host sees it that has seen most.
+	Jobs job.Backlog `json:"jobs"`
 }
 
 // Report returns the burn of this host.
@@ -86,6 +89,9 @@
 		merged.Hosts = append(merged.Hosts, r.Hosts...)
 		merged.Missing = append(merged.Missing, r.Missing...)
 		merged.UnixMilli = max(merged.UnixMilli, r.UnixMilli)
+		if r.Jobs.Waiting > merged.Jobs.Waiting {
+			merged.Jobs = r.Jobs
+		}
 		for _, s := range r.Services {
 			mergeService(byName, s)
 		}
@@ -159,6 +165,7 @@
 	if len(r.Missing) > 0 {
 		fmt.Fprintf(w, ", no answer from %s", strings.Join(r.Missing, " "))
 	}
+	fmt.Fprintf(w, "\nwork that may wait: %d waiting, %d overdue, %d failing", r.Jobs.Waiting, r.Jobs.Overdue, r.Jobs.Failing)
 	fmt.Fprintf(w, "\n%-16s %-18s %-20s %8s %8s %8s %8s  %s\n", "partner", "service", "objective", "5m", "1h", "6h", "budget", "requests (weighted) in 6h")
 	for _, s := range r.Services {
 		objective := fmt.Sprintf("%.1f%% in %d ms", float64(s.GoodPerThousand)/10, s.LatencyMillis)
--- a/internal/traffic/gateway/gateway.go
+++ b/internal/traffic/gateway/gateway.go
@@ -71,6 +71,8 @@
 	Log      *logrus.Entry
 	// Ledger decides on keyed requests.
 	Ledger Ledger
+	// Jobs keeps work that may wait.
+	Jobs Jobs
 	// SpreadDeath tells the linked hosts of a death. It may be nil.
 	SpreadDeath func(crash.Death)
 	// Offers counts the messages spent on telling of free slots.
@@ -133,6 +135,10 @@
 		writeRefusal(w, r, refusal, c)
 		return
 	}
+	if c.MayWait && wantsLater(r) {
+		g.acceptLater(w, r, service, c)
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 	defer cancel()
 	answer := g.decide(ctx, snapshot, c, informational(w))
--- /dev/null
+++ b/internal/traffic/gateway/later.go
@@ -0,0 +1,108 @@
+package gateway
+
+// This file defines work that may wait: its acceptance and its runs.
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tamaracktiller.example/tamaracktiller/internal/contract/catalog"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/job"
+)
+
+// Jobs accepts work into the platform's store.
+type Jobs interface {
+	Accept(ctx context.Context, j job.Job) error
+}
+
+const (
+	// outcomeAccepted is told when the work lies in the store.
+	outcomeAccepted call.Outcome = "accepted"
+	// laterRetry is what callers are told while the store does not accept.
+	laterRetry = 10 * time.Second
+	// acceptTimeout bounds the writing into the store.
+	acceptTimeout = 5 * time.Second
+)
+
+// wantsLater reports whether the caller asks to be answered before the work is
+// done (RFC 7240, section 4.1).
+func wantsLater(r *http.Request) bool {
+	for _, value := range r.Header.Values("Prefer") {
+		if strings.Contains(value, "respond-async") {
+			return true
+		}
+	}
+	return false
+}
+
+// acceptLater answers when the work lies in the store.
+func (g *Gateway) acceptLater(w http.ResponseWriter, r *http.Request, service catalog.Service, c *call.Call) {
+	w.Header().Set(call.HeaderRequestID, c.ID)
+	if !c.IsBuffered {
+		writeOutcome(w, r, http.StatusRequestEntityTooLarge, noAnswer{Outcome: call.OutcomeNotRun, Reason: "the body is too large for work that may wait", RequestID: c.ID})
+		return
+	}
+	kind, _ := service.KindOf(r.Method, r.URL.Path)
+	now := time.Now()
+	ctx, cancel := context.WithTimeout(r.Context(), acceptTimeout)
+	defer cancel()
+	err := g.cfg.Jobs.Accept(ctx, job.Job{
+		ID: c.ID, Service: c.Service, Kind: c.Kind, Member: c.Member, Host: r.Host, Method: r.Method, URI: r.URL.RequestURI(),
+		Header: r.Header, Body: c.Buffered, AcceptedMilli: now.UnixMilli(), DueMilli: now.Add(kind.ArriveWithin.Std()).UnixMilli(),
+	})
+	switch {
+	case err == nil:
+		writeOutcome(w, r, http.StatusAccepted, noAnswer{Outcome: outcomeAccepted, Reason: "the work is kept and will be done", RequestID: c.ID})
+	case errors.Is(err, job.ErrNotAccepted):
+		writeOutcome(w, r, http.StatusServiceUnavailable, noAnswer{
+			Outcome: call.OutcomeNotRun, Reason: "the store does not accept work", RetryAfterMS: laterRetry.Milliseconds(), RequestID: c.ID,
+		})
+	default:
+		writeOutcome(w, r, http.StatusBadGateway, noAnswer{Outcome: call.OutcomeUnknown, Reason: "the work may have been accepted", RequestID: c.ID})
+	}
+}
+
+// RunJob runs work that was accepted. It returns the reason of a failure, or "".
+func (g *Gateway) RunJob(ctx context.Context, j job.Job) string {
+	s := g.cfg.Snapshot()
+	service, ok := s.Catalog.Services[j.Service]
+	if !ok {
+		return "the service is not fronted any more"
+	}
+	uri, err := url.ParseRequestURI(j.URI)
+	if err != nil {
+		return "the request cannot be read"
+	}
+	kind, ok := service.KindOf(j.Method, uri.Path)
+	if !ok {
+		return "the service has no such kind any more"
+	}
+	ctx, cancel := context.WithTimeout(ctx, kind.Deadline.Std())
+	defer cancel()
+	r := (&http.Request{
+		Method: j.Method, URL: uri, Host: j.Host, Header: http.Header(j.Header).Clone(), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody,
+	}).WithContext(ctx)
+	deadline, _ := ctx.Deadline()
+	c := &call.Call{
+		ID: j.ID, Service: service.Name, Pool: service.Pool, Kind: kind.Name, Partner: string(service.Partner), Member: j.Member,
+		Weight: kind.Weight, MayWait: true, Idempotent: true, Deadline: deadline, Request: r, Buffered: j.Body, IsBuffered: true,
+	}
+	began := time.Now()
+	a := g.decide(ctx, s, c, nil)
+	defer discard(a)
+	g.observe(service, c, a, began)
+	if a.Outcome != call.Ran {
+		return a.Reason
+	}
+	if a.Response.StatusCode >= http.StatusInternalServerError {
+		return "status " + strconv.Itoa(a.Response.StatusCode)
+	}
+	return ""
+}
