Give the stand-ins leases and a bound on connections

The platform's stand-in grants and renews leases that values end with; the balancers need none. Stand-in targets close connections beyond their bound.

--- a/cmd/tamarackbench/main.go
+++ b/cmd/tamarackbench/main.go
@@ -11,6 +11,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -72,16 +73,21 @@
 // Run serves the stand-in of the platform until a signal comes.
 func (c *platformCommand) Run(ctx context.Context) error {
 	s := platform.New(table.New(), platform.Config{HostLag: c.HostLag})
-	return serve(ctx, &http.Server{Addr: c.Listen, Handler: s.Handler(), ReadHeaderTimeout: time.Second})
+	var cfg net.ListenConfig
+	l, err := cfg.Listen(ctx, "tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	return serve(ctx, &http.Server{Handler: s.Handler(), ReadHeaderTimeout: time.Second}, l)
 }
 
-func serve(ctx context.Context, server *http.Server) error {
+func serve(ctx context.Context, server *http.Server, l net.Listener) error {
 	context.AfterFunc(ctx, func() {
 		stopCtx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
 		_ = server.Shutdown(stopCtx)
 	})
-	err := server.ListenAndServe()
+	err := server.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -89,13 +95,14 @@
 }
 
 type targetCommand struct {
-	Name       string        `required:"" help:"Name of the target."`
-	Listen     string        `required:"" help:"Address to serve on."`
-	Slots      int           `default:"8" help:"Requests that run at the same time."`
-	Queue      int           `default:"64" help:"Requests that may wait for a slot."`
-	ColdTime   time.Duration `default:"0s" help:"Time after the start in which requests take longer."`
-	ColdFactor float64       `default:"3" help:"How many times longer."`
-	Journal    string        `help:"File that each run is appended to."`
+	Name        string        `required:"" help:"Name of the target."`
+	Listen      string        `required:"" help:"Address to serve on."`
+	Connections int           `default:"220" help:"Connections that may be open."`
+	Slots       int           `default:"8" help:"Requests that run at the same time."`
+	Queue       int           `default:"64" help:"Requests that may wait for a slot."`
+	ColdTime    time.Duration `default:"0s" help:"Time after the start in which requests take longer."`
+	ColdFactor  float64       `default:"3" help:"How many times longer."`
+	Journal     string        `help:"File that each run is appended to."`
 }
 
 // Run serves a stand-in target until a signal comes.
@@ -107,7 +114,12 @@
 	if err != nil {
 		return err
 	}
-	return serve(ctx, &http.Server{Addr: c.Listen, Handler: t.Handler(), ReadHeaderTimeout: time.Second})
+	var cfg net.ListenConfig
+	l, err := cfg.Listen(ctx, "tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	return serve(ctx, &http.Server{Handler: t.Handler(), ReadHeaderTimeout: time.Second}, target.Limit(l, c.Connections))
 }
 
 type loadCommand struct {
--- a/internal/bench/platform/server.go
+++ b/internal/bench/platform/server.go
@@ -7,7 +7,8 @@
 //	http.ListenAndServe("127.0.0.1:7400", s.Handler())
 //
 // The switches: PUT /v1/faults with table.Faults, POST /v1/release, PUT
-// /v1/hosts with the list, GET /v1/calls.
+// /v1/hosts with the list, GET /v1/calls. A value written with ?lease=ID ends with
+// the lease; the balancers use none.
 package platform
 
 // This file defines Server, the HTTP face of a table.
@@ -54,6 +55,8 @@
 	r.Delete("/v1/kv/*", s.remove)
 	r.Get("/v1/watch/*", s.watch)
 	r.Get("/v1/list", s.list)
+	r.Post("/v1/leases", s.grant)
+	r.Put("/v1/leases/{id}", s.renew)
 	r.Get("/v1/hosts", s.hosts)
 	r.Put("/v1/hosts", s.setHosts)
 	r.Put("/v1/faults", s.setFaults)
@@ -88,10 +91,29 @@
 		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
 		return
 	}
-	version, err := s.table.Swap(r.Context(), chi.URLParam(r, "*"), expected(r), data)
+	key := chi.URLParam(r, "*")
+	version, err := s.table.Swap(r.Context(), key, expected(r), data)
+	if id, perr := strconv.ParseUint(r.URL.Query().Get("lease"), 10, 64); perr == nil && err == nil {
+		err = s.table.Attach(key, id)
+	}
 	writeVersion(w, version, err)
 }
 
+func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
+	ttl, err := time.ParseDuration(r.URL.Query().Get("ttl"))
+	if err != nil || ttl <= 0 {
+		http.Error(w, "want a ttl such as 10s", http.StatusBadRequest)
+		return
+	}
+	id, err := s.table.Grant(ttl)
+	writeJSON(w, id, err)
+}
+
+func (s *Server) renew(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(chi.URLParam(r, "id"), 10, 64)
+	writeJSON(w, id, s.table.Renew(id))
+}
+
 func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
 	s.delay()
 	err := s.table.Delete(r.Context(), chi.URLParam(r, "*"), expected(r))
--- a/internal/platform/table/table.go
+++ b/internal/platform/table/table.go
@@ -42,6 +42,14 @@
 	version store.Version
 	data    []byte
 	deleted bool
+	// lease is the lease that the value ends with; 0 for none.
+	lease uint64
+}
+
+// lease is a time after which values end unless it is renewed.
+type lease struct {
+	ttl   time.Duration
+	until time.Time
 }
 
 type heldWrite struct {
@@ -59,6 +67,8 @@
 	held    []heldWrite
 	calls   map[string]int
 	hosts   []store.Host
+	leases  map[uint64]*lease
+	granted uint64
 }
 
 var (
@@ -68,7 +78,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{entries: map[string]*entry{}, changed: map[string]chan struct{}{}, calls: map[string]int{}}
+	return &Table{entries: map[string]*entry{}, changed: map[string]chan struct{}{}, calls: map[string]int{}, leases: map[uint64]*lease{}}
 }
 
 // SetFaults replaces the failures shown from now on.
@@ -123,7 +133,66 @@
 	return slices.Clone(t.hosts), nil
 }
 
+// Grant returns a new lease that ends after ttl unless it is renewed.
+func (t *Table) Grant(ttl time.Duration) (uint64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.begin("grant"); err != nil {
+		return 0, err
+	}
+	t.granted++
+	t.leases[t.granted] = &lease{ttl: ttl, until: time.Now().Add(ttl)}
+	return t.granted, nil
+}
+
+// Renew extends a lease by its ttl. Error: store.ErrNotFound when it has ended.
+func (t *Table) Renew(id uint64) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.begin("renew"); err != nil {
+		return err
+	}
+	l, ok := t.leases[id]
+	if !ok {
+		return errors.Wrapf(store.ErrNotFound, "lease %d", id)
+	}
+	l.until = time.Now().Add(l.ttl)
+	return nil
+}
+
+// Attach lets the value of a key end with a lease.
+func (t *Table) Attach(key string, id uint64) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.begin("attach"); err != nil {
+		return err
+	}
+	e, ok := t.entries[key]
+	if !ok || e.deleted || t.leases[id] == nil {
+		return errors.Wrapf(store.ErrNotFound, "%s, lease %d", key, id)
+	}
+	e.lease = id
+	return nil
+}
+
+// expire removes the values whose lease has ended.
+func (t *Table) expire() {
+	now := time.Now()
+	for id, l := range t.leases {
+		if now.Before(l.until) {
+			continue
+		}
+		delete(t.leases, id)
+		for key, e := range t.entries {
+			if e.lease == id && !e.deleted {
+				_, _ = t.put(key, e.version, nil, true)
+			}
+		}
+	}
+}
+
 func (t *Table) begin(operation string) error {
+	t.expire()
 	t.calls[operation]++
 	if t.faults.Down {
 		return errors.Wrap(store.ErrDown, operation)
@@ -195,6 +264,7 @@
 		return 0, errors.Wrap(store.ErrConflict, key)
 	}
 	e.version++
+	e.lease = 0
 	e.data = data
 	e.deleted = remove
 	t.entries[key] = e
