--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -5,6 +5,7 @@
 #   keyed     the same for keyed writes against plain ones
 #   policies  the shapes of a call under virtual time (seed 42)
 #   fleet     the control side at 4 to 256 hosts under virtual time (seed 7)
+#   inforce   16 real balancers: bytes, CPU, store calls, time to in force
 #   state     memory and time of configurations and keys
 #   failures  kill, freeze, drain and outage under load
 set -u
@@ -57,6 +58,32 @@
   stop_installation
 }
 
+sum_metric() { # sum_metric PATTERN: over all balancers
+  local n
+  for n in $(seq "$balancers"); do curl -fs "http://127.0.1.$n:7304/metrics"; done |
+    awk -v pattern="$1" '$0 ~ pattern {s += $2} END {printf "%.3f\n", s}'
+}
+
+inforce() {
+  start_installation run/inforce 16 8 4 8 >/dev/null 2>&1 && confirm_intents >/dev/null 2>&1 || return 1
+  sleep 3
+  local bytes cpu calls n seconds=20
+  bytes=$(sum_metric '^tamarack_link_bytes_total.*out') cpu=$(cpu_seconds) calls=$(sum_metric '^tamarack_store_calls_total')
+  sleep "$seconds"
+  echo "$(sum_metric '^tamarack_link_bytes_total.*out') $bytes $(cpu_seconds) $cpu $(sum_metric '^tamarack_store_calls_total') $calls" |
+    awk -v h="$balancers" -v s="$seconds" '{printf "idle: %.0f bytes of frames sent per host and s, %.2f%% of a core per host, %.1f store calls per s\n", ($1-$2)/h/s, 100*($3-$4)/h/s, ($5-$6)/s}'
+  for n in $(seq 20); do
+    echo "{\"partner\": \"exchange\", \"reason\": \"measure\", \"budgets\": [{\"pool\": \"booking\", \"offers-per-thousand\": $n}]}" >run/inforce/change.json
+    as exchange intent run/inforce/change.json >run/inforce/change.plan || return 1
+    as exchange confirm "$(plan_id run/inforce/change.plan)" >/dev/null || return 1
+    sleep 1
+    as exchange status --json | awk -F'"' '
+      /"in-force-since"/ {since[n++] = $4} /"unix-milli"/ {split($0, p, ": "); last = p[2] + 0}
+      END {for (i = 0; i < n; i++) {split(since[i], t, /[T:Z]/); day = t[2]*3600 + t[3]*60 + t[4]; ms = (day - (last/1000) % 86400) * 1000; print ms}}'
+  done | sort -n | awk '{v[NR] = $1} END {printf "in force on %d host-changes: p50 %.0f ms, worst %.0f ms after the confirmation\n", NR, v[int(NR/2)+1], v[NR]}'
+  stop_installation
+}
+
 figures() { grep -E '^Benchmark' | sed 's/^Benchmark//; s/ns\/op//'; }
 
 policies() { go test ./internal/traffic/route -run NONE -bench Policies -benchtime 1x -timeout 30m | figures; }
@@ -67,7 +94,7 @@
   for s in kill freeze drain outage; do scripts/failures.sh "$s" 2>/dev/null | grep -v '^{'; done
 }
 
-[ $# -gt 0 ] || set -- hop keyed state fleet failures policies
+[ $# -gt 0 ] || set -- hop keyed inforce state fleet failures policies
 for part in "$@"; do
   echo "== $part"
   "$part"
