--- a/internal/contract/catalog/intent.go
+++ b/internal/contract/catalog/intent.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"regexp"
 	"slices"
 	"strings"
@@ -193,12 +192,6 @@
 	return best, best != nil
 }
 
-// SafeMethod reports whether the method promises to change nothing (RFC 9110,
-// section 9.2.1).
-func SafeMethod(method string) bool {
-	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
-}
-
 func (j *Join) check(path string) error {
 	t := j.Target
 	switch {
--- a/internal/traffic/dispatch/target.go
+++ b/internal/traffic/dispatch/target.go
@@ -34,7 +34,7 @@
 // Sample is what a finished call tells about its target.
 type Sample struct {
 	Result Result
-	// Latency is the time from sending to the whole answer.
+	// Latency is the time from sending to the head of the answer.
 	Latency time.Duration
 }
 
