--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -123,14 +123,14 @@
 func (c *Controller) TargetDrains(target string) { c.loop.Post(targetDrains{target: target}) }
 
 // Received implements link.Handler.
-func (c *Controller) Received(from string, e *message.Envelope, reply func(*message.Envelope)) {
+func (c *Controller) Received(from string, e *message.Envelope) {
 	if e.Death != nil {
 		if c.cfg.Death != nil {
 			c.cfg.Death(*e.Death)
 		}
 		return
 	}
-	c.loop.Post(received{from: from, e: e, reply: reply})
+	c.loop.Post(received{from: from, e: e})
 }
 
 // Up implements link.Handler.
--- a/internal/fleet/controller/event.go
+++ b/internal/fleet/controller/event.go
@@ -20,9 +20,8 @@
 	paused struct{ length time.Duration }
 	// received is a message of another host.
 	received struct {
-		from  string
-		e     *message.Envelope
-		reply func(*message.Envelope)
+		from string
+		e    *message.Envelope
 	}
 	// linkUp and linkDown report a change of a link.
 	linkUp   struct{ host string }
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -10,7 +10,6 @@
 //	mux.Handle(link.Path, s)          // incoming links
 //	s.Connect(host)                   // outgoing link, in the background
 //	s.Send("host-2", envelope)
-//	answer, err := s.Call(ctx, "host-2", envelope)
 package link
 
 // This file defines Service, the links of one host.
@@ -20,7 +19,6 @@
 	"crypto/tls"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -45,19 +43,18 @@
 	dialTimeout = 2 * time.Second
 )
 
-// Errors of Call and Send.
+// Errors of Send.
 var (
 	// ErrNoLink reports that there is no link to the host. Nothing was sent.
 	ErrNoLink = errors.New("link: no link to the host")
-	// ErrBroken reports that the link ended before the answer came.
+	// ErrBroken reports that the link could not keep up and was closed.
 	ErrBroken = errors.New("link: broken")
 )
 
 // Handler takes in what happens on links. Its methods must not block.
 type Handler interface {
-	// Received is called for each message that is not an answer. reply sends the
-	// answer to a call.
-	Received(from string, e *message.Envelope, reply func(*message.Envelope))
+	// Received is called for each message.
+	Received(from string, e *message.Envelope)
 	// Up is called when a link to the host is open.
 	Up(host string)
 	// Down is called when the link to the host has ended, or could not be opened.
@@ -82,7 +79,6 @@
 	g       *group.Group
 	handler Handler
 	client  *http.Client
-	calls   atomic.Uint64
 
 	mu      sync.Mutex
 	links   map[string]*peer
@@ -244,15 +240,7 @@
 			s.cfg.Log.WithField("host", p.name).WithError(err).Warn("closed a link with a bad frame")
 			return
 		}
-		if e.Reply {
-			p.answer(e)
-			continue
-		}
-		call := e.Call
-		s.handler.Received(p.name, e, func(reply *message.Envelope) {
-			reply.Call, reply.Reply = call, true
-			_ = s.enqueue(p, reply)
-		})
+		s.handler.Received(p.name, e)
 	}
 }
 
@@ -283,7 +271,7 @@
 	}
 }
 
-// Send queues a message to the host. Error: ErrNoLink.
+// Send queues a message to the host. Errors: ErrNoLink, ErrBroken.
 func (s *Service) Send(host string, e *message.Envelope) error {
 	s.mu.Lock()
 	p := s.links[host]
@@ -309,28 +297,3 @@
 		return errors.Wrap(ErrBroken, p.name)
 	}
 }
-
-// Call sends a message and waits for its answer. Errors: ErrNoLink, ErrBroken,
-// those of ctx.
-func (s *Service) Call(ctx context.Context, host string, e *message.Envelope) (*message.Envelope, error) {
-	s.mu.Lock()
-	p := s.links[host]
-	s.mu.Unlock()
-	if p == nil {
-		return nil, errors.Wrap(ErrNoLink, host)
-	}
-	e.Call = s.calls.Add(1)
-	ch := p.expect(e.Call)
-	defer p.forget(e.Call)
-	if err := s.enqueue(p, e); err != nil {
-		return nil, err
-	}
-	select {
-	case answer := <-ch:
-		return answer, nil
-	case <-p.done:
-		return nil, errors.Wrap(ErrBroken, host)
-	case <-ctx.Done():
-		return nil, errors.Wrap(ctx.Err(), "link: call of "+host)
-	}
-}
--- a/internal/fleet/message/message.go
+++ b/internal/fleet/message/message.go
@@ -1,7 +1,6 @@
 // Package message defines what balancers say to each other over their links.
 //
-// Every frame is one Envelope in CBOR. Exactly one body is set. An envelope with
-// a Call number asks for an answer; the answer carries the same number and Reply.
+// Every frame is one Envelope in CBOR. Exactly one body is set.
 //
 // # Usage
 //
@@ -22,10 +21,6 @@
 
 // Envelope is one frame.
 type Envelope struct {
-	// Call matches an answer to its question. 0 is for messages without answer.
-	Call  uint64 `cbor:"1,keyasint,omitempty"`
-	Reply bool   `cbor:"2,keyasint,omitempty"`
-
 	Heartbeat *member.Heartbeat `cbor:"3,keyasint,omitempty"`
 	Pull      *Pull             `cbor:"4,keyasint,omitempty"`
 	Update    *revision.Update  `cbor:"5,keyasint,omitempty"`
