Spread the store's changes over a tree

Cause: every host followed the first host of the ranking, near or far, by polls that return at each change, and its link (10 to 200 Mbit/s on the grown sites) was full when many hosts joined or the configuration changed often. Its own watch then got no answer in time, and all hosts watched the store.

Change: hosts follow a parent in a tree of domains and hosts, four a host in each, and ancestors when the parent does not answer or brings nothing new. A watch without an answer is followed by a full read at once, and a host that takes over begins with one. Joins are logged together.

Ruled out: a watch that returns a revision beyond what it told of; a silent watch returns nothing at all. Lower ages alone: all hosts then watch the store sooner.

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -41,6 +42,8 @@
 	// Changed is called after each new snapshot with the targets that started
 	// again under their id, on the control goroutine. It may be nil.
 	Changed func(s *Snapshot, restarted []string)
+	// Peers reaches other hosts; nil for the network.
+	Peers http.RoundTripper
 }
 
 // Directory is the view of a host. It is safe for concurrent use.
@@ -55,6 +58,8 @@
 	// others, in Unix nanoseconds.
 	contact atomic.Int64
 	peers   *http.Client
+	// spread is added to othersAge.
+	spread time.Duration
 }
 
 // event is what the control goroutine applies. One of the parts is set.
@@ -69,11 +74,12 @@
 
 // New returns a directory that is not started. Its goroutines run in g.
 func New(cfg Config, g *group.Group) *Directory {
-	d := &Directory{cfg: cfg, g: g, journal: newJournal()}
-	d.state = NewState(cfg.Decoder, cfg.ReturnTime, d.journal.add)
-	d.peers = &http.Client{Transport: &http.Transport{
-		DialContext: openPeer, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdle, DisableCompression: true,
-	}}
+	d := &Directory{cfg: cfg, g: g, journal: newJournal(), spread: rand.N(othersSpread)}
+	d.state = NewState(Host{Name: cfg.Self, Domain: cfg.Domain}, cfg.Decoder, cfg.ReturnTime, d.journal.add)
+	if cfg.Peers == nil {
+		cfg.Peers = &http.Transport{DialContext: openPeer, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdle, DisableCompression: true}
+	}
+	d.peers = &http.Client{Transport: cfg.Peers}
 	d.loop = control.New(d.handle)
 	d.snapshot.Store(d.state.Snapshot())
 	return d
@@ -122,8 +128,8 @@
 	}
 	d.cfg.Timer.Every("directory", expirePeriod, func(time.Time) { d.loop.Post(event{tick: true}) })
 	d.g.Go("store watch", d.watch)
-	d.g.Go("follow near", func(ctx context.Context) error { return d.follow(ctx, d.near, nearWait) })
-	d.g.Go("follow far", func(ctx context.Context) error { return d.follow(ctx, d.far, farWait) })
+	d.g.Go("follow", d.follow)
+	d.g.Go("ask spares", d.askSpares)
 	return nil
 }
 
@@ -142,12 +148,12 @@
 		changed = false
 	case e.load != nil:
 		d.state.Load(now, *e.load)
-		d.journal.reach(e.load.Revision, true)
+		d.journal.reach(e.load.Revision)
 	default:
 		for _, item := range e.items {
 			d.state.Apply(now, item)
 		}
-		d.journal.reach(e.revision, false)
+		d.journal.reach(e.revision)
 	}
 	for _, line := range d.state.TakeLines() {
 		entry := d.cfg.Log.WithFields(line.Fields)
--- /dev/null
+++ b/internal/fleet/directory/fleet_test.go
@@ -0,0 +1,368 @@
+package directory
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
+	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
+	"tamaracktiller.example/tamaracktiller/internal/platform/store"
+)
+
+// memory is a store without I/O.
+type memory struct {
+	mu       sync.Mutex
+	items    map[string]store.Item
+	history  []store.Item
+	revision uint64
+	changed  chan struct{}
+	// calls counts reads by host.
+	calls map[string]int
+	// refused hosts get no answer but an error.
+	refused map[string]bool
+	// silent watches hear nothing until the time.
+	silent time.Time
+}
+
+func newMemory() *memory {
+	return &memory{items: map[string]store.Item{}, changed: make(chan struct{}), calls: map[string]int{}, refused: map[string]bool{}}
+}
+
+func (m *memory) put(key, value string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.revision++
+	item := store.Item{Key: key, Value: []byte(value), Revision: m.revision}
+	m.items[key] = item
+	m.history = append(m.history, item)
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *memory) total() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, calls := range m.calls {
+		n += calls
+	}
+	return n
+}
+
+// source is the store as one host reaches it.
+type source struct {
+	m    *memory
+	host string
+}
+
+var _ store.Source = source{}
+
+// storeDelay is the time that a call of the store takes.
+const storeDelay = 4 * time.Millisecond
+
+func (s source) called() error {
+	time.Sleep(storeDelay)
+	s.m.mu.Lock()
+	defer s.m.mu.Unlock()
+	s.m.calls[s.host]++
+	if s.m.refused[s.host] {
+		return store.ErrDown
+	}
+	return nil
+}
+
+func (s source) Get(context.Context, string) (store.Item, error) {
+	return store.Item{}, store.ErrNotFound
+}
+
+func (s source) Range(context.Context, string) (store.Page, error) {
+	if err := s.called(); err != nil {
+		return store.Page{}, err
+	}
+	s.m.mu.Lock()
+	defer s.m.mu.Unlock()
+	page := store.Page{Revision: s.m.revision}
+	for _, item := range s.m.items {
+		page.Items = append(page.Items, item)
+	}
+	return page, nil
+}
+
+func (s source) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (store.Page, error) {
+	if err := s.called(); err != nil {
+		return store.Page{}, err
+	}
+	end := time.After(wait)
+	s.m.mu.Lock()
+	if silent := time.Until(s.m.silent); silent > 0 {
+		s.m.mu.Unlock()
+		return store.Page{}, s.hearNothing(ctx, silent, wait)
+	}
+	s.m.mu.Unlock()
+	for {
+		s.m.mu.Lock()
+		page := store.Page{Revision: s.m.revision}
+		for _, item := range s.m.history {
+			if item.Revision > after {
+				page.Items = append(page.Items, item)
+			}
+		}
+		changed := s.m.changed
+		s.m.mu.Unlock()
+		if len(page.Items) > 0 {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return store.Page{Revision: after}, nil
+		case <-ctx.Done():
+			return store.Page{}, ctx.Err()
+		}
+	}
+}
+
+// hearNothing is a watch that gets no answer: it is cut when the silence ends, or the
+// client gives it up some time after its wait.
+func (s source) hearNothing(ctx context.Context, silent, wait time.Duration) error {
+	const grace = 300 * time.Millisecond
+	select {
+	case <-time.After(min(silent, wait+grace)):
+		return store.ErrUnclear
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// fleet is a number of directories that reach each other over links of a limited
+// rate.
+type fleet struct {
+	t     *testing.T
+	store *memory
+	g     *group.Group
+	hosts map[string]*member
+	// dead hosts answer nobody.
+	dead map[string]bool
+}
+
+// member is a host of the fleet with its uplink.
+type member struct {
+	*Directory
+	mu   sync.Mutex
+	busy time.Time
+	sent int
+}
+
+// linkRate is the rate of the slowest hosts' links, in bytes a second.
+const linkRate = 10_000_000 / 8
+
+// RoundTrip implements http.RoundTripper: answers of a host leave over its link one
+// after the other.
+func (f *fleet) RoundTrip(r *http.Request) (*http.Response, error) {
+	h := f.hosts[r.URL.Host]
+	if f.dead[r.URL.Host] {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	time.Sleep(500 * time.Microsecond)
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	const headBytes = 200
+	size := headBytes + w.Body.Len()
+	h.mu.Lock()
+	h.sent += size
+	if now := time.Now(); h.busy.Before(now) {
+		h.busy = now
+	}
+	h.busy = h.busy.Add(time.Duration(size) * time.Second / linkRate)
+	arrival := h.busy
+	h.mu.Unlock()
+	select {
+	case <-time.After(time.Until(arrival)):
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
+	res := w.Result()
+	res.Body = io.NopCloser(bytes.NewReader(w.Body.Bytes()))
+	return res, nil
+}
+
+// newFleet starts n hosts in four domains that know each other. Call it in a bubble.
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{t: t, store: newMemory(), g: group.New(context.Background()), hosts: map[string]*member{}, dead: map[string]bool{}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f.store.put(KeyKey, "secret")
+	f.store.put("config", "1")
+	for i := range n {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(1 + i%250)}), 80)
+		name := fmt.Sprintf("host-%d", i)
+		f.store.put(HostPrefix+name, fmt.Sprintf(`{"name":%q,"domain":"d-%d","peers":%q}`, name, i%4, address))
+		f.hosts[address.String()] = &member{Directory: New(Config{
+			Self: name, Domain: fmt.Sprintf("d-%d", i%4), Source: source{f.store, name}, Decoder: plain{}, Timer: timer.New(),
+			Log: logrus.NewEntry(log), ReturnTime: time.Second, Peers: f,
+		}, f.g)}
+	}
+	for _, h := range f.hosts {
+		require.NoError(t, h.Start(t.Context()))
+	}
+	time.Sleep(3 * time.Second)
+	return f
+}
+
+func (f *fleet) stop() {
+	_ = f.g.Stop()
+	for _, h := range f.hosts {
+		_ = h.Stop(context.Background())
+	}
+}
+
+// ranked returns the addresses of the hosts in the order of the ranking.
+func (f *fleet) ranked() []string {
+	var list []string
+	for _, h := range f.hosts {
+		for _, peer := range ranking(h.Snapshot().Hosts) {
+			list = append(list, peer.Peers.String())
+		}
+		break
+	}
+	return list
+}
+
+// version returns the lowest version in force, and how many hosts have it.
+func (f *fleet) version() (lowest uint64, hosts int) {
+	versions := map[uint64]int{}
+	for address, h := range f.hosts {
+		if !f.dead[address] {
+			versions[h.Snapshot().Table.Config.Version]++
+		}
+	}
+	for v := range versions {
+		if lowest == 0 || v < lowest {
+			lowest = v
+		}
+	}
+	return lowest, versions[lowest]
+}
+
+// inForce is the time within which a configuration must be in force.
+const inForce = 2500 * time.Millisecond
+
+// storm writes a configuration of the given size each 100 ms, and checks that each is
+// in force in time on all hosts.
+func (f *fleet) storm(versions, size int) {
+	written := map[uint64]time.Time{}
+	for n := range versions {
+		version := uint64(2 + n)
+		f.store.put("config", strings.Repeat("0", size)+fmt.Sprint(version))
+		written[version] = time.Now()
+		time.Sleep(100 * time.Millisecond)
+		f.check(written)
+	}
+	for range int(inForce/(100*time.Millisecond)) + 1 {
+		time.Sleep(100 * time.Millisecond)
+		f.check(written)
+	}
+}
+
+func (f *fleet) check(written map[uint64]time.Time) {
+	lowest, hosts := f.version()
+	if at, ok := written[lowest+1]; ok {
+		require.Less(f.t, time.Since(at), inForce, "version %d is not in force on %d hosts", lowest+1, hosts)
+	}
+}
+
+// A storm of configurations of 12 KB, on hosts with links of 10 Mbit/s.
+func TestStormOfConfigurationsIsInForceInTime(t *testing.T) {
+	tests := []struct {
+		name  string
+		hosts int
+		// trouble happens before the storm.
+		trouble func(f *fleet)
+	}{
+		{name: "13 hosts", hosts: 13},
+		{name: "100 hosts", hosts: 100},
+		{name: "300 hosts", hosts: 300},
+		{name: "watches hear nothing", hosts: 100, trouble: func(f *fleet) {
+			f.store.mu.Lock()
+			defer f.store.mu.Unlock()
+			f.store.silent = time.Now().Add(5 * time.Second)
+		}},
+		{name: "the first host is dead", hosts: 100, trouble: func(f *fleet) { f.dead[f.ranked()[0]] = true }},
+		{name: "the first host is refused by the store", hosts: 100, trouble: func(f *fleet) {
+			f.store.mu.Lock()
+			defer f.store.mu.Unlock()
+			f.store.refused[f.hosts[f.ranked()[0]].cfg.Self] = true
+		}},
+		{name: "ten of the first forty are dead", hosts: 100, trouble: func(f *fleet) {
+			for i, address := range f.ranked()[:40] {
+				f.dead[address] = i%4 == 1
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, tt.hosts)
+				defer f.stop()
+				if tt.trouble != nil {
+					tt.trouble(f)
+				}
+				f.storm(30, 12_000)
+			})
+		})
+	}
+}
+
+// Reads of the store do not grow with the fleet, nor does what one host sends.
+func TestReadsOfTheStoreDoNotGrowWithTheFleet(t *testing.T) {
+	const (
+		watchesPerSecond = 2
+		seconds          = 10
+	)
+	for _, hosts := range []int{13, 30, 100, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, hosts)
+			defer f.stop()
+			before, sent := f.store.total(), f.sent()
+			time.Sleep(seconds * time.Second)
+			idle, idleSent := f.store.total()-before, f.mostSince(sent)
+			before, sent = f.store.total(), f.sent()
+			f.storm(30, 12_000)
+			t.Logf("%d hosts: idle %d reads and at most %d bytes a host in %d s; storm of 30: %d reads, at most %d bytes a host",
+				hosts, idle, idleSent, seconds, f.store.total()-before, f.mostSince(sent))
+			require.LessOrEqual(t, idle, watchesPerSecond*seconds)
+		})
+	}
+}
+
+func (f *fleet) sent() map[string]int {
+	sent := map[string]int{}
+	for address, h := range f.hosts {
+		h.mu.Lock()
+		sent[address] = h.sent
+		h.mu.Unlock()
+	}
+	return sent
+}
+
+func (f *fleet) mostSince(before map[string]int) int {
+	most := 0
+	for address, n := range f.sent() {
+		most = max(most, n-before[address])
+	}
+	return most
+}
--- a/internal/fleet/directory/follow.go
+++ b/internal/fleet/directory/follow.go
@@ -2,12 +2,11 @@
 
 // This file defines who watches the store, and who follows other hosts.
 //
-// The first host of the ranking watches the store, since each call there is
-// priced. The first host of each other domain follows it by long polls, and the
-// hosts of the domain follow that one, since bytes between domains are priced
-// too; beside it they follow the first host at a slower pace. Every answer tells
-// how long ago the store was heard; a host that hears nothing newer through others
-// watches the store itself, the second of the ranking soonest.
+// The root of the tree watches the store, since each call there is priced, and the
+// others follow their parents by long polls. Every answer tells how long ago the store
+// was heard, and returns when that is renewed. A host whose parent does not answer
+// follows another; one that hears nothing newer through others watches the store
+// itself, the second of the ranking soonest.
 
 import (
 	"context"
@@ -15,7 +14,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"tamaracktiller.example/tamaracktiller/internal/platform/store"
@@ -24,10 +22,7 @@
 const (
 	// watchWait is the wait of one watch of the store. It bounds the time in which
 	// a store that went silent is noticed.
-	watchWait = 700 * time.Millisecond
-	// returnWait is the wait of the first watch after a failure. It ends soon, so
-	// that contact counts as regained.
-	returnWait = 100 * time.Millisecond
+	watchWait = 600 * time.Millisecond
 	// batchPause is the time between two watches after a change, so that changes
 	// that come together cost one call.
 	batchPause = 60 * time.Millisecond
@@ -36,78 +31,73 @@
 	// startPause is that of a host that does not know the fleet's secret yet, when
 	// all hosts start and watch.
 	startPause = 250 * time.Millisecond
-	// nearWait is the wait of one question to the host that is followed, and farWait
-	// that to the first host beside it.
-	nearWait = 250 * time.Millisecond
-	farWait  = time.Second
-	// secondAge and othersAge are the ages of the last word of the store from which
-	// the second host and the others watch it themselves. With the time of a watch
+	// parentWait is the wait of one question to the host that is followed. The root
+	// hears from the store more often, so that questions rarely end without news.
+	parentWait = 700 * time.Millisecond
+	// contactStep is the renewal of the contact with the store that ends the wait of
+	// the followers' questions.
+	contactStep = 300 * time.Millisecond
+	// suspectTime is the time for which a host that did not answer is not followed.
+	suspectTime = 2 * time.Second
+	// spareAge is the age of the last word of the store from which spares are asked.
+	// It exceeds what watches and polls take together.
+	spareAge = 900 * time.Millisecond
+	// secondAge and othersAge are the ages from which the second host and the others
+	// watch the store themselves. othersSpread is the time over which the others
+	// spread, so that most hear through the first of them. With the time of a watch
 	// they stay below the shortest time in which a configuration must be in force.
-	secondAge = 1200 * time.Millisecond
-	othersAge = 1500 * time.Millisecond
+	secondAge    = time.Second
+	othersAge    = 1400 * time.Millisecond
+	othersSpread = 300 * time.Millisecond
 	// roleCheck is the time between two looks at whether to watch.
 	roleCheck = 100 * time.Millisecond
-	// retryMin and retryMax bound the pause after a failed call of the store.
-	retryMin = 100 * time.Millisecond
-	retryMax = 600 * time.Millisecond
-	// peerRetry is the pause after a host did not answer.
-	peerRetry = 200 * time.Millisecond
+	// retryMin and retryMax bound the pause after a failed call of the store, and
+	// othersRetryMin and othersRetryMax that of all hosts but the first two, which
+	// mostly hear through those of the store's return.
+	retryMin       = 100 * time.Millisecond
+	retryMax       = 600 * time.Millisecond
+	othersRetryMin = 400 * time.Millisecond
+	othersRetryMax = 1200 * time.Millisecond
 	// everything is the prefix of all keys: one watch covers configuration,
 	// targets and hosts.
 	everything = ""
 )
 
-// ranking returns the hosts in the order in which they should watch the store.
-func ranking(hosts map[string]Host) []Host {
-	list := make([]Host, 0, len(hosts))
-	for _, h := range hosts {
-		list = append(list, h)
-	}
-	score := func(h Host) uint64 { return xxhash.Sum64String("watch\x00" + h.Name) }
-	slices.SortFunc(list, func(a, b Host) int {
-		if score(a) < score(b) {
-			return -1
-		}
-		return 1
-	})
-	return list
-}
-
 // mustWatch reports whether this host should watch the store now.
 func (d *Directory) mustWatch(now time.Time) bool {
 	s := d.Snapshot()
 	if s.Key == nil || d.contact.Load() == 0 {
 		return true
 	}
-	age := d.Age(now)
-	switch slices.IndexFunc(s.ranked, func(h Host) bool { return h.Name == d.cfg.Self }) {
+	switch s.place.rank {
 	case 0:
 		return true
 	case 1:
-		return age > secondAge
-	default:
-		return age > othersAge
+		return d.Age(now) > secondAge
 	}
+	return d.Age(now) > othersAge+d.spread
 }
 
 // watcher is the state of a host's watch of the store.
 type watcher struct {
 	d *Directory
-	// active says that this host watches, lost that the last call failed, reload
-	// that everything must be read.
+	// active says that this host watches, lost that the last call failed, reload that
+	// everything must be read.
 	active, lost, reload bool
-	pause                time.Duration
+	// pause is that after the last failure; zero after a success.
+	pause time.Duration
 }
 
-// watch watches the store while this host should. After a failure it goes on from
-// the last revision, and reads everything again when the history is gone.
+// watch watches the store while this host should. It begins, and goes on after a
+// failure, by reading everything: that answers at once, while a watch may be one that
+// hears nothing.
 func (d *Directory) watch(ctx context.Context) error {
 	if d.cfg.FirstStart {
 		// Hosts that start together for the first time read one after the other, so
 		// that most find what the first ones wrote.
 		sleep(ctx, rand.N(startSpread))
 	}
-	w := &watcher{d: d, reload: true, pause: retryMin}
+	w := &watcher{d: d}
 	for ctx.Err() == nil {
 		if !d.mustWatch(time.Now()) {
 			w.active, w.lost = false, false
@@ -116,7 +106,7 @@
 		}
 		if !w.active {
 			d.cfg.Log.WithField("age-ms", d.Age(time.Now()).Milliseconds()).Info("watching the store")
-			w.active = true
+			w.active, w.reload = true, true
 		}
 		sleep(ctx, w.once(ctx))
 	}
@@ -126,12 +116,8 @@
 // once makes one call of the store and returns the pause until the next.
 func (w *watcher) once(ctx context.Context) time.Duration {
 	d := w.d
-	wait := watchWait
-	if w.lost {
-		wait = returnWait
-	}
 	after := d.journal.reached()
-	page, full, err := d.read(ctx, after, w.reload, wait)
+	page, full, err := d.read(ctx, after, w.reload)
 	switch {
 	case errors.Is(err, store.ErrCompacted):
 		d.cfg.Log.WithField("after", after).Info("history is gone, reading everything")
@@ -144,7 +130,7 @@
 		d.cfg.Log.WithField(fieldRevision, page.Revision).Info("store is back")
 	}
 	d.heard(page, full, 0)
-	w.lost, w.reload, w.pause = false, false, retryMin
+	w.lost, w.reload, w.pause = false, false, 0
 	switch {
 	case d.Snapshot().Key == nil:
 		return startPause
@@ -158,69 +144,84 @@
 	if !w.lost && ctx.Err() == nil {
 		w.d.cfg.Log.WithError(err).WithField(fieldRevision, revision).Warn("store is lost")
 	}
-	w.lost = true
-	pause := w.pause/2 + rand.N(w.pause/2)
-	w.pause = min(retryMax, w.pause*2)
-	return pause
+	silent := !w.lost && !w.reload && errors.Is(err, store.ErrUnclear)
+	w.lost, w.reload = true, true
+	if silent {
+		return 0
+	}
+	shortest, longest := retryMin, retryMax
+	if w.d.Snapshot().place.rank > 1 {
+		shortest, longest = othersRetryMin, othersRetryMax
+	}
+	w.pause = min(max(shortest, 2*w.pause), longest)
+	return w.pause/2 + rand.N(w.pause/2)
 }
 
-func (d *Directory) read(ctx context.Context, after uint64, reload bool, wait time.Duration) (page store.Page, full bool, err error) {
+func (d *Directory) read(ctx context.Context, after uint64, reload bool) (page store.Page, full bool, err error) {
 	if reload || after == 0 {
 		page, err = d.cfg.Source.Range(ctx, everything)
 		return page, true, err
 	}
-	page, err = d.cfg.Source.Watch(ctx, everything, after, wait)
+	page, err = d.cfg.Source.Watch(ctx, everything, after, watchWait)
 	return page, false, err
 }
 
-// follow follows the host that choose names, until ctx ends.
-func (d *Directory) follow(ctx context.Context, choose func(s *Snapshot) (Host, bool), wait time.Duration) error {
+// follow follows the parent, or a spare while the parent does not answer, until ctx
+// ends.
+func (d *Directory) follow(ctx context.Context) error {
+	suspects := map[string]time.Time{}
 	for ctx.Err() == nil {
-		host, ok := choose(d.Snapshot())
+		host, ok := d.followed(time.Now(), suspects)
 		if !ok {
 			sleep(ctx, roleCheck)
 			continue
 		}
-		c, err := d.askPeer(ctx, host, d.journal.reached(), wait)
-		if err != nil {
-			sleep(ctx, peerRetry)
-			continue
+		if err := d.hear(ctx, host, parentWait); err != nil {
+			d.cfg.Log.WithError(err).WithField(fieldHost, host.Name).Debug("host does not pass changes on")
+			suspects[host.Name] = time.Now().Add(suspectTime)
 		}
-		d.heard(store.Page{Items: c.Items, Revision: c.Revision}, c.Full, c.Age)
 	}
 	return nil
 }
 
-// near returns the first host of the own domain, or for that one the first host of
-// all; none for the first host of all.
-func (d *Directory) near(s *Snapshot) (Host, bool) {
-	if s.Key == nil || len(s.ranked) == 0 || s.ranked[0].Name == d.cfg.Self {
+// followed returns the first host of the line above that is no suspect; none for the
+// root.
+func (d *Directory) followed(now time.Time, suspects map[string]time.Time) (Host, bool) {
+	s := d.Snapshot()
+	if s.Key == nil || len(s.place.parent) == 0 {
 		return Host{}, false
 	}
-	for _, h := range s.ranked {
-		if h.Domain != d.cfg.Domain {
-			continue
-		}
-		if h.Name == d.cfg.Self {
-			break
+	for _, h := range slices.Concat(s.place.parent, s.place.spares) {
+		if now.After(suspects[h.Name]) {
+			return h, true
 		}
-		return h, true
 	}
-	return s.ranked[0], true
+	return Host{}, false
 }
 
-// far returns the first of all hosts that near does not name already.
-func (d *Directory) far(s *Snapshot) (Host, bool) {
-	near, ok := d.near(s)
-	if !ok {
-		return Host{}, false
-	}
-	for _, h := range s.ranked {
-		if h.Name != d.cfg.Self && h.Name != near.Name {
-			return h, true
+// askSpares asks spares in turn while the store was not heard for some time.
+func (d *Directory) askSpares(ctx context.Context) error {
+	for turn := 0; ctx.Err() == nil; turn++ {
+		s := d.Snapshot()
+		if spares := s.place.spares; s.Key != nil && len(spares) > 0 && d.Age(time.Now()) > spareAge {
+			host := spares[turn%len(spares)]
+			if err := d.hear(ctx, host, 0); err != nil {
+				d.cfg.Log.WithError(err).WithField(fieldHost, host.Name).Debug("spare host does not answer")
+			}
 		}
+		sleep(ctx, roleCheck)
 	}
-	return Host{}, false
+	return nil
+}
+
+// hear takes in what another host knows beyond the own view.
+func (d *Directory) hear(ctx context.Context, host Host, wait time.Duration) error {
+	c, err := d.askPeer(ctx, host, d.journal.reached(), wait)
+	if err != nil {
+		return err
+	}
+	d.heard(store.Page{Items: c.Items, Revision: c.Revision}, c.Full, c.Age)
+	return nil
 }
 
 // heard takes in what the store, or another host, said. age is the time since the
@@ -240,6 +241,7 @@
 	for last < contact && !d.contact.CompareAndSwap(last, contact) {
 		last = d.contact.Load()
 	}
+	d.journal.contacted(d.contact.Load())
 }
 
 // outageAge is the time without a word of the store that counts as its outage.
--- a/internal/fleet/directory/state.go
+++ b/internal/fleet/directory/state.go
@@ -19,6 +19,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -65,8 +66,8 @@
 	Targets map[string][]roster.Active
 	// Hosts are the hosts with an entry, by name.
 	Hosts map[string]Host
-	// ranked are the hosts in the order in which they should watch the store.
-	ranked []Host
+	// place is the own place in the tree over which changes spread.
+	place place
 	// Key authenticates messages between hosts; nil while none is known.
 	Key []byte
 	// MaxHosts is the highest number of hosts that may exist.
@@ -98,6 +99,7 @@
 
 // State is the control state. It is not safe for concurrent use.
 type State struct {
+	self    Host
 	decoder Decoder
 	// taken is called for each item that is newer than what was known of its key.
 	taken    func(store.Item)
@@ -106,18 +108,27 @@
 	table    *routing.Table
 	hosts    map[string]Host
 	maxHosts int
-	key      []byte
-	revision uint64
-	changes  int
-	lines    []Line
+	// last is the latest snapshot. Its maps serve the next one unless hostsChanged or
+	// targetsChanged.
+	last                         *Snapshot
+	hostsChanged, targetsChanged bool
+	// joined and left are the names of hosts that came and went since the last lines.
+	joined, left []string
+	key          []byte
+	revision     uint64
+	changes      int
+	lines        []Line
 	// restarted lists targets that are new under their id.
 	restarted []string
 }
 
-// NewState returns the state of a host that knows nothing. taken is called for each
-// item that is newer than what was known of its key.
-func NewState(decoder Decoder, returnTime time.Duration, taken func(store.Item)) *State {
-	return &State{decoder: decoder, taken: taken, keys: map[string]known{}, roster: roster.New(returnTime), hosts: map[string]Host{}}
+// NewState returns the state of the host self, which knows nothing. taken is called for
+// each item that is newer than what was known of its key.
+func NewState(self Host, decoder Decoder, returnTime time.Duration, taken func(store.Item)) *State {
+	return &State{
+		self: self, decoder: decoder, taken: taken, keys: map[string]known{}, roster: roster.New(returnTime), hosts: map[string]Host{},
+		last: &Snapshot{}, hostsChanged: true, targetsChanged: true,
+	}
 }
 
 // Outage notes that the store was away until now.
@@ -197,6 +208,7 @@
 
 func (s *State) targetChanged(id string, revision uint64, c roster.Change) {
 	s.changes++
+	s.targetsChanged = true
 	if c == roster.Unchanged {
 		return
 	}
@@ -208,8 +220,11 @@
 
 func (s *State) applyHost(name string, item store.Item) {
 	if item.Deleted {
-		delete(s.hosts, name)
-		s.log("host left", map[string]any{fieldHost: name, fieldRevision: item.Revision})
+		if _, ok := s.hosts[name]; ok {
+			delete(s.hosts, name)
+			s.hostsChanged = true
+			s.left = append(s.left, name)
+		}
 		return
 	}
 	var h Host
@@ -217,9 +232,30 @@
 		s.warn("entry names no host", map[string]any{fieldHost: name, fieldRevision: item.Revision})
 		return
 	}
+	if s.hosts[name] == h {
+		return
+	}
 	s.hosts[name] = h
+	s.hostsChanged = true
 	s.maxHosts = max(s.maxHosts, len(s.hosts))
-	s.log("host joined", map[string]any{fieldHost: name, "domain": h.Domain, fieldRevision: item.Revision})
+	s.joined = append(s.joined, name)
+}
+
+// maxNames bounds the names of hosts in a line.
+const maxNames = 16
+
+// logHosts logs the hosts that came and went, together, since a fleet that starts
+// tells each host of all others.
+func (s *State) logHosts() {
+	for _, change := range []struct {
+		text  string
+		names []string
+	}{{"hosts joined", s.joined}, {"hosts left", s.left}} {
+		if n := len(change.names); n > 0 {
+			s.log(change.text, map[string]any{"count": n, "names": change.names[:min(n, maxNames)], "hosts": len(s.hosts), fieldRevision: s.revision})
+		}
+	}
+	s.joined, s.left = nil, nil
 }
 
 // Tick lets go of what is due.
@@ -233,18 +269,23 @@
 
 // Snapshot returns the present view.
 func (s *State) Snapshot() *Snapshot {
-	hosts := make(map[string]Host, len(s.hosts))
-	for name, h := range s.hosts {
-		hosts[name] = h
+	next := *s.last
+	next.Table, next.Key, next.MaxHosts, next.Revision, next.Changed = s.table, s.key, s.maxHosts, s.revision, s.changes
+	if s.hostsChanged {
+		next.Hosts = maps.Clone(s.hosts)
+		next.place = findPlace(ranking(next.Hosts), s.self.Name, s.self.Domain)
 	}
-	return &Snapshot{
-		Table: s.table, Targets: s.roster.Active(), Hosts: hosts, ranked: ranking(hosts), Key: s.key, MaxHosts: s.maxHosts,
-		Revision: s.revision, Changed: s.changes,
+	if s.targetsChanged {
+		next.Targets = s.roster.Active()
 	}
+	s.hostsChanged, s.targetsChanged = false, false
+	s.last = &next
+	return s.last
 }
 
 // TakeLines returns the changes to log since the last call.
 func (s *State) TakeLines() []Line {
+	s.logHosts()
 	lines := s.lines
 	s.lines = nil
 	return lines
--- a/internal/fleet/directory/state_test.go
+++ b/internal/fleet/directory/state_test.go
@@ -38,7 +38,7 @@
 
 var now = time.Unix(1000, 0)
 
-func newState() *State { return NewState(plain{}, time.Second, func(store.Item) {}) }
+func newState() *State { return NewState(Host{}, plain{}, time.Second, func(store.Item) {}) }
 
 func put(key, value string, revision uint64) store.Item {
 	return store.Item{Key: key, Value: []byte(value), Revision: revision}
@@ -121,7 +121,7 @@
 func TestJournalTellsWhatChangedOrEverything(t *testing.T) {
 	j := newJournal()
 	j.add(put("a", "1", 5))
-	j.reach(5, true)
+	j.reach(5)
 	page, full, _ := j.since(0)
 	require.True(t, full, "what was before the first full read is not known")
 	require.Len(t, page.Items, 1)
@@ -129,15 +129,40 @@
 	require.False(t, full)
 	require.Empty(t, page.Items)
 	j.add(store.Item{Key: "a", Revision: 8, Deleted: true})
-	j.reach(8, false)
+	j.reach(8)
 	<-changed
 	page, full, _ = j.since(5)
 	require.False(t, full)
 	require.Equal(t, []store.Item{{Key: "a", Revision: 8, Deleted: true}}, page.Items)
 	for n := range uint64(journalLength + 1) {
-		j.add(put("b", "", 9+n))
-		j.reach(9+n, false)
+		j.add(put("b"+strconv.FormatUint(n, 10), "", 9+n))
+		j.reach(9 + n)
 	}
 	_, full, _ = j.since(8)
 	require.True(t, full, "the change after 8 was dropped")
 }
+
+func TestJournalTellsTheNewestItemOfEachKey(t *testing.T) {
+	j := newJournal()
+	j.reach(1)
+	for _, item := range []store.Item{put("a", "", 2), put("b", "", 5), put("a", "", 4), put("c", "", 3)} {
+		j.add(item)
+	}
+	j.reach(5)
+	page, full, _ := j.since(1)
+	require.False(t, full)
+	require.Equal(t, []store.Item{put("b", "", 5), put("a", "", 4), put("c", "", 3)}, page.Items)
+}
+
+// Hosts that follow one that read everything again get what changed, not everything.
+func TestFullReadTellsFollowersOnlyWhatChanged(t *testing.T) {
+	j := newJournal()
+	s := NewState(Host{}, plain{}, time.Second, j.add)
+	s.Load(now, store.Page{Revision: 3, Items: []store.Item{put("t/a", "", 1), put("t/b", "", 2), put("t/c", "", 3)}})
+	j.reach(3)
+	s.Load(now, store.Page{Revision: 7, Items: []store.Item{put("t/a", "", 1), put("t/c", "", 6)}})
+	j.reach(7)
+	page, full, _ := j.since(3)
+	require.False(t, full)
+	require.ElementsMatch(t, []store.Item{put("t/c", "", 6), {Key: "t/b", Revision: 7, Deleted: true}}, page.Items)
+}
