Let one client serve every call of the platform's store

Cause: the balancer role had a store client and a stand-in with a protocol of their own, beside platform.Client, so two clients and two protocols had to be kept right.

Change: store.Keyed gives single keys with versions over the platform's service, and the balancer role opens platform.Client like the entry role. The host list of that role is kept under keys.

Ruled out: reads by Get in place of a watch's page: they name no revision to go on from.

--- a/cmd/tamarackbench/main.go
+++ b/cmd/tamarackbench/main.go
@@ -26,7 +26,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/bench/load"
 	"tamaracktiller.example/tamaracktiller/internal/bench/platform"
 	"tamaracktiller.example/tamaracktiller/internal/bench/target"
-	"tamaracktiller.example/tamaracktiller/internal/platform/table"
+	"tamaracktiller.example/tamaracktiller/platform/platformtest"
 )
 
 type commands struct {
@@ -72,13 +72,13 @@
 
 // Run serves the stand-in of the platform until a signal comes.
 func (c *platformCommand) Run(ctx context.Context) error {
-	s := platform.New(table.New(), platform.Config{HostLag: c.HostLag})
+	h := platform.Handler(platformtest.New(), platform.Config{HostLag: c.HostLag})
 	var cfg net.ListenConfig
 	l, err := cfg.Listen(ctx, "tcp", c.Listen)
 	if err != nil {
 		return err
 	}
-	return serve(ctx, &http.Server{Handler: s.Handler(), ReadHeaderTimeout: time.Second}, l)
+	return serve(ctx, &http.Server{Handler: h, ReadHeaderTimeout: time.Second}, l)
 }
 
 func serve(ctx context.Context, server *http.Server, l net.Listener) error {
--- a/cmd/tamaracktiller/entry.go
+++ b/cmd/tamaracktiller/entry.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"os"
 	"runtime/debug"
 
@@ -30,14 +29,10 @@
 	debug.SetGCPercent(heapGrowth)
 	p, err := entry.New(s, entry.Platform{
 		Dialect: platform.Dialect{}, Decoder: platform.Decoder{},
-		OpenStore: openStore, ReadyPath: platform.ReadyPath,
+		OpenStore: platform.OpenStore, ReadyPath: platform.ReadyPath,
 	}, func() (*settings.Entry, error) { return platform.LoadSettings(c.Settings) }, os.Stdout)
 	if err != nil {
 		return err
 	}
 	return p.Run(ctx)
 }
-
-func openStore(address netip.AddrPort, count func(operation string)) entry.Store {
-	return platform.NewClient(address, count)
-}
--- a/cmd/tamaracktiller/main.go
+++ b/cmd/tamaracktiller/main.go
@@ -26,6 +26,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/process/logs"
 	"tamaracktiller.example/tamaracktiller/internal/process/operator"
 	"tamaracktiller.example/tamaracktiller/internal/process/settings"
+	"tamaracktiller.example/tamaracktiller/platform"
 )
 
 // Exit codes.
@@ -109,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	b, err := balancer.New(s, log)
+	b, err := balancer.New(s, platform.OpenStore, log)
 	if err != nil {
 		return err
 	}
--- a/internal/platform/store/items.go
+++ b/internal/platform/store/items.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -66,3 +67,14 @@
 	// Errors: ErrConflict, ErrNotFound when the lease has ended, ErrDown, ErrUnclear.
 	Commit(ctx context.Context, conditions []Condition, writes []Put, deletes []string) (uint64, error)
 }
+
+// Service is the platform's service.
+type Service interface {
+	Source
+	Leaser
+	// Get returns a key. Errors: ErrNotFound, ErrDown, ErrUnclear.
+	Get(ctx context.Context, key string) (Item, error)
+}
+
+// Open returns the service at an address. count is called for each call.
+type Open func(address netip.AddrPort, count func(operation string)) Service
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -1,12 +1,11 @@
-// Package store is the client of the platform's key-value service and of its
-// list of hosts.
+// Package store defines what the product needs of the platform's key-value service:
+// keys with revisions, watches and leases, and a store of single keys over them.
 //
-// The service offers compare-and-swap, leases and watches. It is asked rarely:
-// each call is counted, a waiting watch as one.
+// The service is asked rarely: each call is counted, a waiting watch as one.
 //
 // # Usage
 //
-//	s := store.NewClient("http://127.0.0.1:7400", counter)
+//	s := store.NewKeyed(client) // a client of the platform
 //	v, err := s.Get(ctx, "config/head")
 //	version, err := s.Swap(ctx, "config/head", v.Version, data)
 //	switch {
@@ -43,7 +42,7 @@
 	ErrUnchanged = errors.New("store: unchanged")
 )
 
-// Version counts the writes of a key. The version of an absent key is 0.
+// Version grows with each write of a key. The version of an absent key is 0.
 type Version uint64
 
 // Value is the content of a key.
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	b, err := balancer.New(settings, log)
+//	b, err := balancer.New(settings, openStore, log)
 //	err = b.Run(ctx) // returns after a graceful shutdown when ctx ends
 package balancer
 
@@ -73,15 +73,17 @@
 
 	server *tls.Config
 	client *tls.Config
+	// openStore opens the platform's service.
+	openStore store.Open
 }
 
 // New builds a balancer from checked settings.
-func New(s *settings.Settings, log *logs.Log) (*Balancer, error) {
+func New(s *settings.Settings, openStore store.Open, log *logs.Log) (*Balancer, error) {
 	server, client, err := s.PeerTLS.Load()
 	if err != nil {
 		return nil, err
 	}
-	b := &Balancer{s: s, log: log, services: registry.New(), server: server, client: client}
+	b := &Balancer{s: s, log: log, services: registry.New(), server: server, client: client, openStore: openStore}
 	b.g = group.New(context.Background())
 	steps := []func() error{b.addPlatform, b.addFleet, b.addTraffic, b.addServers}
 	for _, step := range steps {
@@ -96,7 +98,9 @@
 	m := newMetrics()
 	b.services.Provide(serviceMetrics, m)
 	b.services.Provide(serviceTimer, timer.New())
-	b.services.Provide(serviceStore, store.NewClient(b.s.Store, m.storeCalls))
+	b.services.Provide(serviceStore, store.NewKeyed(b.openStore(b.s.StoreAddress(), func(operation string) {
+		m.storeCalls.WithLabelValues(operation).Inc()
+	})))
 	b.services.Provide(serviceBurn, burn.NewMeter())
 	return nil
 }
@@ -111,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	client, err := registry.Find[*store.Client](b.services, serviceStore)
+	client, err := registry.Find[*store.Keyed](b.services, serviceStore)
 	if err != nil {
 		return err
 	}
--- a/internal/process/balancer/balancer_test.go
+++ b/internal/process/balancer/balancer_test.go
@@ -19,23 +19,25 @@
 	"github.com/stretchr/testify/require"
 
 	"tamaracktiller.example/tamaracktiller/internal/bench/layout"
-	"tamaracktiller.example/tamaracktiller/internal/bench/platform"
+	bench "tamaracktiller.example/tamaracktiller/internal/bench/platform"
 	"tamaracktiller.example/tamaracktiller/internal/contract/catalog"
 	"tamaracktiller.example/tamaracktiller/internal/contract/plan"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/platform/store"
-	"tamaracktiller.example/tamaracktiller/internal/platform/table"
 	"tamaracktiller.example/tamaracktiller/internal/process/client"
 	"tamaracktiller.example/tamaracktiller/internal/process/logs"
 	"tamaracktiller.example/tamaracktiller/internal/process/settings"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/crash"
+	"tamaracktiller.example/tamaracktiller/platform"
+	"tamaracktiller.example/tamaracktiller/platform/platformtest"
 )
 
 // installation is a fleet of real balancers in this process.
 type installation struct {
 	l     *layout.Layout
-	table *table.Table
+	store *platformtest.Store
+	hosts []store.Host
 	g     *group.Group
 }
 
@@ -43,14 +45,13 @@
 // and puts the layout's intents in force.
 func start(t *testing.T, size layout.Size, handler http.Handler) *installation {
 	t.Helper()
-	i := &installation{l: layout.New(t.TempDir(), size), table: table.New(), g: group.New(context.Background())}
+	i := &installation{l: layout.New(t.TempDir(), size), store: platformtest.New(), g: group.New(context.Background())}
 	require.NoError(t, i.l.Write())
-	var hosts []store.Host
 	data, err := os.ReadFile(i.l.Dir + "/hosts.json")
 	require.NoError(t, err)
-	require.NoError(t, json.Unmarshal(data, &hosts))
-	i.table.SetHosts(hosts)
-	i.serve(t, i.l.Platform().String(), platform.New(i.table, platform.Config{}).Handler())
+	require.NoError(t, json.Unmarshal(data, &i.hosts))
+	bench.SetHosts(i.store, i.hosts)
+	i.serve(t, i.l.Platform().String(), i.store.Handler())
 	for n := 1; n <= size.Targets; n++ {
 		i.serve(t, i.l.Target(n).String(), handler)
 	}
@@ -80,7 +81,7 @@
 	s.Limits.DrainTimeout = 0
 	log, err := logs.New(io.Discard, "error", s.Name)
 	require.NoError(t, err)
-	b, err := New(s, log)
+	b, err := New(s, platform.OpenStore, log)
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -355,15 +356,13 @@
 func leavingTarget(t *testing.T, i *installation, served func(target string) int64) {
 	const target = "target-1"
 	address := i.l.Target(1).String()
-	hosts, err := i.table.Hosts(t.Context())
-	require.NoError(t, err)
 	list := func(state store.HostState, generation uint64) {
-		for n := range hosts {
-			if hosts[n].Name == target {
-				hosts[n].State, hosts[n].Generation = state, generation
+		for n := range i.hosts {
+			if i.hosts[n].Name == target {
+				i.hosts[n].State, i.hosts[n].Generation = state, generation
 			}
 		}
-		i.table.SetHosts(hosts)
+		bench.SetHosts(i.store, i.hosts)
 	}
 	// gets reports whether the target serves any of 40 calls at once, which fill
 	// the slots of all targets.
@@ -404,19 +403,18 @@
 		_ = res.Body.Close()
 		return res
 	}
-	i.table.SetFaults(table.Faults{Down: true})
+	i.store.SetFaults(platformtest.Faults{Down: true})
 	refused := submit()
 	require.Equal(t, http.StatusServiceUnavailable, refused.StatusCode)
 	require.Equal(t, string(call.OutcomeNotRun), refused.Header.Get(call.HeaderOutcome))
 	require.NotEmpty(t, refused.Header.Get("Retry-After"))
-	i.table.SetFaults(table.Faults{})
+	i.store.SetFaults(platformtest.Faults{})
 	before := seen.Load()
 	accepted := submit()
 	require.Equal(t, http.StatusAccepted, accepted.StatusCode)
 	require.Eventually(t, func() bool { return seen.Load() > before }, 20*time.Second, 50*time.Millisecond)
 	require.Eventually(t, func() bool {
-		left, err := i.table.List(t.Context(), "jobs/")
-		return err == nil && len(left) == 0
+		return len(i.store.Keys("jobs/")) == 0
 	}, 20*time.Second, 50*time.Millisecond, "a job that is done must leave the store")
 }
 
--- a/internal/process/balancer/traffic.go
+++ b/internal/process/balancer/traffic.go
@@ -27,7 +27,7 @@
 	metrics *metrics
 	meter   *burn.Meter
 	timers  *timer.Service
-	store   *store.Client
+	store   *store.Keyed
 
 	station *station.Station
 	ledger  *ledger.Service
@@ -69,7 +69,7 @@
 	if t.timers, err = registry.Find[*timer.Service](b.services, serviceTimer); err != nil {
 		return nil, err
 	}
-	t.store, err = registry.Find[*store.Client](b.services, serviceStore)
+	t.store, err = registry.Find[*store.Keyed](b.services, serviceStore)
 	return t, err
 }
 
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -60,19 +60,11 @@
 	trimPeriod = time.Second
 )
 
-// Store is what the process needs of the metadata store.
-type Store interface {
-	store.Source
-	store.Leaser
-}
-
 // Platform holds the parts that speak with the platform.
 type Platform struct {
-	Dialect entry.Dialect
-	Decoder directory.Decoder
-	// OpenStore returns the client of the store at an address. count is called for
-	// each call.
-	OpenStore func(address netip.AddrPort, count func(operation string)) Store
+	Dialect   entry.Dialect
+	Decoder   directory.Decoder
+	OpenStore store.Open
 	// ReadyPath is asked by the platform's balancer.
 	ReadyPath string
 }
@@ -85,7 +77,7 @@
 type Process struct {
 	cfg        *settings.Entry
 	platform   Platform
-	store      Store
+	store      store.Service
 	log        *logs.Log
 	async      *logs.Async
 	g          *group.Group
--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -118,7 +118,7 @@
 	}
 	h := &host{cfg: cfg, log: &lockedBuffer{}, done: make(chan error, 1)}
 	p, err := entry.New(cfg, entry.Platform{
-		Dialect: platform.Dialect{}, Decoder: platform.Decoder{}, OpenStore: openStore, ReadyPath: platform.ReadyPath,
+		Dialect: platform.Dialect{}, Decoder: platform.Decoder{}, OpenStore: platform.OpenStore, ReadyPath: platform.ReadyPath,
 	}, func() (*settings.Entry, error) { return cfg, nil }, h.log)
 	require.NoError(s.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -339,7 +339,3 @@
 	require.NoError(t, <-h.done)
 	require.Less(t, time.Since(began), 6*time.Second)
 }
-
-func openStore(address netip.AddrPort, count func(operation string)) entry.Store {
-	return platform.NewClient(address, count)
-}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -175,12 +175,26 @@
 
 func (s *Settings) checkStore() (field, reason string) {
 	u, err := url.Parse(s.Store)
-	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+	if err != nil || u.Scheme != "http" || !s.StoreAddress().IsValid() {
 		return "store", fmt.Sprintf("want a URL such as http://192.0.2.1:7400, got %q", s.Store)
 	}
 	return "", ""
 }
 
+// StoreAddress returns the address of the platform's service. It is invalid if the
+// settings name none.
+func (s *Settings) StoreAddress() netip.AddrPort {
+	u, err := url.Parse(s.Store)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	address, err := netip.ParseAddrPort(u.Host)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return address
+}
+
 func (s *Settings) checkFiles() (field, reason string) {
 	files := []struct{ field, file string }{
 		{"peer-tls.certificate", s.PeerTLS.Certificate},
