Soak the entry role under faults, and hold questions to each target

A run leaves logs, requests, a timeline and a result.

Cause: a host that starts began with the questions of two seconds, which the host before it may have spent, and the budget was that of a cell, so that the targets left were asked for those left out. Change: an account per target, filled from the start of the process.

Ruled out: the dispatchers' shares adding up to more than the whole; they do not.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint bench
+.PHONY: build demo test lint bench soak
 
 build:
 	CGO_ENABLED=1 go build -o bin/ ./cmd/...
@@ -14,3 +14,9 @@
 
 bench: build
 	@scripts/bench.sh
+
+SEED ?= 1
+RUNS ?= 1
+
+soak: build
+	bin/tamarackbench soak --seed $(SEED) --runs $(RUNS)
--- a/cmd/tamarackbench/main.go
+++ b/cmd/tamarackbench/main.go
@@ -34,6 +34,7 @@
 	Platform platformCommand `cmd:"" help:"Run the stand-in of the platform."`
 	Target   targetCommand   `cmd:"" help:"Run a stand-in target."`
 	Load     loadCommand     `cmd:"" help:"Send calls and measure."`
+	Soak     soakCommand     `cmd:"" help:"Run hosts under seeded faults and check their promises."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/tamarackbench/soak.go
@@ -0,0 +1,67 @@
+package main
+
+// This file defines the command that runs the soak.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tamaracktiller.example/tamaracktiller/internal/bench/soak"
+)
+
+type soakCommand struct {
+	Seed    uint64        `default:"1" help:"Seed of the first run."`
+	Runs    int           `default:"1" help:"Number of runs, with seeds in a row."`
+	Length  time.Duration `default:"20s" help:"Length of a run."`
+	Hosts   int           `default:"5" help:"Number of hosts."`
+	Targets int           `default:"6" help:"Number of targets."`
+	Callers int           `default:"24" help:"Number of callers."`
+	Only    []soak.Kind   `help:"Kinds of faults; all if none is named."`
+	Binary  string        `default:"bin/tamaracktiller" type:"existingfile" help:"Program of the hosts."`
+	Dir     string        `default:"run/soak" help:"Directory for logs and results."`
+}
+
+// Run runs the soak and prints a line per run, then the results as JSON lines.
+func (c *soakCommand) Run(ctx context.Context) error {
+	broken := 0
+	for n := range c.Runs {
+		seed := c.Seed + uint64(n)
+		dir := filepath.Join(c.Dir, fmt.Sprintf("seed-%d", seed))
+		result, err := soak.Run(ctx, soak.Config{
+			Seed: seed, Length: c.Length, Hosts: c.Hosts, Targets: c.Targets, Callers: c.Callers, Only: c.Only, Binary: c.Binary, Dir: dir,
+			Progress: func(at time.Duration, requests int) {
+				fmt.Fprintf(os.Stderr, "\rseed %d: %4.1f of %s, %d requests ", seed, at.Seconds(), c.Length, requests)
+			},
+		})
+		fmt.Fprintln(os.Stderr)
+		if err != nil {
+			return err
+		}
+		if err := result.Write(dir); err != nil {
+			return err
+		}
+		fmt.Printf("seed %d: %d faults, %d versions, answers %s, %d probes, %d broken\n", seed, len(result.Faults), result.Versions, asJSON(result.Statuses), result.Probes, len(result.Violations))
+		for _, v := range result.Violations {
+			fmt.Printf("  %.3f s %s: %s %s\n", v.At.Seconds(), v.Promise, v.Request, v.Text)
+		}
+		broken += len(result.Violations)
+	}
+	if broken > 0 {
+		return errors.Errorf("%d promises were broken; logs and timelines are in %s", broken, c.Dir)
+	}
+	return nil
+}
+
+func asJSON(v any) string {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
--- /dev/null
+++ b/internal/bench/soak/judge.go
@@ -0,0 +1,350 @@
+package soak
+
+// This file defines History, what callers and targets saw, and the promises that it is
+// held against.
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"tamaracktiller.example/tamaracktiller/platform/platformtest"
+)
+
+// Attempt is a request as its caller saw it. Times count from the start of the run.
+type Attempt struct {
+	ID   string `json:"id"`
+	Host int    `json:"host"`
+	// Incarnation counts the starts of the host's process.
+	Incarnation int           `json:"incarnation"`
+	Unsafe      bool          `json:"unsafe"`
+	Began       time.Duration `json:"began-ns"`
+	Ended       time.Duration `json:"ended-ns"`
+	// Status is 0 when no whole answer came; Error says why.
+	Status int    `json:"status"`
+	Error  string `json:"error"`
+	Signed bool   `json:"signed"`
+	Body   string `json:"body"`
+	// Route is the number of the route asked for to see which configuration is in
+	// force; 0 for other requests.
+	Route int `json:"route"`
+}
+
+// Sight is what a target saw.
+type Sight struct {
+	Target string
+	Kind   platformtest.EventKind
+	At     time.Duration
+	ID     string
+}
+
+// Span is a time in which something was wrong with a host, or planned.
+type Span struct {
+	Kind     Kind          `json:"kind"`
+	Host     int           `json:"host"`
+	From, To time.Duration `json:"-"`
+}
+
+// Version is a version of the configuration. It has the last keptRoutes routes up to
+// its number.
+type Version struct {
+	Number int
+	// Written is the time of its acknowledgement.
+	Written time.Duration
+}
+
+// History is all that was seen in a run.
+type History struct {
+	Attempts []Attempt
+	Sights   []Sight
+	// Trouble lists spans of hosts; those of the store have host everyHost.
+	Trouble  []Span
+	Versions []Version
+	// Left is the time at which a target reported that it leaves.
+	Left   map[string]time.Duration
+	Length time.Duration
+}
+
+// everyHost is the host of a span that concerns all.
+const everyHost = -1
+
+// Bounds are the figures of the promises.
+type Bounds struct {
+	// Timeout is the time within which a request has its answer, and Held that which
+	// may pass beyond it.
+	Timeout, Held time.Duration
+	// ConfigApply is the time within which a version is in force on hosts in touch
+	// with the store, and Rollback that after which a host that showed a version may
+	// not act by an older one.
+	ConfigApply, Rollback time.Duration
+	// Drain is the time after which a target that leaves gets no new work.
+	Drain time.Duration
+	// RetryRatio, RetrySlack and RetryWindow bound the sends beyond the first.
+	RetryRatio, RetrySlack float64
+	RetryWindow            time.Duration
+	// AsksPerSecond bounds the questions to a target.
+	AsksPerSecond float64
+	// Recovered is the share of the requests that is served once all faults are over.
+	Recovered float64
+}
+
+// Violation is a promise that was broken.
+type Violation struct {
+	Promise string        `json:"promise"`
+	At      time.Duration `json:"at-ns"`
+	Request string        `json:"request"`
+	Text    string        `json:"text"`
+}
+
+// keptRoutes is the number of routes that a version keeps.
+const keptRoutes = 4
+
+// Judge holds a history against the promises.
+func Judge(h *History, b Bounds) []Violation {
+	j := &judge{h: h, b: b, sights: map[string][]Sight{}}
+	for _, s := range h.Sights {
+		if s.Kind != platformtest.Asked {
+			j.sights[s.ID] = append(j.sights[s.ID], s)
+		}
+	}
+	for _, a := range h.Attempts {
+		j.answer(a)
+		j.outcome(a)
+		j.wait(a)
+	}
+	j.configuration()
+	j.leaving()
+	j.budgets()
+	j.recovery()
+	return j.found
+}
+
+type judge struct {
+	h      *History
+	b      Bounds
+	sights map[string][]Sight
+	found  []Violation
+}
+
+func (j *judge) report(promise string, at time.Duration, request, format string, args ...any) {
+	j.found = append(j.found, Violation{Promise: promise, At: at, Request: request, Text: fmt.Sprintf(format, args...)})
+}
+
+// disturbed reports whether one of the kinds, or any if none is given, concerned the
+// host between two times.
+func (j *judge) disturbed(host int, from, to time.Duration, kinds ...Kind) bool {
+	return slices.ContainsFunc(j.h.Trouble, func(s Span) bool {
+		return (s.Host == host || s.Host == everyHost) && s.From <= to && s.To >= from && (len(kinds) == 0 || slices.Contains(kinds, s.Kind))
+	})
+}
+
+// answer: an answer with success is whole, signed and that of the request.
+func (j *judge) answer(a Attempt) {
+	if a.Status != http.StatusOK {
+		return
+	}
+	size := 0
+	if a.Unsafe {
+		size = len(unsafeBody)
+	}
+	if !a.Signed || !strings.HasSuffix(a.Body, fmt.Sprintf(" for %s ran %d bytes", a.ID, size)) {
+		j.report("own whole answer", a.Ended, a.ID, "signed %t, body %q", a.Signed, a.Body)
+	}
+}
+
+// promisesNotRun are the statuses which say that a request has not run.
+var promisesNotRun = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
+// outcome: an unsafe request runs at most once, and one that is told not to have run
+// never does.
+func (j *judge) outcome(a Attempt) {
+	var ran []Sight
+	for _, s := range j.sights[a.ID] {
+		if s.Kind == platformtest.Ran {
+			ran = append(ran, s)
+		}
+	}
+	if a.Unsafe && len(ran) > 1 {
+		j.report("at most once", ran[1].At, a.ID, "ran %d times: %s, then %s", len(ran), ran[0].Target, ran[1].Target)
+	}
+	if len(ran) > 0 && slices.Contains(promisesNotRun, a.Status) {
+		j.report("true not-run", ran[0].At, a.ID, "status %d at %s, ran at %s on %s", a.Status, a.Ended, ran[0].At, ran[0].Target)
+	}
+	if a.Status == 0 && len(ran) > 0 && !j.disturbed(a.Host, a.Began, a.Ended, HostKill, HostPause) && !j.cutByTarget(a) {
+		j.report("nothing cut", a.Ended, a.ID, "%s; ran at %s on %s", a.Error, ran[0].At, ran[0].Target)
+	}
+}
+
+// cutByTarget reports whether the answer had begun, so that only the target's end can
+// have cut it.
+func (j *judge) cutByTarget(a Attempt) bool { return a.Signed }
+
+// wait: a caller has an answer within the timeout.
+func (j *judge) wait(a Attempt) {
+	if a.Ended-a.Began > j.b.Timeout+j.b.Held && !j.disturbed(a.Host, a.Began, a.Ended, HostKill, HostPause) {
+		j.report("prompt answer", a.Ended, a.ID, "took %s: status %d %s", a.Ended-a.Began, a.Status, a.Error)
+	}
+}
+
+// inTouch reports whether a host could hear the store for as long as a version may take
+// to be in force.
+func (j *judge) inTouch(host int, at time.Duration) bool {
+	from := at - j.b.ConfigApply
+	for _, s := range j.h.Trouble {
+		planned := s.Kind == HostReload || s.Kind == StoreSilent || s.Kind == StoreCompact || s.Kind == StoreLost || s.Kind == StoreLate
+		if (s.Host == host || s.Host == everyHost) && !planned && s.From <= at && s.To >= from {
+			return false
+		}
+	}
+	return true
+}
+
+// process is one run of a host's program.
+type process struct{ host, incarnation int }
+
+// configuration: a version is in force in time, and no host goes back to an older one.
+func (j *judge) configuration() {
+	shown := map[process][]Attempt{}
+	probes := slices.DeleteFunc(slices.Clone(j.h.Attempts), func(a Attempt) bool {
+		return a.Route == 0 || a.Status == 0 || a.Status == http.StatusServiceUnavailable
+	})
+	slices.SortFunc(probes, func(a, b Attempt) int { return int(a.Began - b.Began) })
+	for _, a := range probes {
+		p := process{a.Host, a.Incarnation}
+		oldest, newest := j.mayBeInForce(a)
+		oldest = max(oldest, j.shownBefore(a, shown[p]))
+		if a.Status != http.StatusNotFound {
+			shown[p] = append(shown[p], a)
+		}
+		if !allowed(a, oldest, newest) {
+			j.report("configuration in force", a.Began, a.ID, "host %d answered %d for route %d; versions %d to %d may be in force", a.Host, a.Status, a.Route, oldest, newest)
+		}
+	}
+}
+
+// mayBeInForce returns the oldest and the newest version by which a probe may be
+// answered.
+func (j *judge) mayBeInForce(a Attempt) (oldest, newest int) {
+	inTouch := j.inTouch(a.Host, a.Began)
+	for _, v := range j.h.Versions {
+		if v.Written <= a.Ended {
+			newest = v.Number
+		}
+		if inTouch && v.Written <= a.Began-j.b.ConfigApply {
+			oldest = v.Number
+		}
+	}
+	return oldest, newest
+}
+
+// shownBefore returns the newest version that earlier answers of the same process gave
+// away; 0 for a process that was paused meanwhile.
+func (j *judge) shownBefore(a Attempt, shown []Attempt) int {
+	version := 0
+	if j.disturbed(a.Host, a.Began-j.b.Rollback, a.Ended, HostPause) {
+		return version
+	}
+	for _, before := range shown {
+		if before.Ended+j.b.Rollback < a.Began {
+			version = max(version, before.Route)
+		}
+	}
+	return version
+}
+
+// allowed reports whether a version between two allows the answer to a probe.
+func allowed(a Attempt, oldest, newest int) bool {
+	for v := oldest; v <= newest; v++ {
+		has := a.Route <= v && a.Route > v-keptRoutes
+		if has == (a.Status != http.StatusNotFound) {
+			return true
+		}
+	}
+	return false
+}
+
+// leaving: a target that leaves gets no new work.
+func (j *judge) leaving() {
+	hosts := map[string]Attempt{}
+	for _, a := range j.h.Attempts {
+		hosts[a.ID] = a
+	}
+	for _, s := range j.h.Sights {
+		left, ok := j.h.Left[s.Target]
+		if !ok || s.Kind == platformtest.Asked || s.At < left+j.b.Drain {
+			continue
+		}
+		a := hosts[s.ID]
+		if j.inTouch(a.Host, s.At) && a.Began > left+j.b.Drain {
+			j.report("no work for a target that leaves", s.At, s.ID, "%s left at %s; host %d", s.Target, left, a.Host)
+		}
+	}
+}
+
+// budgets: sends beyond the first and questions stay within their budgets, over all
+// hosts together.
+func (j *judge) budgets() {
+	var first, again []time.Duration
+	for _, list := range j.sights {
+		slices.SortFunc(list, func(a, b Sight) int { return int(a.At - b.At) })
+		for i, s := range list {
+			if i == 0 {
+				first = append(first, s.At)
+			} else {
+				again = append(again, s.At)
+			}
+		}
+	}
+	slices.Sort(first)
+	slices.Sort(again)
+	for i, at := range again {
+		from := at - j.b.RetryWindow
+		sends := i + 1 - before(again, from)
+		requests := before(first, at) - before(first, from)
+		if limit := j.b.RetryRatio*float64(requests) + j.b.RetrySlack; float64(sends) > limit {
+			j.report("retry budget", at, "", "%d sends beyond the first for %d requests in %s", sends, requests, j.b.RetryWindow)
+			break
+		}
+	}
+	j.questions()
+}
+
+// before returns how many of the sorted times lie before t.
+func before(times []time.Duration, t time.Duration) int {
+	n, _ := slices.BinarySearch(times, t)
+	return n
+}
+
+// questions: targets are asked within the budget, which holds over the whole run.
+func (j *judge) questions() {
+	asked := map[string]int{}
+	for _, s := range j.h.Sights {
+		if s.Kind == platformtest.Asked {
+			asked[s.Target]++
+		}
+	}
+	for target, n := range asked {
+		if float64(n) > j.b.AsksPerSecond*j.h.Length.Seconds() {
+			j.report("questions to targets", j.h.Length, "", "%s was asked %d times in %s", target, n, j.h.Length)
+		}
+	}
+}
+
+// recovery: once all faults are over the fleet serves.
+func (j *judge) recovery() {
+	const settle = 3 * time.Second
+	served, all := 0, 0
+	for _, a := range j.h.Attempts {
+		if a.Route == 0 && a.Began > j.h.Length-quiet+settle && a.Ended < j.h.Length {
+			all++
+			if a.Status == http.StatusOK {
+				served++
+			}
+		}
+	}
+	if all == 0 || float64(served) < j.b.Recovered*float64(all) {
+		j.report("service after the faults", j.h.Length, "", "%d of %d requests were served", served, all)
+	}
+}
--- /dev/null
+++ b/internal/bench/soak/result.go
@@ -0,0 +1,87 @@
+package soak
+
+// This file defines Result, its file and its timeline.
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Result is what a run gave.
+type Result struct {
+	Seed   uint64  `json:"seed"`
+	Hosts  int     `json:"hosts"`
+	Faults []Fault `json:"faults"`
+	// Statuses counts the answers of callers' requests by status; 0 is none.
+	Statuses   map[int]int `json:"statuses"`
+	Probes     int         `json:"probes"`
+	Versions   int         `json:"versions"`
+	Violations []Violation `json:"violations"`
+	attempts   []Attempt
+	trouble    []Span
+}
+
+func newResult(cfg Config, faults []Fault, h *History, v []Violation) *Result {
+	r := &Result{Seed: cfg.Seed, Hosts: cfg.Hosts, Faults: faults, Statuses: map[int]int{}, Versions: len(h.Versions), Violations: v, attempts: h.Attempts, trouble: h.Trouble}
+	for _, a := range h.Attempts {
+		if a.Route > 0 {
+			r.Probes++
+		} else {
+			r.Statuses[a.Status]++
+		}
+	}
+	return r
+}
+
+// Write writes the result as JSON, the callers' requests as JSON lines, and the
+// timeline of faults and violations to a directory.
+func (r *Result) Write(dir string) error {
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "result.json"), data, 0o600); err != nil {
+		return err
+	}
+	var lines bytes.Buffer
+	for _, a := range r.attempts {
+		if err := json.NewEncoder(&lines).Encode(a); err != nil {
+			return err
+		}
+	}
+	if err := os.WriteFile(filepath.Join(dir, "requests.jsonl"), lines.Bytes(), 0o600); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, "timeline.txt"), []byte(r.Timeline()), 0o600)
+}
+
+// Timeline returns the faults, the trouble that they made and the violations in the
+// order of time, one a line.
+func (r *Result) Timeline() string {
+	type line struct {
+		at   time.Duration
+		text string
+	}
+	lines := make([]line, 0, len(r.Faults)+len(r.trouble)+len(r.Violations))
+	for _, f := range r.Faults {
+		lines = append(lines, line{f.At, fmt.Sprintf("%-22s %d for %s", f.Kind, f.Index, f.For.Round(time.Millisecond))})
+	}
+	for _, s := range r.trouble {
+		lines = append(lines, line{s.To, fmt.Sprintf("%-22s %d is over, since %s", s.Kind, s.Host, s.From.Round(time.Millisecond))})
+	}
+	for _, v := range r.Violations {
+		lines = append(lines, line{v.At, fmt.Sprintf("BROKEN %s: %s %s", v.Promise, v.Request, v.Text)})
+	}
+	slices.SortStableFunc(lines, func(a, b line) int { return int(a.at - b.at) })
+	var b strings.Builder
+	for _, l := range lines {
+		fmt.Fprintf(&b, "%9.3f s  %s\n", l.at.Seconds(), l.text)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/bench/soak/soak_test.go
@@ -0,0 +1,26 @@
+package soak
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A short run with real processes.
+func TestSoak(t *testing.T) {
+	dir := t.TempDir()
+	binary := filepath.Join(dir, "tamaracktiller")
+	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../../cmd/tamaracktiller").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	result, err := Run(t.Context(), Config{
+		Seed: 1, Length: 12 * time.Second, Hosts: 3, Targets: 4, Callers: 10, Binary: binary, Dir: filepath.Join(dir, "run"),
+		Only: []Kind{HostKill, HostPause, HostStop, HostReload, StoreSilent, StoreDown, TargetCrash, TargetLeave, TargetLose, ConfigChange},
+	})
+	require.NoError(t, err)
+	require.Empty(t, result.Violations, result.Timeline())
+	require.Greater(t, result.Statuses[200], 100)
+	require.Positive(t, result.Probes)
+}
--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -88,20 +87,11 @@
 // /book/ must not be repeated.
 func (s *site) configure(prefixes ...string) {
 	s.version += 3
-	resources := make([]map[string]any, 0, len(prefixes)+1)
+	routes := make([]platformtest.Route, 0, len(prefixes))
 	for _, prefix := range prefixes {
-		kind := "safe"
-		if strings.HasPrefix(prefix, "/book/") {
-			kind = "unsafe"
-		}
-		resources = append(resources, map[string]any{"resource_kind": "routes", "metadata": map[string]string{"name": prefix}, "spec": map[string]any{
-			"host": "shop.example", "prefix": prefix, "kind": kind, "service": "svc", "timeout_ms": 1500, "target_latency_ms": 400, "max_attempts": 3, "priority": 1,
-		}})
+		routes = append(routes, platformtest.Route{Host: "shop.example", Prefix: prefix, Service: "svc", Safe: !strings.HasPrefix(prefix, "/book/"), TimeoutMillis: 1500})
 	}
-	resources = append(resources, map[string]any{"resource_kind": "services", "metadata": map[string]string{"name": "svc"}, "spec": map[string]any{"health_path": "/healthz", "max_connections": 200}})
-	data, err := json.Marshal(map[string]any{"version": s.version, "resources": resources})
-	require.NoError(s.t, err)
-	s.store.Put("op/config", data)
+	s.store.Put("op/config", platformtest.Config(s.version, routes))
 }
 
 func (s *site) start(name string) *host {
--- a/internal/traffic/budget/budget.go
+++ b/internal/traffic/budget/budget.go
@@ -125,10 +125,14 @@
 	return true
 }
 
-// Probes is a host's part of the budget for questions to targets.
+// Probes is a host's part of the budget for questions to targets. Each target has an
+// account of its own, so that no one is asked more often while others are left out.
 type Probes struct {
 	perSecond float64
-	tokens    map[string]*bucket
+	// started is the time from which unused questions are saved up. A process that
+	// starts again has none, since the one before may have spent them.
+	started time.Time
+	tokens  map[string]*bucket
 }
 
 type bucket struct {
@@ -136,29 +140,33 @@
 	filled time.Time
 }
 
-// probeBurst is the time for which unused questions may be saved up.
-const probeBurst = 2 * time.Second
+const (
+	// probeBurst is the time for which unused questions may be saved up.
+	probeBurst = 2 * time.Second
+	// firstProbe is the time whose questions a process may ask at its start, but no
+	// more than one a target, so that the load of targets is known soon.
+	firstProbe = time.Second
+)
 
-// NewProbes returns the budget of a fleet, in questions per target and second.
-func NewProbes(perSecond float64) *Probes {
-	return &Probes{perSecond: perSecond, tokens: map[string]*bucket{}}
+// NewProbes returns the budget of a fleet, in questions per target and second, for a
+// process that starts now.
+func NewProbes(now time.Time, perSecond float64) *Probes {
+	return &Probes{perSecond: perSecond, started: now, tokens: map[string]*bucket{}}
 }
 
 // SetRate changes the questions per target and second.
 func (p *Probes) SetRate(perSecond float64) { p.perSecond = perSecond }
 
-// Spend takes a question from the budget of a service with that many targets. The
-// budget is divided by the number of hosts that ask, or by less for a host with a
-// larger part.
-func (p *Probes) Spend(now time.Time, service string, targets int, askers float64) bool {
-	rate := reserve * p.perSecond * float64(targets) / max(1, askers)
-	limit := rate * probeBurst.Seconds()
-	b := p.tokens[service]
+// Spend takes a question from the budget of a target. The budget is divided by the
+// number of hosts that ask, or by less for a host with a larger part.
+func (p *Probes) Spend(now time.Time, target string, askers float64) bool {
+	rate := reserve * p.perSecond / max(1, askers)
+	b := p.tokens[target]
 	if b == nil {
-		b = &bucket{tokens: limit, filled: now}
-		p.tokens[service] = b
+		b = &bucket{tokens: min(1, rate*firstProbe.Seconds()), filled: p.started}
+		p.tokens[target] = b
 	}
-	b.tokens = min(limit, b.tokens+rate*now.Sub(b.filled).Seconds())
+	b.tokens = min(max(1, rate*probeBurst.Seconds()), b.tokens+rate*now.Sub(b.filled).Seconds())
 	b.filled = now
 	if b.tokens < 1 {
 		return false
@@ -166,3 +174,12 @@
 	b.tokens--
 	return true
 }
+
+// Keep forgets the accounts of all targets but those that exist.
+func (p *Probes) Keep(exists func(target string) bool) {
+	for target := range p.tokens {
+		if !exists(target) {
+			delete(p.tokens, target)
+		}
+	}
+}
--- a/internal/traffic/budget/budget_test.go
+++ b/internal/traffic/budget/budget_test.go
@@ -56,28 +56,52 @@
 func TestQuestionsStayWithinTheBudget(t *testing.T) {
 	const (
 		perSecond = 60.0
-		targets   = 8
 		hosts     = 13
 		seconds   = 60
 	)
-	dispatcher := NewProbes(perSecond)
-	others := make([]*Probes, hosts-1)
-	for i := range others {
-		others[i] = NewProbes(perSecond)
+	tests := []struct {
+		name string
+		// life is the time after which the dispatcher starts again, in milliseconds.
+		life int
+		// least is what is asked at least: the budget is of use.
+		least float64
+	}{
+		{name: "steady", life: seconds * 1000, least: 0.5},
+		{name: "the dispatcher starts again and again", life: 1500, least: 0.5},
 	}
-	now := time.Unix(1000, 0)
-	asked := 0
-	for range seconds * 1000 {
-		now = now.Add(time.Millisecond)
-		if dispatcher.Spend(now, "s", targets, 1/0.8) {
-			asked++
-		}
-		for _, p := range others {
-			if p.Spend(now, "s", targets, hosts/0.2) {
-				asked++
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			var dispatcher *Probes
+			others := make([]*Probes, hosts-1)
+			for i := range others {
+				others[i] = NewProbes(now, perSecond)
 			}
-		}
+			asked := map[string]int{}
+			for ms := range seconds * 1000 {
+				now = now.Add(time.Millisecond)
+				if ms%tt.life == 0 {
+					dispatcher = NewProbes(now, perSecond)
+				}
+				for _, target := range []string{"a", "b", "c"} {
+					if target == "c" && ms > seconds*100 {
+						// The others are not asked in its place.
+						continue
+					}
+					if dispatcher.Spend(now, target, 1/0.8) {
+						asked[target]++
+					}
+					for _, p := range others {
+						if p.Spend(now, target, hosts/0.2) {
+							asked[target]++
+						}
+					}
+				}
+			}
+			for target, n := range asked {
+				require.LessOrEqual(t, float64(n), perSecond*seconds, target)
+			}
+			require.Greater(t, float64(asked["a"]), tt.least*perSecond*seconds)
+		})
 	}
-	require.LessOrEqual(t, float64(asked), perSecond*targets*seconds)
-	require.Greater(t, float64(asked), 0.5*perSecond*targets*seconds)
 }
--- a/internal/traffic/dispatcher/cell.go
+++ b/internal/traffic/dispatcher/cell.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -274,16 +275,16 @@
 	return d.affordable(c, d.chooser.Ask(time.Now(), c.id.key, w.Domain, w.Avoid, n))
 }
 
-// affordable returns as many of the targets as the budget for questions allows.
+// affordable returns the targets that the budget for questions allows to ask.
 func (d *Dispatcher) affordable(c *cell, ids []string) []string {
 	now := time.Now()
-	for i := range ids {
-		if !d.probes.Spend(now, c.id.key, c.targets, c.askers) {
-			return ids[:i]
+	return slices.DeleteFunc(ids, func(id string) bool {
+		if !d.probes.Spend(now, id, c.askers) {
+			return true
 		}
 		d.cfg.Asked(c.id.service)
-	}
-	return ids
+		return false
+	})
 }
 
 // ask asks targets for their load, and returns when all have answered or the wait
--- a/internal/traffic/dispatcher/dispatcher.go
+++ b/internal/traffic/dispatcher/dispatcher.go
@@ -76,7 +76,7 @@
 func New(cfg Config, g *group.Group) *Dispatcher {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Dispatcher{
-		cfg: cfg, g: g, rng: rng, chooser: placement.NewChooser(cfg.Placement, rng), probes: budget.NewProbes(cfg.ProbesPerSecond),
+		cfg: cfg, g: g, rng: rng, chooser: placement.NewChooser(cfg.Placement, rng), probes: budget.NewProbes(time.Now(), cfg.ProbesPerSecond),
 		snapshot: &directory.Snapshot{}, cells: map[string]*cell{}, services: map[string][]*cell{}, suspects: map[string]time.Time{},
 		pending: map[uint64]chan Message{}, served: map[remoteKey]*servedWant{}, settled: map[uint64]time.Time{}, lastID: rng.Uint64(),
 	}
@@ -113,6 +113,7 @@
 		}
 	}
 	d.chooser.SetTargets(all)
+	d.probes.Keep(d.chooser.Has)
 	for key, c := range d.cells {
 		if _, ok := all[key]; !ok {
 			c.targets = 0
--- a/internal/traffic/placement/chooser.go
+++ b/internal/traffic/placement/chooser.go
@@ -42,6 +42,9 @@
 	}
 }
 
+// Has reports whether a target exists.
+func (c *Chooser) Has(id string) bool { return c.targets[id] != nil }
+
 // Forget drops what is known of a target that started again.
 func (c *Chooser) Forget(id string) {
 	if t := c.targets[id]; t != nil {
