Let the requests of dead hosts say nothing of their targets

Change: an end that nobody told teaches nothing. A place of a host that is silent for 300 ms is dropped as soon as its target reports fewer requests than it was given. Places of a host that left or started again are dropped at once. Evidence stays where the host lives, so that a target which swallows requests is still found out.

Before and after: TestTargetsOfADeadHostGetWorkAgain fails, passes.

Ruled out: dropping every request that a report leaves no place for, without doubt in its host: targets that hang would look idle.

--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -56,6 +56,8 @@
 	maxHeaderBytes = 64 << 10
 	// settingsPeriod is the time between two looks at the settings without a signal.
 	settingsPeriod = 10 * time.Second
+	// wantsPeriod is the time between two searches for requests whose hosts are silent.
+	wantsPeriod = 100 * time.Millisecond
 	// trimPeriod is the time between two searches for idle connections.
 	trimPeriod = time.Second
 )
@@ -125,10 +127,8 @@
 		Snapshot: p.directory.Snapshot, Fresh: p.directory.Fresh, Bounds: cfg.Bounds, Log: p.log.For("entry"), Observer: p.metrics,
 	}, p.g)
 	p.services.Provide("directory", p.directory)
-	timers.Every("trim", trimPeriod, func(now time.Time) {
-		p.links.Trim(now)
-		p.dispatcher.Tick(now)
-	})
+	timers.Every("trim", trimPeriod, p.links.Trim)
+	timers.Every("wants", wantsPeriod, p.dispatcher.Tick)
 	timers.Every("loads", p.dispatcher.LoadPeriod(), p.dispatcher.TellLoads)
 	p.addServers()
 	return p, nil
--- a/internal/traffic/dispatcher/dispatcher.go
+++ b/internal/traffic/dispatcher/dispatcher.go
@@ -67,6 +67,8 @@
 	suspects map[string]time.Time
 	pending  map[uint64]chan Message
 	served   map[remoteKey]*servedWant
+	// heard is the time of the last message of a host, by its address.
+	heard map[netip.AddrPort]time.Time
 	// settled are the own wants that got their grants a short time ago.
 	settled map[uint64]time.Time
 	lastID  uint64
@@ -78,7 +80,7 @@
 	return &Dispatcher{
 		cfg: cfg, g: g, rng: rng, chooser: placement.NewChooser(cfg.Placement, rng), probes: budget.NewProbes(time.Now(), cfg.ProbesPerSecond),
 		snapshot: &directory.Snapshot{}, cells: map[string]*cell{}, services: map[string][]*cell{}, suspects: map[string]time.Time{},
-		pending: map[uint64]chan Message{}, served: map[remoteKey]*servedWant{}, settled: map[uint64]time.Time{}, lastID: rng.Uint64(),
+		pending: map[uint64]chan Message{}, served: map[remoteKey]*servedWant{}, heard: map[netip.AddrPort]time.Time{}, settled: map[uint64]time.Time{}, lastID: rng.Uint64(),
 	}
 }
 
@@ -94,6 +96,7 @@
 func (d *Dispatcher) Set(s *directory.Snapshot, restarted []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.forgetDead(time.Now(), d.snapshot.Hosts, s.Hosts)
 	d.snapshot = s
 	for _, id := range restarted {
 		d.chooser.Forget(id)
--- a/internal/traffic/dispatcher/remote.go
+++ b/internal/traffic/dispatcher/remote.go
@@ -29,6 +29,9 @@
 	// forgetAfter is the time after its deadline at which a served want is
 	// forgotten.
 	forgetAfter = time.Second
+	// doubtAfter is the silence of a host after which its requests may be lost with
+	// it. Most requests end sooner, and their ends are told.
+	doubtAfter = 300 * time.Millisecond
 )
 
 // errUnreachable reports that a dispatcher does not answer, or does not dispatch.
@@ -171,6 +174,9 @@
 
 // Receive takes in a message of another host. It does not block.
 func (d *Dispatcher) Receive(from netip.AddrPort, m Message) {
+	d.mu.Lock()
+	d.heard[from] = time.Now()
+	d.mu.Unlock()
 	switch m.Kind {
 	case kindWant:
 		d.serve(from, &m)
@@ -297,12 +303,41 @@
 		}
 	}
 	for key, s := range d.served {
-		if !now.After(s.forget) {
-			continue
+		switch {
+		case now.After(s.forget):
+			d.forget(now, key)
+		case s.grant != nil && now.Sub(d.heard[key.from]) > doubtAfter && now.Sub(s.grant.at) > doubtAfter:
+			d.chooser.Doubt(s.grant.at, s.grant.ID)
 		}
-		delete(d.served, key)
-		if s.grant != nil {
-			d.chooser.Done(now, s.grant.at, s.grant.ID, placement.Cancelled)
+	}
+}
+
+// forget drops a want of another host that nobody will tell the end of. The caller
+// holds the mutex.
+func (d *Dispatcher) forget(now time.Time, key remoteKey) {
+	s := d.served[key]
+	delete(d.served, key)
+	if s.grant != nil {
+		d.chooser.Done(now, s.grant.at, s.grant.ID, placement.Lost)
+	}
+}
+
+// forgetDead drops the wants of hosts that left, or started again. The caller holds
+// the mutex.
+func (d *Dispatcher) forgetDead(now time.Time, before, after map[string]directory.Host) {
+	dead := map[netip.AddrPort]bool{}
+	for name, h := range before {
+		if next, ok := after[name]; !ok || next.Incarnation != h.Incarnation {
+			dead[h.Peers] = true
+			delete(d.heard, h.Peers)
+		}
+	}
+	if len(dead) == 0 {
+		return
+	}
+	for key, s := range d.served {
+		if dead[key.from] && s.grant != nil {
+			d.forget(now, key)
 		}
 	}
 }
--- a/internal/traffic/placement/chooser.go
+++ b/internal/traffic/placement/chooser.go
@@ -192,6 +192,7 @@
 func (c *Chooser) Reported(now time.Time, id string, l Load) {
 	if t := c.targets[id]; t != nil {
 		t.load, t.reported, t.silent = l, now, false
+		t.dropDoubted()
 	}
 }
 
@@ -223,6 +224,19 @@
 	}
 }
 
+// Doubt notes that the host which sent a request may be dead. A target that reports
+// less than it was sent does not run it any more.
+func (c *Chooser) Doubt(sent time.Time, id string) {
+	t := c.targets[id]
+	if t == nil {
+		return
+	}
+	if at := slices.IndexFunc(t.sends, func(s send) bool { return s.at.Equal(sent) }); at >= 0 {
+		t.sends[at].doubted = true
+		t.dropDoubted()
+	}
+}
+
 // Done notes the end of a request that was sent at a time.
 func (c *Chooser) Done(now, sent time.Time, id string, result Result) {
 	t := c.targets[id]
@@ -233,7 +247,7 @@
 		if result == Served || result == Cancelled {
 			t.learnDrag(now, t.sends[at], result == Served)
 		}
-		if result != Refused && t.sends[at].at.Add(t.transit).Before(t.reported) {
+		if result != Refused && result != Lost && t.sends[at].at.Add(t.transit).Before(t.reported) {
 			// The last report counts the request that has ended now.
 			t.load.Running = max(0, t.load.Running-1)
 		}
--- a/internal/traffic/placement/chooser_test.go
+++ b/internal/traffic/placement/chooser_test.go
@@ -156,3 +156,55 @@
 		})
 	}
 }
+
+// A host dies with requests at two targets, and nobody tells the dispatcher how they
+// ended. The targets stop working on them and say so.
+func TestTargetsOfADeadHostGetWorkAgain(t *testing.T) {
+	c := chooser(Load{Slots: 3, Slowness: 1}, Load{Slots: 3, Slowness: 1})
+	for _, id := range []string{"a", "b"} {
+		c.Sent(at(1), id, usual)
+		c.Sent(at(2), id, usual)
+	}
+	c.Doubt(at(1), "a")
+	c.Doubt(at(2), "a")
+	c.Reported(at(500), "a", Load{Slots: 3, Slowness: 1})
+	choice, _ := c.Best(at(501), "s", "d", nil, usual)
+	require.Equal(t, "a", choice.ID)
+	require.True(t, choice.Room, "an idle target does not run what was sent to it half a second ago")
+	require.InDelta(t, usual, choice.Work, float64(time.Millisecond))
+	for _, id := range []string{"a", "b"} {
+		c.Done(at(2500), at(1), id, Lost)
+		c.Done(at(2500), at(2), id, Lost)
+		c.Reported(at(2500), id, Load{Slots: 3, Slowness: 1})
+	}
+	for range 2 {
+		choice, _ = c.Best(at(2501), "s", "d", nil, usual)
+		require.True(t, choice.Room, "a request that nobody told of says nothing of its target")
+		require.InDelta(t, usual, choice.Work, float64(time.Millisecond))
+		c.Sent(at(2501), choice.ID, usual)
+	}
+}
+
+// A target that works on a request for too long is slow, whatever it reports.
+func TestRequestThatStillRunsIsEvidence(t *testing.T) {
+	tests := []struct {
+		name    string
+		doubted bool
+		running int
+	}{
+		{name: "the target says that it runs", doubted: true, running: 1},
+		{name: "the host lives and has no answer", running: 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := chooser(Load{Slots: 3, Slowness: 1})
+			c.Sent(at(1), "a", usual)
+			if tt.doubted {
+				c.Doubt(at(1), "a")
+			}
+			c.Reported(at(900), "a", Load{Running: tt.running, Slots: 3, Slowness: 1})
+			choice, _ := c.Best(at(901), "s", "d", nil, usual)
+			require.False(t, choice.Room)
+		})
+	}
+}
--- a/internal/traffic/placement/load.go
+++ b/internal/traffic/placement/load.go
@@ -26,6 +26,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -107,8 +108,10 @@
 	Failed
 	// Refused is a refusal before the request ran.
 	Refused
-	// Cancelled says nothing about the target.
+	// Cancelled says little about the target: how long the request ran at least.
 	Cancelled
+	// Lost is a send whose end nobody told, as of a host that died. It says nothing.
+	Lost
 )
 
 // send is an own request at a target.
@@ -116,6 +119,8 @@
 	at time.Time
 	// expected is the time that it should take.
 	expected time.Duration
+	// doubted says that the host which sent it may be dead.
+	doubted bool
 }
 
 // target is the state of one target.
@@ -154,6 +159,19 @@
 	return n
 }
 
+// dropDoubted drops the doubted requests that the last report leaves no place for, the
+// oldest first: the target does not work on them any more.
+func (t *target) dropDoubted() {
+	surplus := len(t.sends) - t.outstanding(t.transit) - t.load.Running - t.load.Waiting
+	t.sends = slices.DeleteFunc(t.sends, func(s send) bool {
+		if surplus <= 0 || !s.doubted || !s.at.Add(t.transit).Before(t.reported) {
+			return false
+		}
+		surplus--
+		return true
+	})
+}
+
 // slowness returns the slowness to expect now: as reported while the report is
 // young, and tending to the mean with its age.
 func (t *target) slowness(now time.Time, cfg Config) float64 {
@@ -288,7 +306,7 @@
 
 func (t *target) finished(now time.Time, cfg Config, result Result) {
 	switch result {
-	case Cancelled:
+	case Cancelled, Lost:
 		return
 	case Served:
 		t.row, t.doublings = 0, 0
