--- /dev/null
+++ b/internal/fleet/directory/fuzz_test.go
@@ -0,0 +1,46 @@
+package directory
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"tamaracktiller.example/tamaracktiller/internal/platform/store"
+)
+
+// Whatever another host tells, the view stays usable, and the version of the
+// configuration never goes down.
+func FuzzChanges(f *testing.F) {
+	for _, items := range [][]store.Item{
+		{put("config", "3", 1), put("t/a", "", 2), {Key: "t/a", Revision: 3, Deleted: true}},
+		{put(HostPrefix+"a", `{"name":"a","domain":"d","peers":"10.0.0.1:80"}`, 4), put(HostPrefix+"b", "{", 5), put(KeyKey, "k", 6)},
+	} {
+		data, err := cbor.Marshal(changes{Items: items, Revision: 9, Full: true})
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var c changes
+		if cbor.Unmarshal(data, &c) != nil {
+			return
+		}
+		s := newState()
+		last := uint64(0)
+		for _, item := range c.Items {
+			s.Apply(now, item)
+			if table := s.Snapshot().Table; table != nil {
+				require.GreaterOrEqual(t, table.Config.Version, last)
+				last = table.Config.Version
+			}
+		}
+		s.Load(now, store.Page{Items: c.Items, Revision: c.Revision})
+		snapshot := s.Snapshot()
+		for name, h := range snapshot.Hosts {
+			require.Equal(t, name, h.Name)
+		}
+		s.Apply(now, put("config", strconv.FormatUint(last, 10), c.Revision+1))
+		s.TakeLines()
+	})
+}
--- a/internal/traffic/placement/load.go
+++ b/internal/traffic/placement/load.go
@@ -226,10 +226,7 @@
 // comfortable returns the number of requests that a target runs before it slows
 // down so much that it does less work in all.
 func (c Config) comfortable(slots int) int {
-	n := slots
-	for n > 1 && float64(n) >= c.Crowded*float64(slots) {
-		n--
-	}
+	n := max(1, min(slots, int(math.Ceil(c.Crowded*float64(slots)))-1))
 	if float64(slots)/c.CrowdCost > float64(n) {
 		return slots
 	}
