Report the burn of entry hosts

Late answers are slow, refusals refused, lost answers unknown; what clients did wrong or gave up does not count. A test holds report, metrics and log against each other over served, failed, lost, refused and denied requests.

--- a/cmd/tamaracktiller/main.go
+++ b/cmd/tamaracktiller/main.go
@@ -47,6 +47,7 @@
 	Confirm  confirmCommand  `cmd:"" help:"Put a plan in force."`
 	Status   statusCommand   `cmd:"" help:"Show what is in force, per host."`
 	Explain  explainCommand  `cmd:"" help:"Show who confirmed what, and why."`
+	Burn     burnCommand     `cmd:"" help:"Report the service-level burn of entry hosts."`
 	Trace    traceCommand    `cmd:"" help:"Tell the story of one request from the logs of hosts."`
 	Report   reportCommand   `cmd:"" help:"Report the service-level burn."`
 }
--- a/internal/process/balancer/servers.go
+++ b/internal/process/balancer/servers.go
@@ -117,7 +117,7 @@
 	})
 	r.Get(operator.ReportPath, func(w http.ResponseWriter, _ *http.Request) {
 		s := c.Snapshot()
-		report := meter.Report(time.Now(), s.Self.Name, s.Catalog)
+		report := meter.Report(time.Now(), s.Self.Name, operator.Objectives(s.Catalog))
 		report.Jobs = jobs.Backlog()
 		_ = json.NewEncoder(w).Encode(report)
 	})
--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -3,6 +3,8 @@
 // This file defines the metrics of an entry host.
 
 import (
+	"encoding/json"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -10,6 +12,7 @@
 
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/process/logs"
+	"tamaracktiller.example/tamaracktiller/internal/report/burn"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/entry"
 )
 
@@ -20,6 +23,7 @@
 	latency  *prometheus.HistogramVec
 	asked    *prometheus.CounterVec
 	store    *prometheus.CounterVec
+	burn     *burn.Meter
 }
 
 var _ entry.Observer = (*metrics)(nil)
@@ -32,7 +36,7 @@
 
 func newMetrics() *metrics {
 	m := &metrics{
-		registry: prometheus.NewRegistry(),
+		registry: prometheus.NewRegistry(), burn: burn.NewMeter(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_entry_requests_total", Help: "Client requests by outcome and status."}, []string{labelService, "outcome", "status"}),
 		sends:    prometheus.NewCounter(prometheus.CounterOpts{Name: "tamarack_entry_sends_total", Help: "Sends to targets."}),
 		latency:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "tamarack_entry_latency_seconds", Help: "Time to the final answer.", Buckets: latencyBuckets}, []string{labelService}),
@@ -79,6 +83,45 @@
 	m.requests.WithLabelValues(o.Service, string(o.Outcome), strconv.Itoa(o.Status)).Inc()
 	m.sends.Add(float64(o.Sends))
 	m.latency.WithLabelValues(o.Service).Observe(o.Latency.Seconds())
+	if fault, good, counts := judge(o); counts {
+		m.burn.Add(time.Now(), burn.Sample{Service: o.Service, Weight: 1, Good: good, Fault: fault, Target: o.Target})
+	}
+}
+
+// goodPerThousand is the share of good requests that a service promises. The
+// platform's configuration names none; this is the share that operators' intents
+// mostly name.
+const goodPerThousand = 990
+
+// judge tells whether a request counts for the burn, whether it was good, and what was
+// wrong with it. What clients did wrong or gave up does not count.
+func judge(o entry.Observation) (fault burn.Fault, good, counts bool) {
+	switch o.Outcome {
+	case entry.Served:
+		if o.InTime {
+			return "", true, true
+		}
+		return burn.Slow, false, true
+	case entry.TargetFailed:
+		return burn.Failed, false, true
+	case entry.Refused:
+		return burn.Refused, false, true
+	case entry.Unknown:
+		return burn.Unknown, false, true
+	case entry.Denied, entry.ClientLeft:
+	}
+	return "", false, false
+}
+
+// serveBurn tells the burn of this host. The objectives of a service's routes differ,
+// so that the report names no latency.
+func (m *metrics) serveBurn(host string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(m.burn.Report(time.Now(), host, func(string) (burn.Objective, bool) {
+			return burn.Objective{GoodPerThousand: goodPerThousand}, true
+		}))
+	}
 }
 
 // Asked implements entry.Observer.
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -62,6 +62,9 @@
 	trimPeriod = time.Second
 )
 
+// BurnPath is the path of the burn report on the metrics address.
+const BurnPath = "/burn"
+
 // Platform holds the parts that speak with the platform.
 type Platform struct {
 	Dialect   entry.Dialect
@@ -242,6 +245,7 @@
 func (p *Process) metricsServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(p.metrics.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc(BurnPath, p.metrics.serveBurn(p.cfg.Name))
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 }
 
--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -3,11 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
 	"os"
+	"reflect"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,6 +22,7 @@
 
 	"tamaracktiller.example/tamaracktiller/internal/process/entry"
 	"tamaracktiller.example/tamaracktiller/internal/process/settings"
+	"tamaracktiller.example/tamaracktiller/internal/report/burn"
 	"tamaracktiller.example/tamaracktiller/platform"
 	"tamaracktiller.example/tamaracktiller/platform/platformtest"
 )
@@ -247,6 +252,56 @@
 	}
 }
 
+// One target serves, fails, loses answers and refuses in turn. The log, the metrics and
+// the burn report tell the same of the requests.
+func TestReportMetricsAndLogAgree(t *testing.T) {
+	s := newSite(t, 1, target("t-1", platformtest.Behaviour{}))
+	h := s.hosts[0]
+	for round, b := range []platformtest.Behaviour{{}, {Fail: true}, {LoseAnswers: true}, {Shed: true}, {}} {
+		s.targets[0].SetBehaviour(b)
+		for n := range 4 {
+			_, err := s.send(t.Context(), h, fmt.Sprintf("r-%d-%d", round, n), []string{"/book/x", "/search/x", "/other/x", "/book/y"}[n])
+			require.NoError(t, err)
+		}
+	}
+	get := func(path string) []byte {
+		res, err := http.Get("http://" + h.cfg.Metrics.String() + path)
+		require.NoError(t, err)
+		defer res.Body.Close()
+		data, err := io.ReadAll(res.Body)
+		require.NoError(t, err)
+		return data
+	}
+	counted := map[string]int{}
+	for _, m := range regexp.MustCompile(`tamarack_entry_requests_total\{outcome="([a-z-]+)".*\} (\d+)`).FindAllStringSubmatch(string(get("/metrics")), -1) {
+		n, err := strconv.Atoi(m[2])
+		require.NoError(t, err)
+		counted[m[1]] += n
+	}
+	logged := map[string]int{}
+	require.Eventually(t, func() bool {
+		clear(logged)
+		for _, m := range regexp.MustCompile(`"msg":"request finished","outcome":"([a-z-]+)"`).FindAllStringSubmatch(h.log.String(), -1) {
+			logged[m[1]]++
+		}
+		return reflect.DeepEqual(logged, counted)
+	}, time.Second, 10*time.Millisecond, "logged %v, counted %v", logged, counted)
+	require.Len(t, counted, 5, "%v", counted)
+	require.Equal(t, 5, counted["denied"])
+
+	var r burn.Report
+	require.NoError(t, json.Unmarshal(get(entry.BurnPath), &r))
+	require.Len(t, r.Services, 1)
+	w := r.Services[0].Windows[0]
+	require.EqualValues(t, counted["served"], w.Good)
+	require.EqualValues(t, counted["target-failed"]+counted["refused"]+counted["unknown"], w.Bad)
+	blamed := map[burn.Fault]float64{}
+	for _, c := range r.Services[0].Causes {
+		blamed[c.Fault] += c.Weight
+	}
+	require.Equal(t, map[burn.Fault]float64{burn.Failed: float64(counted["target-failed"]), burn.Refused: float64(counted["refused"]), burn.Unknown: float64(counted["unknown"])}, blamed)
+}
+
 func TestTargetStopsWhenTheClientLeaves(t *testing.T) {
 	s := newSite(t, 1, target("t-1", platformtest.Behaviour{Work: 5 * time.Second}))
 	ctx, cancel := context.WithTimeout(t.Context(), 150*time.Millisecond)
--- a/internal/process/operator/peers.go
+++ b/internal/process/operator/peers.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"tamaracktiller.example/tamaracktiller/internal/contract/catalog"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/controller"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/member"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
@@ -65,10 +66,18 @@
 	return list
 }
 
+// Objectives returns the objectives of a catalog's services.
+func Objectives(c *catalog.Catalog) func(service string) (burn.Objective, bool) {
+	return func(service string) (burn.Objective, bool) {
+		s, ok := c.Services[service]
+		return burn.Objective{GoodPerThousand: s.Objective.GoodPerThousand, Latency: s.Objective.Latency.Std()}, ok
+	}
+}
+
 // Report implements Peers.
 func (p *fleetPeers) Report(ctx context.Context) burn.Report {
 	s := p.snapshot()
-	own := p.meter.Report(time.Now(), s.Self.Name, s.Catalog)
+	own := p.meter.Report(time.Now(), s.Self.Name, Objectives(s.Catalog))
 	own.Jobs = p.jobs.Backlog()
 	reports := []burn.Report{own}
 	var mu sync.Mutex
--- a/internal/report/burn/burn_test.go
+++ b/internal/report/burn/burn_test.go
@@ -6,15 +6,13 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"tamaracktiller.example/tamaracktiller/internal/contract/catalog"
-	"tamaracktiller.example/tamaracktiller/internal/contract/document"
 )
 
 func TestBurnIsWeighedByKindAndWindow(t *testing.T) {
 	now := time.Unix(1_000_000*60, 0)
-	c := catalog.New()
-	c.Services["booking"] = catalog.Service{Name: "booking", Partner: "exchange", Objective: catalog.Objective{Latency: document.Duration(time.Second), GoodPerThousand: 990}}
+	c := func(service string) (Objective, bool) {
+		return Objective{Latency: time.Second, GoodPerThousand: 990}, service == "booking"
+	}
 	add := func(m *Meter, ago time.Duration, weight, n int, good bool) {
 		for range n {
 			s := Sample{Service: "booking", Partner: "exchange", Weight: weight, Good: good}
--- a/internal/report/burn/meter.go
+++ b/internal/report/burn/meter.go
@@ -9,7 +9,7 @@
 //
 //	m := burn.NewMeter()
 //	m.Add(now, burn.Sample{Service: "availability", Weight: 1, Good: true})
-//	report := m.Report(now, objectives)
+//	report := m.Report(now, "host-1", objective)
 //	merged := burn.Merge(reports)
 package burn
 
--- a/internal/report/burn/report.go
+++ b/internal/report/burn/report.go
@@ -10,7 +10,6 @@
 	"strings"
 	"time"
 
-	"tamaracktiller.example/tamaracktiller/internal/contract/catalog"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/job"
 )
 
@@ -57,16 +56,23 @@
 	Jobs job.Backlog `json:"jobs"`
 }
 
-// Report returns the burn of this host.
-func (m *Meter) Report(now time.Time, host string, c *catalog.Catalog) Report {
+// Objective is what a service promises.
+type Objective struct {
+	GoodPerThousand int
+	// Latency is the time of a good answer; zero if it differs by request.
+	Latency time.Duration
+}
+
+// Report returns the burn of this host. objective returns that of a service, and
+// whether the service is known.
+func (m *Meter) Report(now time.Time, host string, objective func(service string) (Objective, bool)) Report {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r := Report{Hosts: []string{host}, UnixMilli: now.UnixMilli()}
 	for name, sr := range m.services {
 		s := Service{Name: name, Partner: sr.partner}
-		if known, ok := c.Services[name]; ok {
-			s.GoodPerThousand = known.Objective.GoodPerThousand
-			s.LatencyMillis = known.Objective.Latency.Std().Milliseconds()
+		if o, ok := objective(name); ok {
+			s.GoodPerThousand, s.LatencyMillis = o.GoodPerThousand, o.Latency.Milliseconds()
 		}
 		for _, w := range Windows {
 			good, bad := sr.sum(now, w)
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -84,6 +84,8 @@
 	Latency time.Duration
 	// InTime says that the answer met the route's objective.
 	InTime bool
+	// Target is the one that the request was sent to last; empty for none.
+	Target string
 }
 
 // Handler serves client requests. It is safe for concurrent use.
--- a/internal/traffic/entry/reply.go
+++ b/internal/traffic/entry/reply.go
@@ -136,7 +136,7 @@
 	if h.cfg.Observer != nil {
 		h.cfg.Observer.Finished(Observation{
 			Service: j.service.Name, Route: j.route.Name, Outcome: v.outcome, Status: v.status,
-			Sends: j.sends, Latency: now.Sub(j.began), InTime: inTime,
+			Sends: j.sends, Latency: now.Sub(j.began), InTime: inTime, Target: j.target,
 		})
 	}
 	level := logrus.InfoLevel
