Refuse requests that crash the targets that run them, on all entry hosts

Cause: on the platform's path hosts had no evidence of each other's crashes, so a request that comes again at any host crashed a target at each.

Change: a connection that broke while a request ran, to a target that refuses connections 30 ms later, is a death. Hosts tell the deaths of a request's like (method, name, path and body) to one host, by rendezvous hashing: one datagram a death. Three different targets condemn it, and all hosts refuse it, unless a request of the like is answered within a second, or other targets died at the same time. Requests pay nothing while there is no evidence.

Shown: TestRequestThatCrashesTargetsIsRefusedByAllHosts fails without it (a fourth target dies), passes; TestRequestsThatWereThereWhenTargetsDiedAreServed holds that five targets that die with requests of one path on them condemn none.

Ruled out: telling every host of every death: deaths x hosts datagrams when a rack fails.

--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -34,6 +34,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/platform/store"
 	"tamaracktiller.example/tamaracktiller/internal/process/logs"
 	"tamaracktiller.example/tamaracktiller/internal/process/settings"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/crash"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/dispatcher"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/entry"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
@@ -121,13 +122,17 @@
 		ReturnTime: cfg.Bounds.ReturnAfterOutage, Changed: p.applySnapshot,
 	}, p.g)
 	p.links = targets.NewLinks(platform.Dialect, p.g)
+	crashes := entry.NewCrashes(entry.CrashConfig{
+		Self: cfg.Name, Hosts: func() map[string]directory.Host { return p.directory.Snapshot().Hosts },
+		Send: p.sendEvidence, Refuses: p.links.Refuses, Log: p.log.For("crashes"),
+	}, p.g)
 	p.dispatcher = dispatcher.New(dispatcher.Config{
 		Self: cfg.Name, Asker: p.links, Placement: placement.DefaultConfig(), ProbesPerSecond: cfg.Bounds.ProbesPerSecond,
-		Send: p.send, Log: p.log.For("dispatcher"), Asked: p.metrics.Asked,
+		Send: p.send, Log: p.log.For("dispatcher"), Asked: p.metrics.Asked, Evidence: crashes.Take,
 	}, p.g)
 	p.handler = entry.New(entry.Config{
 		Domain: cfg.Domain, Dialect: platform.Dialect, Placer: p.dispatcher, Links: p.links,
-		Snapshot: p.directory.Snapshot, Fresh: p.directory.Fresh, Bounds: cfg.Bounds, Log: p.log.For("entry"), Observer: p.metrics,
+		Snapshot: p.directory.Snapshot, Fresh: p.directory.Fresh, Bounds: cfg.Bounds, Log: p.log.For("entry"), Observer: p.metrics, Crashes: crashes,
 	}, p.g)
 	p.services.Provide("directory", p.directory)
 	timers.Every("trim", trimPeriod, p.links.Trim)
@@ -269,6 +274,13 @@
 
 func (p *Process) send(to netip.AddrPort, m dispatcher.Message) error { return p.packets.Send(to, m) }
 
+// sendEvidence tells another host of crashes. A lost message costs a death more.
+func (p *Process) sendEvidence(to netip.AddrPort, e crash.Evidence) {
+	if err := p.send(to, dispatcher.EvidenceMessage(e)); err != nil {
+		p.log.For("crashes").WithError(err).WithField("to", to.String()).Warn("evidence is not sent")
+	}
+}
+
 func (p *Process) serve(ctx context.Context, address netip.AddrPort, server *http.Server) error {
 	var cfg net.ListenConfig
 	l, err := cfg.Listen(ctx, "tcp", address.String())
--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -302,6 +302,65 @@
 	require.Equal(t, map[burn.Fault]float64{burn.Failed: float64(counted["target-failed"]), burn.Refused: float64(counted["refused"]), burn.Unknown: float64(counted["unknown"])}, blamed)
 }
 
+// A request crashes each target that runs it, and comes again at any host. Three targets
+// die of it, and others of its route are served.
+func TestRequestThatCrashesTargetsIsRefusedByAllHosts(t *testing.T) {
+	list := make([]*platformtest.Target, 0, 8)
+	for n := range 8 {
+		list = append(list, target(fmt.Sprintf("t-%d", n), platformtest.Behaviour{CrashPath: "poison"}))
+	}
+	s := newSite(t, 3, list...)
+	time.Sleep(time.Second) // The hosts have to know each other, so that one is the judge.
+	ran := 0
+	for n, h := range s.hosts {
+		id := fmt.Sprintf("p-%d", n)
+		answer, err := s.send(t.Context(), h, id, "/book/poison")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadGateway, answer.status)
+		ran += s.ran(id)
+	}
+	require.Equal(t, 3, ran)
+	time.Sleep(1500 * time.Millisecond)
+	for n := range 6 {
+		id := fmt.Sprintf("again-%d", n)
+		answer, err := s.send(t.Context(), s.hosts[n%3], id, "/book/poison")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, answer.status, "%s\n%s\n%s", s.hosts[0].log, s.hosts[1].log, s.hosts[2].log)
+		require.Zero(t, s.ran(id))
+		answer, err = s.send(t.Context(), s.hosts[n%3], "good-"+id, "/book/x")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, answer.status)
+	}
+}
+
+// Targets die while requests of one path run on them, which others of it survive.
+func TestRequestsThatWereThereWhenTargetsDiedAreServed(t *testing.T) {
+	list := make([]*platformtest.Target, 0, 8)
+	for n := range 8 {
+		list = append(list, target(fmt.Sprintf("t-%d", n), platformtest.Behaviour{Work: 150 * time.Millisecond}))
+	}
+	s := newSite(t, 2, list...)
+	var wg sync.WaitGroup
+	for n := range 14 {
+		wg.Go(func() {
+			_, err := s.send(t.Context(), s.hosts[n%2], fmt.Sprintf("r-%d", n), "/search/x")
+			require.NoError(t, err)
+		})
+	}
+	time.Sleep(80 * time.Millisecond)
+	for _, dying := range list[:5] {
+		dying.Close()
+		time.Sleep(2 * time.Millisecond)
+	}
+	wg.Wait()
+	time.Sleep(1500 * time.Millisecond)
+	for n := range 4 {
+		answer, err := s.send(t.Context(), s.hosts[n%2], fmt.Sprintf("later-%d", n), "/search/x")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, answer.status, s.hosts[n%2].log.String())
+	}
+}
+
 func TestTargetStopsWhenTheClientLeaves(t *testing.T) {
 	s := newSite(t, 1, target("t-1", platformtest.Behaviour{Work: 5 * time.Second}))
 	ctx, cancel := context.WithTimeout(t.Context(), 150*time.Millisecond)
--- a/internal/traffic/crash/guard.go
+++ b/internal/traffic/crash/guard.go
@@ -77,6 +77,11 @@
 	g.deaths = append(g.deaths, d)
 }
 
+// Clear forgets the deaths of a request: it was answered, so they had other causes.
+func (g *Guard) Clear(fingerprint uint64) {
+	g.deaths = slices.DeleteFunc(g.deaths, func(d Death) bool { return d.Fingerprint == fingerprint })
+}
+
 // Refuses reports whether a request is refused. Its cost is linear in the deaths
 // remembered, which are few, and nothing when there are none.
 func (g *Guard) Refuses(now time.Time, fingerprint uint64) bool {
--- a/internal/traffic/dispatcher/dispatcher.go
+++ b/internal/traffic/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/budget"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/crash"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/targets"
 )
@@ -47,6 +48,9 @@
 	Log  *logrus.Entry
 	// Asked is called for each question to a target.
 	Asked func(service string)
+	// Evidence takes in what other hosts tell of crashes. It must not block, and may be
+	// nil.
+	Evidence func(e crash.Evidence)
 }
 
 // Dispatcher finds places for the own requests and for those of other hosts. It is
--- a/internal/traffic/dispatcher/remote.go
+++ b/internal/traffic/dispatcher/remote.go
@@ -184,6 +184,10 @@
 		d.ended(from, &m)
 	case kindLoad:
 		d.noteLoads(m.Loads)
+	case kindEvidence:
+		if m.Evidence != nil && d.cfg.Evidence != nil {
+			d.cfg.Evidence(*m.Evidence)
+		}
 	case kindQueued, kindGranted, kindRefused, kindLeaving, kindMoved:
 		d.deliver(from, m)
 	}
--- a/internal/traffic/dispatcher/want.go
+++ b/internal/traffic/dispatcher/want.go
@@ -24,6 +24,7 @@
 	"fmt"
 	"time"
 
+	"tamaracktiller.example/tamaracktiller/internal/traffic/crash"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/queue"
 )
@@ -111,6 +112,8 @@
 	kindLoad
 	// kindDone tells how a send ended, or that a place is not needed any more.
 	kindDone
+	// kindEvidence tells of a request that may crash targets.
+	kindEvidence
 )
 
 // Message is what hosts say to each other about places. Times are relative, since
@@ -149,8 +152,14 @@
 	// Moved is that of a want; Loads are those of the cells of the service.
 	Moved bool       `cbor:"24,keyasint,omitempty"`
 	Loads []CellLoad `cbor:"25,keyasint,omitempty"`
+
+	// Evidence is set in messages of that kind only.
+	Evidence *crash.Evidence `cbor:"26,keyasint,omitempty"`
 }
 
+// EvidenceMessage returns the message that carries evidence of crashes.
+func EvidenceMessage(e crash.Evidence) Message { return Message{Kind: kindEvidence, Evidence: &e} }
+
 // CellLoad is what a dispatcher tells of a cell.
 type CellLoad struct {
 	Cell string `cbor:"1,keyasint"`
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -67,6 +67,8 @@
 	Bounds   settings.Bounds
 	Log      *logrus.Entry
 	Observer Observer
+	// Crashes finds requests that crash targets; nil for none.
+	Crashes *Crashes
 }
 
 // Observer is told of each finished request.
--- a/internal/traffic/entry/journey.go
+++ b/internal/traffic/entry/journey.go
@@ -26,6 +26,9 @@
 	j.h.countRequest(j.service.Name)
 	var last result
 	for tries := 0; ; tries++ {
+		if j.h.cfg.Crashes.refuses(j) {
+			return j.conclude(*refuse(http.StatusServiceUnavailable, "targets that ran such a request crashed", 0))
+		}
 		grant, refusal := j.place(ctx)
 		if refusal != nil {
 			return j.conclude(*refusal)
--- a/internal/traffic/entry/reply.go
+++ b/internal/traffic/entry/reply.go
@@ -33,6 +33,13 @@
 	Denied Outcome = "denied"
 )
 
+// Names of log fields.
+const (
+	fieldRequest     = "request"
+	fieldTarget      = "target"
+	fieldFingerprint = "fingerprint"
+)
+
 // statusClientLeft is logged for a client that closed its connection.
 const statusClientLeft = 499
 
@@ -104,7 +111,7 @@
 
 func (j *journey) logUndelivered(err error) {
 	if err != nil && j.r.Method != http.MethodHead {
-		j.h.cfg.Log.WithError(err).WithField("request", j.id).Info("answer was not delivered")
+		j.h.cfg.Log.WithError(err).WithField(fieldRequest, j.id).Info("answer was not delivered")
 	}
 }
 
@@ -151,8 +158,8 @@
 		line = line.WithFields(logrus.Fields{"host": j.r.Host, "path": j.r.URL.Path, "revision": j.revision})
 	}
 	line.WithFields(logrus.Fields{
-		"request": j.id, "route": j.route.Name, "service": j.service.Name, "version": j.version,
-		"outcome": v.outcome, "status": v.status, "reason": v.reason, "sends": j.sends, "target": j.target,
+		fieldRequest: j.id, "route": j.route.Name, "service": j.service.Name, "version": j.version,
+		"outcome": v.outcome, "status": v.status, "reason": v.reason, "sends": j.sends, fieldTarget: j.target,
 		"ms": now.Sub(j.began).Milliseconds(), "retry-after-ms": v.retryAfter.Milliseconds(),
 	}).Log(level, "request finished")
 }
@@ -163,7 +170,7 @@
 		return
 	}
 	fields := logrus.Fields{
-		"request": j.id, "target": r.grant.ID, "meaning": r.meaning.String(), "status": r.status,
+		fieldRequest: j.id, fieldTarget: r.grant.ID, "meaning": r.meaning.String(), "status": r.status,
 		"took-ms": r.took.Milliseconds(), "send": j.sends,
 		"running": r.grant.Load.Running, "waiting": r.grant.Load.Waiting, "slots": r.grant.Load.Slots,
 		"slowness": r.grant.Load.Slowness, "load-age-ms": r.grant.Age.Milliseconds(), "expected-ms": (r.grant.Work + r.grant.Wait).Milliseconds(), "dispatcher": r.grant.By(),
--- a/internal/traffic/entry/send.go
+++ b/internal/traffic/entry/send.go
@@ -135,6 +135,9 @@
 		}
 	}
 	h.cfg.Placer.Done(r.grant, e)
+	if r.meaning == answered || e.Result == placement.Failed {
+		h.cfg.Crashes.ended(j, r)
+	}
 }
 
 // learnUsual takes in the time of an answer that a target of usual speed gave.
--- a/internal/traffic/targets/targets.go
+++ b/internal/traffic/targets/targets.go
@@ -18,6 +18,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -176,6 +177,22 @@
 	}
 }
 
+// Refuses reports whether a target refuses connections: its process is gone, while its
+// host is there.
+func (l *Links) Refuses(ctx context.Context, id string) bool {
+	link, ok := l.Find(id)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := open(ctx, link.Target.Address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Ask asks a target for its health and load. Errors: ErrGone, ErrSilent.
 func (l *Links) Ask(ctx context.Context, id, healthPath string) (Report, error) {
 	link, ok := l.Find(id)
