Measure budgets and the age of the view by the steady clock

A step of the clock emptied the window, so that a budget could be spent twice, and made the view look old, or fresh when it was not: a host that believes it is fresh answers 404 for a route that it does not know yet.

Change: both are differences to an origin with a steady reading.

Ruled out: other uses of the time of day on this path; what is left are logs, the burn's minutes, and the crash guard of the balancer role.

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -54,8 +54,11 @@
 	state    *State
 	snapshot atomic.Pointer[Snapshot]
 	journal  *journal
-	// contact is the time at which the store was last heard, directly or through
-	// others, in Unix nanoseconds.
+	// began is the origin of contact. Differences of times are steady, whatever is done
+	// to the time of day.
+	began time.Time
+	// contact is the time since began at which the store was last heard, directly or
+	// through others, in nanoseconds; 0 for never.
 	contact atomic.Int64
 	peers   *http.Client
 	// spread is added to othersAge.
@@ -74,7 +77,7 @@
 
 // New returns a directory that is not started. Its goroutines run in g.
 func New(cfg Config, g *group.Group) *Directory {
-	d := &Directory{cfg: cfg, g: g, journal: newJournal(), spread: rand.N(othersSpread)}
+	d := &Directory{cfg: cfg, g: g, journal: newJournal(), began: time.Now().Add(-never), spread: rand.N(othersSpread)}
 	d.state = NewState(Host{Name: cfg.Self, Domain: cfg.Domain}, cfg.Decoder, cfg.ReturnTime, d.journal.add)
 	if cfg.Peers == nil {
 		cfg.Peers = &http.Transport{DialContext: openPeer, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdle, DisableCompression: true}
@@ -104,7 +107,7 @@
 	if contact == 0 {
 		return never
 	}
-	return max(0, time.Duration(now.UnixNano()-contact))
+	return max(0, now.Sub(d.began)-time.Duration(contact))
 }
 
 // never is the age of what was not heard.
--- a/internal/fleet/directory/follow.go
+++ b/internal/fleet/directory/follow.go
@@ -227,8 +227,7 @@
 // heard takes in what the store, or another host, said. age is the time since the
 // store said it.
 func (d *Directory) heard(page store.Page, full bool, age time.Duration) {
-	now := time.Now()
-	contact := now.Add(-age).UnixNano()
+	contact := int64(time.Since(d.began) - min(age, never/2))
 	last := d.contact.Load()
 	if last > 0 && time.Duration(contact-last) > outageAge {
 		d.loop.Post(event{outage: true})
--- a/internal/fleet/directory/journal.go
+++ b/internal/fleet/directory/journal.go
@@ -25,8 +25,7 @@
 	revision uint64
 	// complete is the revision after which recent holds every change.
 	complete uint64
-	// contact is the contact with the store that the followers were last told of, in
-	// Unix nanoseconds.
+	// contact is the contact with the store that the followers were last told of.
 	contact int64
 	// changed is closed at the next change, or renewal of the contact.
 	changed chan struct{}
@@ -71,8 +70,8 @@
 	j.wake()
 }
 
-// contacted notes the time at which the store was heard, in Unix nanoseconds, and wakes
-// those who wait if it moved on by contactStep.
+// contacted notes the time at which the store was heard, in nanoseconds since any
+// origin, and wakes those who wait if it moved on by contactStep.
 func (j *journal) contacted(at int64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/fleet/directory/state_test.go
+++ b/internal/fleet/directory/state_test.go
@@ -6,12 +6,14 @@
 	"strings"
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/roster"
+	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/platform/store"
 )
 
@@ -166,3 +168,16 @@
 	require.False(t, full)
 	require.ElementsMatch(t, []store.Item{put("t/c", "", 6), {Key: "t/b", Revision: 7, Deleted: true}}, page.Items)
 }
+
+// A step of the time of day neither makes the view old nor keeps it fresh.
+func TestAgeIsSteady(t *testing.T) {
+	d := New(Config{}, group.New(t.Context()))
+	require.Equal(t, never, d.Age(time.Now()))
+	d.heard(store.Page{}, false, 100*time.Millisecond)
+	for _, step := range []int64{-30, 30} {
+		now := time.Now().Add(time.Second)
+		wall := (*uint64)(unsafe.Pointer(&now)) //nolint:gosec // The first field holds the seconds of the day from bit 30 on.
+		*wall += uint64(step << 30)             //nolint:gosec // Wraps for steps back.
+		require.InDelta(t, 1100*time.Millisecond, d.Age(now), float64(50*time.Millisecond))
+	}
+}
--- a/internal/traffic/budget/budget.go
+++ b/internal/traffic/budget/budget.go
@@ -33,6 +33,9 @@
 // window counts events in a sliding window, in steps of a part of it.
 type window struct {
 	length time.Duration
+	// began is the origin of the steps: differences of times are steady, whatever is
+	// done to the time of day.
+	began  time.Time
 	counts [buckets]int
 	last   int64
 }
@@ -40,7 +43,7 @@
 func (w *window) step() time.Duration { return w.length / buckets }
 
 func (w *window) advance(now time.Time) {
-	at := now.UnixNano() / int64(w.step())
+	at := int64(now.Sub(w.began) / w.step())
 	if at-w.last >= buckets {
 		w.counts = [buckets]int{}
 		w.last = at
@@ -89,22 +92,22 @@
 // SetBounds changes the ratio and the slack.
 func (r *Retries) SetBounds(ratio, slack float64) { r.ratio, r.slack = ratio, slack }
 
-func (r *Retries) account(service string) *account {
+func (r *Retries) account(now time.Time, service string) *account {
 	a := r.accounts[service]
 	if a == nil {
-		a = &account{requests: window{length: r.length}, spent: window{length: r.length}}
+		a = &account{requests: window{length: r.length, began: now}, spent: window{length: r.length, began: now}}
 		r.accounts[service] = a
 	}
 	return a
 }
 
 // Request counts a request for a service.
-func (r *Retries) Request(now time.Time, service string) { r.account(service).requests.add(now) }
+func (r *Retries) Request(now time.Time, service string) { r.account(now, service).requests.add(now) }
 
 // Left returns what this host may still spend on a service, when there are at
 // most that many hosts.
 func (r *Retries) Left(now time.Time, service string, hosts int) float64 {
-	a := r.account(service)
+	a := r.account(now, service)
 	return r.allowed(now, a, hosts) - float64(a.spent.sum(now))
 }
 
@@ -117,7 +120,7 @@
 	if r.Left(now, service, hosts) < 1 {
 		return false
 	}
-	a := r.account(service)
+	a := r.account(now, service)
 	a.spent.add(now)
 	if spent := a.spent.sum(now); float64(spent) > r.allowed(now, a, hosts) {
 		panic(fmt.Sprintf("budget: %d sends beyond the first, %.1f allowed", spent, r.allowed(now, a, hosts)))
--- a/internal/traffic/budget/budget_test.go
+++ b/internal/traffic/budget/budget_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/stretchr/testify/require"
 )
@@ -105,3 +106,30 @@
 		})
 	}
 }
+
+// stepped returns a time as a clock shows it whose time of day was set ahead, or back.
+// The steady part of the reading is the same.
+func stepped(t time.Time, seconds int64) time.Time {
+	wall := (*uint64)(unsafe.Pointer(&t)) //nolint:gosec // The first field holds the seconds of the day from bit 30 on.
+	*wall += uint64(seconds << 30)        //nolint:gosec // Wraps for steps back.
+	return t
+}
+
+func TestStepsOfTheTimeOfDayLeaveTheBudgetAlone(t *testing.T) {
+	for _, step := range []int64{-20, 20, 3600} {
+		r := NewRetries(0, 50, 10*time.Second)
+		now := time.Now()
+		spent := 0
+		for ms := range 9000 {
+			at := now.Add(time.Duration(ms) * time.Millisecond)
+			if ms%2000 > 1000 {
+				at = stepped(at, step)
+			}
+			if r.Spend(at, "s", 1) {
+				spent++
+			}
+		}
+		require.LessOrEqual(t, spent, 50, "step of %d s", step)
+		require.Equal(t, 45, spent, "step of %d s", step)
+	}
+}
