--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -112,6 +112,7 @@
 	for _, a := range h.Attempts {
 		j.answer(a)
 		j.outcome(a)
+		j.cut(a)
 		j.wait(a)
 	}
 	j.configuration()
@@ -157,30 +158,34 @@
 // promisesNotRun are the statuses which say that a request has not run.
 var promisesNotRun = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
+// ran returns where and when a request began to run.
+func (j *judge) ran(a Attempt) []Sight {
+	return slices.DeleteFunc(slices.Clone(j.sights[a.ID]), func(s Sight) bool { return s.Kind != platformtest.Ran })
+}
+
 // outcome: an unsafe request runs at most once, and one that is told not to have run
 // never does.
 func (j *judge) outcome(a Attempt) {
-	var ran []Sight
-	for _, s := range j.sights[a.ID] {
-		if s.Kind == platformtest.Ran {
-			ran = append(ran, s)
-		}
-	}
+	ran := j.ran(a)
 	if a.Unsafe && len(ran) > 1 {
 		j.report("at most once", ran[1].At, a.ID, "ran %d times: %s, then %s", len(ran), ran[0].Target, ran[1].Target)
 	}
 	if len(ran) > 0 && slices.Contains(promisesNotRun, a.Status) {
 		j.report("true not-run", ran[0].At, a.ID, "status %d at %s, ran at %s on %s", a.Status, a.Ended, ran[0].At, ran[0].Target)
 	}
-	if a.Status == 0 && len(ran) > 0 && !j.disturbed(a.Host, a.Began, a.Ended, HostKill, HostPause) && !j.cutByTarget(a) {
+}
+
+// cut: a request that began to run has an answer, also from a host that is stopped or
+// reloaded. An answer that had begun was cut by its target.
+func (j *judge) cut(a Attempt) {
+	if a.Status != 0 || a.Signed || j.disturbed(a.Host, a.Began, a.Ended, HostKill, HostPause) {
+		return
+	}
+	if ran := j.ran(a); len(ran) > 0 {
 		j.report("nothing cut", a.Ended, a.ID, "%s; ran at %s on %s", a.Error, ran[0].At, ran[0].Target)
 	}
 }
 
-// cutByTarget reports whether the answer had begun, so that only the target's end can
-// have cut it.
-func (j *judge) cutByTarget(a Attempt) bool { return a.Signed }
-
 // wait: a caller has an answer within the timeout.
 func (j *judge) wait(a Attempt) {
 	if a.Ended-a.Began > j.b.Timeout+j.b.Held && !j.disturbed(a.Host, a.Began, a.Ended, HostKill, HostPause) {
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -208,7 +208,7 @@
 // rotate keeps the list of the hosts that take clients, as the platform's balancer does.
 func (r *run) rotate(ctx context.Context) {
 	const period = 300 * time.Millisecond
-	for second := 0; ctx.Err() == nil; second++ {
+	for ctx.Err() == nil {
 		var ready []*host
 		for _, h := range r.hosts {
 			if h.ready(ctx) {
