--- a/cmd/tamaracktiller/main.go
+++ b/cmd/tamaracktiller/main.go
@@ -21,6 +21,7 @@
 
 	"tamaracktiller.example/tamaracktiller/internal/contract/catalog"
 	"tamaracktiller.example/tamaracktiller/internal/contract/document"
+	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/process/balancer"
 	"tamaracktiller.example/tamaracktiller/internal/process/client"
 	"tamaracktiller.example/tamaracktiller/internal/process/logs"
@@ -107,7 +108,13 @@
 	if err != nil {
 		return err
 	}
-	log, err := logs.New(os.Stderr, s.LogLevel, s.Name)
+	g := group.New(context.WithoutCancel(ctx))
+	lines := logs.NewAsync(os.Stdout, g)
+	defer func() {
+		lines.Flush()
+		_ = g.Stop()
+	}()
+	log, err := logs.New(lines, s.LogLevel, s.Name)
 	if err != nil {
 		return err
 	}
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -109,7 +109,7 @@
 	p.g = group.New(context.Background())
 	p.async = logs.NewAsync(w, p.g)
 	var err error
-	if p.log, err = logs.NewStructured(p.async, cfg.LogLevel, cfg.Name); err != nil {
+	if p.log, err = logs.New(p.async, cfg.LogLevel, cfg.Name); err != nil {
 		return nil, err
 	}
 	p.metrics.watchLogs(p.async)
--- a/internal/process/logs/async.go
+++ b/internal/process/logs/async.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 )
 
@@ -80,13 +78,3 @@
 		}
 	}
 }
-
-// NewStructured returns a log that writes one JSON object per line to w.
-func NewStructured(w io.Writer, level, self string) (*Log, error) {
-	l, err := New(w, level, self)
-	if err != nil {
-		return nil, err
-	}
-	l.logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
-	return l, nil
-}
--- a/internal/process/logs/async_test.go
+++ b/internal/process/logs/async_test.go
@@ -30,7 +30,7 @@
 	defer func() { _ = g.Stop() }()
 	w := &blockedWriter{open: make(chan struct{})}
 	a := NewAsync(w, g)
-	l, err := NewStructured(a, "info", "host-1")
+	l, err := New(a, "info", "host-1")
 	require.NoError(t, err)
 	began := time.Now()
 	for range 3 * queuedLines {
