Rank the hosts of a cell only when the hosts have changed

Each host ranked all hosts for each of its 125 cells at every batch of changes, 16 a second while targets join, and kept all of them.

Change: cells keep the first eight of their ranking until the hosts change.

--- a/internal/fleet/directory/state.go
+++ b/internal/fleet/directory/state.go
@@ -64,8 +64,9 @@
 	Table *routing.Table
 	// Targets are the targets that may get new work, by service.
 	Targets map[string][]roster.Active
-	// Hosts are the hosts with an entry, by name.
-	Hosts map[string]Host
+	// Hosts are the hosts with an entry, by name, and HostChanges counts their changes.
+	Hosts       map[string]Host
+	HostChanges int
 	// place is the own place in the tree over which changes spread.
 	place place
 	// Key authenticates messages between hosts; nil while none is known.
@@ -273,6 +274,7 @@
 	next.Table, next.Key, next.MaxHosts, next.Revision, next.Changed = s.table, s.key, s.maxHosts, s.revision, s.changes
 	if s.hostsChanged {
 		next.Hosts = maps.Clone(s.hosts)
+		next.HostChanges++
 		next.place = findPlace(ranking(next.Hosts), s.self.Name, s.self.Domain)
 	}
 	if s.targetsChanged {
--- a/internal/traffic/dispatcher/cell.go
+++ b/internal/traffic/dispatcher/cell.go
@@ -38,7 +38,9 @@
 	healthPath string
 	targets    int
 	slots      int
-	ranked     []directory.Host
+	// ranked are the first hosts of the cell's ranking, as of a count of host changes.
+	ranked   []directory.Host
+	rankedAt int
 	// askers is the number of hosts that share this host's part of the budget.
 	askers  float64
 	queue   *queue.Queue
@@ -60,7 +62,10 @@
 	for _, t := range part {
 		c.slots += t.Slots
 	}
-	c.ranked = rank(c.id, s.Hosts)
+	if c.rankedAt != s.HostChanges {
+		// The hosts of a large fleet are the same in most snapshots.
+		c.ranked, c.rankedAt = rank(c.id, s.Hosts), s.HostChanges
+	}
 	c.askers = float64(max(1, s.MaxHosts)) / (1 - dispatcherShare)
 	if c.first(self) {
 		c.askers = 1 / dispatcherShare
--- a/internal/traffic/dispatcher/cells.go
+++ b/internal/traffic/dispatcher/cells.go
@@ -46,7 +46,11 @@
 	return cells
 }
 
-// rank returns the hosts in the order in which they should dispatch a cell. Hosts
+// maxRanked is the number of hosts that are kept of a cell's ranking: the first two
+// that are not suspected are asked.
+const maxRanked = 8
+
+// rank returns the first hosts in the order in which they should dispatch a cell. Hosts
 // of the cell's domain come first.
 func rank(id cellID, hosts map[string]directory.Host) []directory.Host {
 	type scored struct {
@@ -69,6 +73,7 @@
 		}
 		return 1
 	})
+	list = list[:min(maxRanked, len(list))]
 	ranked := make([]directory.Host, 0, len(list))
 	for _, s := range list {
 		ranked = append(ranked, s.host)
--- a/internal/traffic/dispatcher/dispatcher_test.go
+++ b/internal/traffic/dispatcher/dispatcher_test.go
@@ -87,7 +87,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	f := &fleet{hosts: map[netip.AddrPort]*Dispatcher{}, cut: map[netip.AddrPort]bool{}, asked: map[string]int{}, running: map[string]int{}, load: placement.Load{Slots: slots, Slowness: 1}}
-	s := &directory.Snapshot{Hosts: map[string]directory.Host{}, Targets: map[string][]roster.Active{}, MaxHosts: hosts}
+	s := &directory.Snapshot{Hosts: map[string]directory.Host{}, Targets: map[string][]roster.Active{}, MaxHosts: hosts, HostChanges: 1}
 	s.Table = routing.NewTable(&routing.Config{Services: map[string]routing.Service{"s": {Name: "s", HealthPath: "/h"}}})
 	for n := range hosts {
 		name := fmt.Sprintf("host-%d", n)
--- a/internal/traffic/dispatcher/load_test.go
+++ b/internal/traffic/dispatcher/load_test.go
@@ -346,7 +346,7 @@
 		logger.SetOutput(io.Discard)
 		w := newWorld(p, 3)
 		g := group.New(context.Background())
-		s := &directory.Snapshot{Hosts: map[string]directory.Host{}, Targets: map[string][]roster.Active{}, MaxHosts: p.hosts}
+		s := &directory.Snapshot{Hosts: map[string]directory.Host{}, Targets: map[string][]roster.Active{}, MaxHosts: p.hosts, HostChanges: 1}
 		s.Table = routing.NewTable(&routing.Config{Services: map[string]routing.Service{"s": {Name: "s", HealthPath: "/h"}}})
 		for n := range p.targets {
 			s.Targets["s"] = append(s.Targets["s"], roster.Active{Target: roster.Target{ID: fmt.Sprintf("t-%d", n), Service: "s", Domain: "d", Slots: p.slots}})
