Keep the platform's names of the soak in platformtest

The client's headers, the settings file and the keys that the soak writes are spelled in platform/platformtest; the soak uses the project's names. TestSoak passes.

--- a/internal/bench/soak/callers.go
+++ b/internal/bench/soak/callers.go
@@ -5,12 +5,12 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"time"
+
+	"tamaracktiller.example/tamaracktiller/platform/platformtest"
 )
 
 const (
@@ -90,9 +90,12 @@
 	a := Attempt{ID: fmt.Sprintf("s%d-%d", r.cfg.Seed, r.lastID.Add(1)), Host: h.index, Unsafe: unsafe, Route: route}
 	a.Incarnation, _ = h.running()
 	a.Began = r.since(time.Now())
-	var err error
-	a.Status, a.Signed, a.Body, err = exchange(ctx, client, h, path, a.ID, unsafe)
-	a.Ended = r.since(time.Now())
+	request := platformtest.Request{ID: a.ID, Host: hostName, Path: path, TimeLeft: deadline}
+	if unsafe {
+		request.Body = unsafeBody
+	}
+	answer, err := request.Send(ctx, client, h.callers())
+	a.Status, a.Signed, a.Body, a.Ended = answer.Status, answer.Signed, answer.Body, r.since(time.Now())
 	if err != nil {
 		a.Status, a.Error = 0, err.Error()
 	}
@@ -104,30 +107,6 @@
 	return a
 }
 
-// exchange sends one request. signed tells of an answer that began, also with an error.
-func exchange(ctx context.Context, client *http.Client, h *host, path, id string, unsafe bool) (status int, signed bool, body string, err error) {
-	method, content := http.MethodGet, io.Reader(nil)
-	if unsafe {
-		method, content = http.MethodPost, strings.NewReader(unsafeBody)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", h.ip, portCallers, path), content)
-	if err != nil {
-		return 0, false, "", err
-	}
-	// Without GetBody the transport does not send a request again.
-	req.GetBody = nil
-	req.Host = hostName
-	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
-	res, err := client.Do(req)
-	if err != nil {
-		return 0, false, "", err
-	}
-	defer res.Body.Close()
-	data, err := io.ReadAll(res.Body)
-	return res.StatusCode, res.Header.Get("X-Server-Signature") != "", string(data), err
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -47,7 +47,7 @@
 		}
 	case f.Kind == StrangeEntry:
 		for n, value := range []string{"", "{", `{"address":7}`, `{"address":"127.0.0.1:1","info":{"service":"svc"},"status":{"state":"odd"}}`} {
-			r.store.Put(fmt.Sprintf("servers/strange-%d", n), []byte(value))
+			r.store.Put(fmt.Sprintf("%sstrange-%d", platformtest.TargetPrefix, n), []byte(value))
 		}
 	default:
 		r.targets[f.Index].disturb(ctx, f)
@@ -152,7 +152,7 @@
 		return err
 	}
 	b.target, b.link = t, link
-	b.r.store.Put("servers/"+id, t.EntryAt(link.address(), "ready"))
+	b.r.store.Put(platformtest.TargetPrefix+id, t.EntryAt(link.address(), "ready"))
 	return nil
 }
 
@@ -182,17 +182,17 @@
 	case TargetCrash:
 		link.set(linkReset)
 		sleep(ctx, min(f.For, lapse))
-		b.r.store.Delete("servers/" + t.ID)
+		b.r.store.Delete(platformtest.TargetPrefix + t.ID)
 		b.replace(ctx)
 	case TargetLeave:
-		b.r.store.Put("servers/"+t.ID, t.EntryAt(link.address(), "draining"))
+		b.r.store.Put(platformtest.TargetPrefix+t.ID, t.EntryAt(link.address(), "draining"))
 		b.r.mu.Lock()
 		if _, ok := b.r.history.Left[t.ID]; !ok {
 			b.r.history.Left[t.ID] = b.r.since(time.Now())
 		}
 		b.r.mu.Unlock()
 		sleep(ctx, f.For+b.r.bounds.Drain)
-		b.r.store.Delete("servers/" + t.ID)
+		b.r.store.Delete(platformtest.TargetPrefix + t.ID)
 		b.replace(ctx)
 	default:
 		if behaviour, ok := behaviours[f.Kind]; ok {
--- a/internal/bench/soak/fleet.go
+++ b/internal/bench/soak/fleet.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -18,7 +17,9 @@
 	"github.com/pkg/errors"
 
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
+	"tamaracktiller.example/tamaracktiller/internal/process/settings"
 	"tamaracktiller.example/tamaracktiller/platform"
+	"tamaracktiller.example/tamaracktiller/platform/platformtest"
 )
 
 const (
@@ -39,7 +40,7 @@
 	binary   string
 	store    *proxy
 	g        *group.Group
-	settings map[string]any
+	settings *settings.Entry
 
 	mu          sync.Mutex
 	process     *os.Process
@@ -49,32 +50,29 @@
 	stopped bool
 }
 
-// hostSettings returns the settings of a host, as the platform writes them.
-func (r *run) hostSettings(h *host) map[string]any {
-	return map[string]any{
-		"node": h.name, "ip": h.ip.String(), "zone": h.domain, "internal_ports": []int{portPeers, portPeers + 9},
-		"bootstrap": true, "heartbeat_ms": 1000, "zones": map[string]string{"d-0": "r", "d-1": "r"},
-		"listen": map[string]string{"front": fmt.Sprintf("%s:%d", h.ip, portCallers), "ready": fmt.Sprintf("%s:%d", h.ip, portReady)},
-		"limits": map[string]int{"memory_mb": 200},
-		"bounds": map[string]any{
-			"drain_ms": r.bounds.Drain.Milliseconds(), "grace_s": graceTime.Seconds(), "config_apply_ms": r.bounds.ConfigApply.Milliseconds(),
-			"retry_budget_ratio": r.bounds.RetryRatio, "budget_window_s": r.bounds.RetryWindow.Seconds(), "budget_slack": r.bounds.RetrySlack,
-			"probes_per_s": r.bounds.AsksPerSecond,
+// hostSettings returns the settings of a host.
+func (r *run) hostSettings(h *host) *settings.Entry {
+	const megabyte = 1 << 20
+	return &settings.Entry{
+		Name: h.name, Domain: h.domain, Domains: []string{"d-0", "d-1"}, FirstStart: true,
+		Callers: h.callers(), Observe: netip.AddrPortFrom(h.ip, portReady), Peers: netip.AddrPortFrom(h.ip, portPeers), Store: h.store.address(),
+		MemoryBytes: 200 * megabyte, Heartbeat: time.Second,
+		Bounds: settings.Bounds{
+			RetryRatio: r.bounds.RetryRatio, RetrySlack: r.bounds.RetrySlack, RetryWindow: r.bounds.RetryWindow, ProbesPerSecond: r.bounds.AsksPerSecond,
+			ConfigApply: r.bounds.ConfigApply, Drain: r.bounds.Drain, Grace: graceTime, MinLease: time.Second,
 		},
-		"platform": map[string]any{"address": h.store.address().String(), "min_ttl_ms": 1000},
 	}
 }
 
+// callers returns the address for callers.
+func (h *host) callers() netip.AddrPort { return netip.AddrPortFrom(h.ip, portCallers) }
+
 func (h *host) file() string { return filepath.Join(h.dir, h.name+".json") }
 
 // writeSettings writes the settings file; the process reads it at its start and on
 // SIGHUP.
 func (h *host) writeSettings() error {
-	data, err := json.Marshal(h.settings)
-	if err != nil {
-		return err
-	}
-	return os.WriteFile(h.file(), data, 0o600)
+	return os.WriteFile(h.file(), platformtest.Settings(h.settings), 0o600)
 }
 
 // start starts the process. Its log is appended to a file beside the settings.
@@ -97,7 +95,7 @@
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, h.name)
 	}
-	h.settings["bootstrap"] = false
+	h.settings.FirstStart = false
 	h.process, h.ended = cmd.Process, make(chan struct{})
 	h.incarnation++
 	ended := h.ended
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -246,6 +246,6 @@
 	for n := max(1, number-keptRoutes+1); n <= number; n++ {
 		routes = append(routes, platformtest.Route{Host: hostName, Prefix: fmt.Sprintf("/r%d/", n), Service: service, Safe: true, TimeoutMillis: int(deadline.Milliseconds())})
 	}
-	r.store.Put("op/config", platformtest.Config(number, routes))
+	r.store.Put(platformtest.ConfigKey, platformtest.Config(number, routes))
 	r.history.Versions = append(r.history.Versions, Version{Number: number, Written: r.since(time.Now())})
 }
