--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/check.go
@@ -1,7 +1,7 @@
 package soak
 
-// This file defines History, what callers and targets saw, and the promises that it is
-// held against.
+// This file defines History, what callers and targets saw, and Check, which holds it
+// against the promises.
 
 import (
 	"fmt"
@@ -101,48 +101,48 @@
 // keptRoutes is the number of routes that a version keeps.
 const keptRoutes = 4
 
-// Judge holds a history against the promises.
-func Judge(h *History, b Bounds) []Violation {
-	j := &judge{h: h, b: b, sights: map[string][]Sight{}}
+// Check returns the promises that a history breaks.
+func Check(h *History, b Bounds) []Violation {
+	c := &checker{h: h, b: b, sights: map[string][]Sight{}}
 	for _, s := range h.Sights {
 		if s.Kind != platformtest.Asked {
-			j.sights[s.ID] = append(j.sights[s.ID], s)
+			c.sights[s.ID] = append(c.sights[s.ID], s)
 		}
 	}
 	for _, a := range h.Attempts {
-		j.answer(a)
-		j.outcome(a)
-		j.cut(a)
-		j.wait(a)
+		c.answer(a)
+		c.outcome(a)
+		c.cut(a)
+		c.wait(a)
 	}
-	j.configuration()
-	j.leaving()
-	j.budgets()
-	j.recovery()
-	return j.found
+	c.configuration()
+	c.leaving()
+	c.budgets()
+	c.recovery()
+	return c.found
 }
 
-type judge struct {
+type checker struct {
 	h      *History
 	b      Bounds
 	sights map[string][]Sight
 	found  []Violation
 }
 
-func (j *judge) report(promise string, at time.Duration, request, format string, args ...any) {
-	j.found = append(j.found, Violation{Promise: promise, At: at, Request: request, Text: fmt.Sprintf(format, args...)})
+func (c *checker) report(promise string, at time.Duration, request, format string, args ...any) {
+	c.found = append(c.found, Violation{Promise: promise, At: at, Request: request, Text: fmt.Sprintf(format, args...)})
 }
 
 // disturbed reports whether one of the kinds, or any if none is given, concerned the
 // host between two times.
-func (j *judge) disturbed(host int, from, to time.Duration, kinds ...Kind) bool {
-	return slices.ContainsFunc(j.h.Trouble, func(s Span) bool {
+func (c *checker) disturbed(host int, from, to time.Duration, kinds ...Kind) bool {
+	return slices.ContainsFunc(c.h.Trouble, func(s Span) bool {
 		return (s.Host == host || s.Host == everyHost) && s.From <= to && s.To >= from && (len(kinds) == 0 || slices.Contains(kinds, s.Kind))
 	})
 }
 
 // answer: an answer with success is whole, signed and that of the request.
-func (j *judge) answer(a Attempt) {
+func (c *checker) answer(a Attempt) {
 	if a.Status != http.StatusOK {
 		return
 	}
@@ -151,7 +151,7 @@
 		size = len(unsafeBody)
 	}
 	if !a.Signed || !strings.HasSuffix(a.Body, fmt.Sprintf(" for %s ran %d bytes", a.ID, size)) {
-		j.report("own whole answer", a.Ended, a.ID, "signed %t, body %q", a.Signed, a.Body)
+		c.report("own whole answer", a.Ended, a.ID, "signed %t, body %q", a.Signed, a.Body)
 	}
 }
 
@@ -159,45 +159,45 @@
 var promisesNotRun = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
 // ran returns where and when a request began to run.
-func (j *judge) ran(a Attempt) []Sight {
-	return slices.DeleteFunc(slices.Clone(j.sights[a.ID]), func(s Sight) bool { return s.Kind != platformtest.Ran })
+func (c *checker) ran(a Attempt) []Sight {
+	return slices.DeleteFunc(slices.Clone(c.sights[a.ID]), func(s Sight) bool { return s.Kind != platformtest.Ran })
 }
 
 // outcome: an unsafe request runs at most once, and one that is told not to have run
 // never does.
-func (j *judge) outcome(a Attempt) {
-	ran := j.ran(a)
+func (c *checker) outcome(a Attempt) {
+	ran := c.ran(a)
 	if a.Unsafe && len(ran) > 1 {
-		j.report("at most once", ran[1].At, a.ID, "ran %d times: %s, then %s", len(ran), ran[0].Target, ran[1].Target)
+		c.report("at most once", ran[1].At, a.ID, "ran %d times: %s, then %s", len(ran), ran[0].Target, ran[1].Target)
 	}
 	if len(ran) > 0 && slices.Contains(promisesNotRun, a.Status) {
-		j.report("true not-run", ran[0].At, a.ID, "status %d at %s, ran at %s on %s", a.Status, a.Ended, ran[0].At, ran[0].Target)
+		c.report("true not-run", ran[0].At, a.ID, "status %d at %s, ran at %s on %s", a.Status, a.Ended, ran[0].At, ran[0].Target)
 	}
 }
 
 // cut: a request that began to run has an answer, also from a host that is stopped or
 // reloaded. An answer that had begun was cut by its target.
-func (j *judge) cut(a Attempt) {
-	if a.Status != 0 || a.Signed || j.disturbed(a.Host, a.Began, a.Ended, HostKill, HostPause) {
+func (c *checker) cut(a Attempt) {
+	if a.Status != 0 || a.Signed || c.disturbed(a.Host, a.Began, a.Ended, HostKill, HostPause) {
 		return
 	}
-	if ran := j.ran(a); len(ran) > 0 {
-		j.report("nothing cut", a.Ended, a.ID, "%s; ran at %s on %s", a.Error, ran[0].At, ran[0].Target)
+	if ran := c.ran(a); len(ran) > 0 {
+		c.report("nothing cut", a.Ended, a.ID, "%s; ran at %s on %s", a.Error, ran[0].At, ran[0].Target)
 	}
 }
 
 // wait: a caller has an answer within the timeout.
-func (j *judge) wait(a Attempt) {
-	if a.Ended-a.Began > j.b.Timeout+j.b.Held && !j.disturbed(a.Host, a.Began, a.Ended, HostKill, HostPause) {
-		j.report("prompt answer", a.Ended, a.ID, "took %s: status %d %s", a.Ended-a.Began, a.Status, a.Error)
+func (c *checker) wait(a Attempt) {
+	if a.Ended-a.Began > c.b.Timeout+c.b.Held && !c.disturbed(a.Host, a.Began, a.Ended, HostKill, HostPause) {
+		c.report("prompt answer", a.Ended, a.ID, "took %s: status %d %s", a.Ended-a.Began, a.Status, a.Error)
 	}
 }
 
 // inTouch reports whether a host could hear the store for as long as a version may take
 // to be in force.
-func (j *judge) inTouch(host int, at time.Duration) bool {
-	from := at - j.b.ConfigApply
-	for _, s := range j.h.Trouble {
+func (c *checker) inTouch(host int, at time.Duration) bool {
+	from := at - c.b.ConfigApply
+	for _, s := range c.h.Trouble {
 		planned := s.Kind == HostReload || s.Kind == StoreSilent || s.Kind == StoreCompact || s.Kind == StoreLost || s.Kind == StoreLate
 		if (s.Host == host || s.Host == everyHost) && !planned && s.From <= at && s.To >= from {
 			return false
@@ -210,34 +210,34 @@
 type process struct{ host, incarnation int }
 
 // configuration: a version is in force in time, and no host goes back to an older one.
-func (j *judge) configuration() {
+func (c *checker) configuration() {
 	shown := map[process][]Attempt{}
-	probes := slices.DeleteFunc(slices.Clone(j.h.Attempts), func(a Attempt) bool {
+	probes := slices.DeleteFunc(slices.Clone(c.h.Attempts), func(a Attempt) bool {
 		return a.Route == 0 || a.Status == 0 || a.Status == http.StatusServiceUnavailable
 	})
 	slices.SortFunc(probes, func(a, b Attempt) int { return int(a.Began - b.Began) })
 	for _, a := range probes {
 		p := process{a.Host, a.Incarnation}
-		oldest, newest := j.mayBeInForce(a)
-		oldest = max(oldest, j.shownBefore(a, shown[p]))
+		oldest, newest := c.mayBeInForce(a)
+		oldest = max(oldest, c.shownBefore(a, shown[p]))
 		if a.Status != http.StatusNotFound {
 			shown[p] = append(shown[p], a)
 		}
 		if !allowed(a, oldest, newest) {
-			j.report("configuration in force", a.Began, a.ID, "host %d answered %d for route %d; versions %d to %d may be in force", a.Host, a.Status, a.Route, oldest, newest)
+			c.report("configuration in force", a.Began, a.ID, "host %d answered %d for route %d; versions %d to %d may be in force", a.Host, a.Status, a.Route, oldest, newest)
 		}
 	}
 }
 
 // mayBeInForce returns the oldest and the newest version by which a probe may be
 // answered.
-func (j *judge) mayBeInForce(a Attempt) (oldest, newest int) {
-	inTouch := j.inTouch(a.Host, a.Began)
-	for _, v := range j.h.Versions {
+func (c *checker) mayBeInForce(a Attempt) (oldest, newest int) {
+	inTouch := c.inTouch(a.Host, a.Began)
+	for _, v := range c.h.Versions {
 		if v.Written <= a.Ended {
 			newest = v.Number
 		}
-		if inTouch && v.Written <= a.Began-j.b.ConfigApply {
+		if inTouch && v.Written <= a.Began-c.b.ConfigApply {
 			oldest = v.Number
 		}
 	}
@@ -246,13 +246,13 @@
 
 // shownBefore returns the newest version that earlier answers of the same process gave
 // away; 0 for a process that was paused meanwhile.
-func (j *judge) shownBefore(a Attempt, shown []Attempt) int {
+func (c *checker) shownBefore(a Attempt, shown []Attempt) int {
 	version := 0
-	if j.disturbed(a.Host, a.Began-j.b.Rollback, a.Ended, HostPause) {
+	if c.disturbed(a.Host, a.Began-c.b.Rollback, a.Ended, HostPause) {
 		return version
 	}
 	for _, before := range shown {
-		if before.Ended+j.b.Rollback < a.Began {
+		if before.Ended+c.b.Rollback < a.Began {
 			version = max(version, before.Route)
 		}
 	}
@@ -271,28 +271,28 @@
 }
 
 // leaving: a target that leaves gets no new work.
-func (j *judge) leaving() {
+func (c *checker) leaving() {
 	hosts := map[string]Attempt{}
-	for _, a := range j.h.Attempts {
+	for _, a := range c.h.Attempts {
 		hosts[a.ID] = a
 	}
-	for _, s := range j.h.Sights {
-		left, ok := j.h.Left[s.Target]
-		if !ok || s.Kind == platformtest.Asked || s.At < left+j.b.Drain {
+	for _, s := range c.h.Sights {
+		left, ok := c.h.Left[s.Target]
+		if !ok || s.Kind == platformtest.Asked || s.At < left+c.b.Drain {
 			continue
 		}
 		a := hosts[s.ID]
-		if j.inTouch(a.Host, s.At) && a.Began > left+j.b.Drain {
-			j.report("no work for a target that leaves", s.At, s.ID, "%s left at %s; host %d", s.Target, left, a.Host)
+		if c.inTouch(a.Host, s.At) && a.Began > left+c.b.Drain {
+			c.report("no work for a target that leaves", s.At, s.ID, "%s left at %s; host %d", s.Target, left, a.Host)
 		}
 	}
 }
 
 // budgets: sends beyond the first and questions stay within their budgets, over all
 // hosts together.
-func (j *judge) budgets() {
+func (c *checker) budgets() {
 	var first, again []time.Duration
-	for _, list := range j.sights {
+	for _, list := range c.sights {
 		slices.SortFunc(list, func(a, b Sight) int { return int(a.At - b.At) })
 		for i, s := range list {
 			if i == 0 {
@@ -305,15 +305,15 @@
 	slices.Sort(first)
 	slices.Sort(again)
 	for i, at := range again {
-		from := at - j.b.RetryWindow
+		from := at - c.b.RetryWindow
 		sends := i + 1 - before(again, from)
 		requests := before(first, at) - before(first, from)
-		if limit := j.b.RetryRatio*float64(requests) + j.b.RetrySlack; float64(sends) > limit {
-			j.report("retry budget", at, "", "%d sends beyond the first for %d requests in %s", sends, requests, j.b.RetryWindow)
+		if limit := c.b.RetryRatio*float64(requests) + c.b.RetrySlack; float64(sends) > limit {
+			c.report("retry budget", at, "", "%d sends beyond the first for %d requests in %s", sends, requests, c.b.RetryWindow)
 			break
 		}
 	}
-	j.questions()
+	c.questions()
 }
 
 // before returns how many of the sorted times lie before t.
@@ -323,33 +323,33 @@
 }
 
 // questions: targets are asked within the budget, which holds over the whole run.
-func (j *judge) questions() {
+func (c *checker) questions() {
 	asked := map[string]int{}
-	for _, s := range j.h.Sights {
+	for _, s := range c.h.Sights {
 		if s.Kind == platformtest.Asked {
 			asked[s.Target]++
 		}
 	}
 	for target, n := range asked {
-		if float64(n) > j.b.AsksPerSecond*j.h.Length.Seconds() {
-			j.report("questions to targets", j.h.Length, "", "%s was asked %d times in %s", target, n, j.h.Length)
+		if float64(n) > c.b.AsksPerSecond*c.h.Length.Seconds() {
+			c.report("questions to targets", c.h.Length, "", "%s was asked %d times in %s", target, n, c.h.Length)
 		}
 	}
 }
 
 // recovery: once all faults are over the fleet serves.
-func (j *judge) recovery() {
+func (c *checker) recovery() {
 	const settle = 3 * time.Second
 	served, all := 0, 0
-	for _, a := range j.h.Attempts {
-		if a.Route == 0 && a.Began > j.h.Length-quiet+settle && a.Ended < j.h.Length {
+	for _, a := range c.h.Attempts {
+		if a.Route == 0 && a.Began > c.h.Length-quiet+settle && a.Ended < c.h.Length {
 			all++
 			if a.Status == http.StatusOK {
 				served++
 			}
 		}
 	}
-	if all == 0 || float64(served) < j.b.Recovered*float64(all) {
-		j.report("service after the faults", j.h.Length, "", "%d of %d requests were served", served, all)
+	if all == 0 || float64(served) < c.b.Recovered*float64(all) {
+		c.report("service after the faults", c.h.Length, "", "%d of %d requests were served", served, all)
 	}
 }
--- a/internal/bench/soak/judge_test.go
+++ b/internal/bench/soak/check_test.go
@@ -38,7 +38,7 @@
 	return Sight{Target: target, Kind: platformtest.Ran, At: at, ID: "x"}
 }
 
-func TestJudge(t *testing.T) {
+func TestCheck(t *testing.T) {
 	probe := func(at time.Duration, status, route int) Attempt {
 		return attempt(status, func(a *Attempt) {
 			a.Unsafe, a.Route, a.Began, a.Ended, a.Signed, a.Body = false, route, at, at+ms, true, "t for x ran 0 bytes"
@@ -123,7 +123,7 @@
 			if tt.do != nil {
 				tt.do(h)
 			}
-			found := Judge(h, DefaultBounds())
+			found := Check(h, DefaultBounds())
 			if tt.want == "" {
 				require.Empty(t, found)
 				return
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -96,7 +96,7 @@
 	r.settle()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return newResult(cfg, faults, &r.history, Judge(&r.history, r.bounds)), nil
+	return newResult(cfg, faults, &r.history, Check(&r.history, r.bounds)), nil
 }
 
 // settle waits for what links or targets still hold back, so that a request that runs
--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -83,7 +83,7 @@
 	m.requests.WithLabelValues(o.Service, string(o.Outcome), strconv.Itoa(o.Status)).Inc()
 	m.sends.Add(float64(o.Sends))
 	m.latency.WithLabelValues(o.Service).Observe(o.Latency.Seconds())
-	if fault, good, counts := judge(o); counts {
+	if fault, good, counts := rate(o); counts {
 		m.burn.Add(time.Now(), burn.Sample{Service: o.Service, Weight: 1, Good: good, Fault: fault, Target: o.Target})
 	}
 }
@@ -93,9 +93,9 @@
 // mostly name.
 const goodPerThousand = 990
 
-// judge tells whether a request counts for the burn, whether it was good, and what was
+// rate tells whether a request counts for the burn, whether it was good, and what was
 // wrong with it. What clients did wrong or gave up does not count.
-func judge(o entry.Observation) (fault burn.Fault, good, counts bool) {
+func rate(o entry.Observation) (fault burn.Fault, good, counts bool) {
 	switch o.Outcome {
 	case entry.Served:
 		if o.InTime {
--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -310,7 +310,7 @@
 		list = append(list, target(fmt.Sprintf("t-%d", n), platformtest.Behaviour{CrashPath: "poison"}))
 	}
 	s := newSite(t, 3, list...)
-	time.Sleep(time.Second) // The hosts have to know each other, so that one is the judge.
+	time.Sleep(time.Second) // The hosts have to know each other, so that they agree on the coordinator.
 	ran := 0
 	for n, h := range s.hosts {
 		id := fmt.Sprintf("p-%d", n)
--- a/internal/traffic/crash/evidence.go
+++ b/internal/traffic/crash/evidence.go
@@ -11,8 +11,8 @@
 	TargetDied EvidenceKind = iota + 1
 	// Cleared: one was answered.
 	Cleared
-	// Condemned: they are refused from now on.
-	Condemned
+	// Blocked: they are refused from now on.
+	Blocked
 )
 
 // Evidence is what hosts tell each other of requests that may crash targets.
--- a/internal/traffic/entry/crash.go
+++ b/internal/traffic/entry/crash.go
@@ -5,8 +5,9 @@
 //
 // A connection that broke while a request ran, to a target that refuses connections
 // right after, is a death. All hosts tell the deaths of one request to the same host,
-// its judge, which passes a verdict when three targets died. A request that is answered
-// after a death of its like clears it, since the targets died of something else.
+// its coordinator, which blocks such requests when three targets died. A request that
+// is answered after a death of its like clears it, since the targets died of something
+// else.
 
 import (
 	"cmp"
@@ -29,15 +30,15 @@
 	// crashLook is the time between the end of a connection and the look at whether
 	// the target is gone: a process that ends takes some milliseconds.
 	crashLook = 30 * time.Millisecond
-	// crashSettle is the time between the third death and the verdict, in which answers
+	// crashSettle is the time between the third death and the block, in which answers
 	// to requests of the like may clear it. It is below the time from which retries
 	// count against the fleet.
 	crashSettle = time.Second
 	// watchTime is the time for which answers to requests of the like are looked for
 	// after a death.
 	watchTime = 30 * time.Second
-	// maxVerdicts bounds the verdicts that are kept.
-	maxVerdicts = 1024
+	// maxBlocked bounds the fingerprints that are blocked.
+	maxBlocked = 1024
 )
 
 // CrashConfig holds the dependencies of Crashes.
@@ -50,39 +51,39 @@
 	Log     *logrus.Entry
 }
 
-// Crashes is the evidence and the verdicts that a host knows. It is safe for concurrent
+// Crashes is what a host knows of requests that crash targets. It is safe for concurrent
 // use.
 type Crashes struct {
 	cfg CrashConfig
 	g   *group.Group
 	// began is the start of the clock of deaths, which no step of the time moves.
 	began time.Time
-	// condemned and watched are the lengths of the maps below, so that most requests
+	// blocks and watched are the lengths of the maps below, so that most requests
 	// need no fingerprint.
-	condemned, watched atomic.Int32
+	blocks, watched atomic.Int32
 
-	mu       sync.Mutex
-	guard    *crash.Guard
-	verdicts map[uint64]time.Time
-	watches  map[uint64]time.Time
+	mu      sync.Mutex
+	guard   *crash.Guard
+	blocked map[uint64]time.Time
+	watches map[uint64]time.Time
 }
 
 // NewCrashes returns a host's knowledge without evidence. Its goroutines run in g.
 func NewCrashes(cfg CrashConfig, g *group.Group) *Crashes {
-	return &Crashes{cfg: cfg, g: g, began: time.Now(), guard: crash.NewGuard(), verdicts: map[uint64]time.Time{}, watches: map[uint64]time.Time{}}
+	return &Crashes{cfg: cfg, g: g, began: time.Now(), guard: crash.NewGuard(), blocked: map[uint64]time.Time{}, watches: map[uint64]time.Time{}}
 }
 
 func (c *Crashes) now() time.Time { return c.began.Add(time.Since(c.began)) }
 
 // refuses reports whether a request is refused.
 func (c *Crashes) refuses(j *journey) bool {
-	if c == nil || c.condemned.Load() == 0 || j.stream {
+	if c == nil || c.blocks.Load() == 0 || j.stream {
 		return false
 	}
 	fingerprint := j.fingerprint()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	at, ok := c.verdicts[fingerprint]
+	at, ok := c.blocked[fingerprint]
 	return ok && time.Since(at) < crash.Memory
 }
 
@@ -130,8 +131,8 @@
 	}
 }
 
-// judge returns the host that decides on requests with a fingerprint.
-func (c *Crashes) judge(fingerprint uint64) (directory.Host, bool) {
+// coordinator returns the host that decides on requests with a fingerprint.
+func (c *Crashes) coordinator(fingerprint uint64) (directory.Host, bool) {
 	hosts := c.cfg.Hosts()
 	list := make([]directory.Host, 0, len(hosts))
 	for _, h := range hosts {
@@ -144,9 +145,9 @@
 	return slices.MinFunc(list, func(a, b directory.Host) int { return cmp.Compare(score(a), score(b)) }), true
 }
 
-// tell tells the judge.
+// tell tells the coordinator.
 func (c *Crashes) tell(e crash.Evidence) {
-	host, ok := c.judge(e.Fingerprint)
+	host, ok := c.coordinator(e.Fingerprint)
 	if !ok || host.Name == c.cfg.Self {
 		c.Take(e)
 		return
@@ -164,12 +165,12 @@
 		before := c.guard.Refuses(c.now(), e.Fingerprint)
 		c.guard.Died(c.now(), e.Fingerprint, e.Target)
 		settle := crashSettle
-		if _, ok := c.verdicts[e.Fingerprint]; ok {
-			// The host that tells has started since the verdict and does not know it.
+		if _, ok := c.blocked[e.Fingerprint]; ok {
+			// The host that tells has started since the block and does not know it.
 			before, settle = false, 0
 		}
 		if !before && c.guard.Refuses(c.now(), e.Fingerprint) {
-			c.g.Go("verdict", func(context.Context) error {
+			c.g.Go("block", func(context.Context) error {
 				time.Sleep(settle)
 				c.decide(e.Fingerprint)
 				return nil
@@ -177,17 +178,17 @@
 		}
 	case crash.Cleared:
 		c.guard.Clear(e.Fingerprint)
-	case crash.Condemned:
-		c.condemn(e.Fingerprint)
+	case crash.Blocked:
+		c.block(e.Fingerprint)
 	}
 }
 
-// decide passes a verdict and tells all hosts, unless the request was cleared.
+// decide blocks a request on all hosts, unless it was cleared.
 func (c *Crashes) decide(fingerprint uint64) {
 	c.mu.Lock()
 	refused := c.guard.Refuses(c.now(), fingerprint)
 	if refused {
-		c.condemn(fingerprint)
+		c.block(fingerprint)
 	}
 	c.mu.Unlock()
 	if !refused {
@@ -195,20 +196,20 @@
 	}
 	for _, h := range c.cfg.Hosts() {
 		if h.Name != c.cfg.Self {
-			c.cfg.Send(h.Peers, crash.Evidence{Kind: crash.Condemned, Fingerprint: fingerprint})
+			c.cfg.Send(h.Peers, crash.Evidence{Kind: crash.Blocked, Fingerprint: fingerprint})
 		}
 	}
 }
 
-// condemn keeps a verdict. The caller holds the mutex.
-func (c *Crashes) condemn(fingerprint uint64) {
-	for old, at := range c.verdicts {
-		if time.Since(at) > crash.Memory || len(c.verdicts) >= maxVerdicts {
-			delete(c.verdicts, old)
+// block refuses requests with a fingerprint from now on. The caller holds the mutex.
+func (c *Crashes) block(fingerprint uint64) {
+	for old, at := range c.blocked {
+		if time.Since(at) > crash.Memory || len(c.blocked) >= maxBlocked {
+			delete(c.blocked, old)
 		}
 	}
-	c.verdicts[fingerprint] = time.Now()
-	c.condemned.Store(int32(len(c.verdicts))) //nolint:gosec // At most maxVerdicts.
+	c.blocked[fingerprint] = time.Now()
+	c.blocks.Store(int32(len(c.blocked))) //nolint:gosec // At most maxBlocked.
 	c.cfg.Log.WithField(fieldFingerprint, fingerprint).Warn("requests that crash targets are refused")
 }
 
--- a/internal/traffic/entry/crash_test.go
+++ b/internal/traffic/entry/crash_test.go
@@ -41,28 +41,28 @@
 	return hosts, sent
 }
 
-// A host that starts after a verdict hears it with the first death that it tells.
-func TestHostThatStartedLaterHearsTheVerdict(t *testing.T) {
+// A host that starts after a block hears it with the first death that it tells.
+func TestHostThatStartedLaterHearsTheBlock(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		hosts, _ := bench(t, 5)
 		for i, target := range []string{"a", "b", "c"} {
 			hosts[i].tell(crash.Evidence{Kind: crash.TargetDied, Fingerprint: 7, Target: target})
 		}
 		time.Sleep(2 * crashSettle)
-		judge, _ := hosts[0].judge(7)
+		coordinator, _ := hosts[0].coordinator(7)
 		for _, c := range hosts {
-			if c.cfg.Self == judge.Name {
+			if c.cfg.Self == coordinator.Name {
 				continue
 			}
-			clear(c.verdicts)
+			clear(c.blocked)
 			c.tell(crash.Evidence{Kind: crash.TargetDied, Fingerprint: 7, Target: "d"})
 			time.Sleep(time.Millisecond)
-			require.Contains(t, c.verdicts, uint64(7))
+			require.Contains(t, c.blocked, uint64(7))
 		}
 	})
 }
 
-func TestVerdictsFollowThreeDeathsWithoutAnAnswer(t *testing.T) {
+func TestBlocksFollowThreeDeathsWithoutAnAnswer(t *testing.T) {
 	const poison = 77
 	tests := []struct {
 		name string
@@ -70,13 +70,13 @@
 		deaths []string
 		// clearedBy is the host that gets an answer to such a request; -1 for none.
 		clearedBy int
-		condemned bool
+		blocks    bool
 	}{
 		{name: "two deaths", deaths: []string{"a", "b"}, clearedBy: -1},
 		{name: "one target thrice", deaths: []string{"a", "a", "a"}, clearedBy: -1},
-		{name: "three deaths", deaths: []string{"a", "b", "c"}, clearedBy: -1, condemned: true},
+		{name: "three deaths", deaths: []string{"a", "b", "c"}, clearedBy: -1, blocks: true},
 		{name: "an answer clears", deaths: []string{"a", "b", "c"}, clearedBy: 1},
-		{name: "an answer to a host that saw no death says nothing", deaths: []string{"a", "b", "c"}, clearedBy: 4, condemned: true},
+		{name: "an answer to a host that saw no death says nothing", deaths: []string{"a", "b", "c"}, clearedBy: 4, blocks: true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -93,7 +93,7 @@
 				}
 				time.Sleep(crashSettle)
 				for _, c := range hosts {
-					require.Equal(t, tt.condemned, c.condemned.Load() == 1)
+					require.Equal(t, tt.blocks, c.blocks.Load() == 1)
 				}
 			})
 		})
