--- a/internal/bench/soak/callers.go
+++ b/internal/bench/soak/callers.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
 	"tamaracktiller.example/tamaracktiller/platform/platformtest"
 )
 
@@ -36,7 +37,7 @@
 	for ctx.Err() == nil {
 		h := r.pick(rng)
 		if h == nil {
-			sleep(ctx, thinkTime)
+			timer.Sleep(ctx, thinkTime)
 			continue
 		}
 		client := newClient()
@@ -48,7 +49,7 @@
 			if r.send(ctx, client, h, path, unsafe, 0).Status == 0 {
 				break
 			}
-			sleep(ctx, upTo(rng, thinkTime))
+			timer.Sleep(ctx, upTo(rng, thinkTime))
 		}
 		client.CloseIdleConnections()
 	}
@@ -81,7 +82,7 @@
 			route := max(1, newest-rng.IntN(keptRoutes+2))
 			r.send(ctx, client, h, fmt.Sprintf("/r%d/x", route), false, route)
 		}
-		sleep(ctx, probeEvery)
+		timer.Sleep(ctx, probeEvery)
 	}
 }
 
@@ -106,12 +107,3 @@
 	}
 	return a
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
 	"tamaracktiller.example/tamaracktiller/platform/platformtest"
 )
 
@@ -42,7 +43,7 @@
 	case f.Kind == ConfigChange:
 		r.configure()
 	case f.Kind == ConfigStorm:
-		for end := time.Now().Add(f.For); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, stormGap) {
+		for end := time.Now().Add(f.For); time.Now().Before(end) && ctx.Err() == nil; timer.Sleep(ctx, stormGap) {
 			r.configure()
 		}
 	case f.Kind == StrangeEntry:
@@ -65,21 +66,21 @@
 	switch f.Kind {
 	case HostKill:
 		h.end(syscall.SIGKILL)
-		sleep(ctx, f.For)
+		timer.Sleep(ctx, f.For)
 		r.restart(ctx, h)
 	case HostStop:
 		h.end(syscall.SIGTERM)
 		r.restart(ctx, h)
 	case HostPause:
 		h.signal(syscall.SIGSTOP)
-		sleep(ctx, f.For)
+		timer.Sleep(ctx, f.For)
 		h.signal(syscall.SIGCONT)
 	case HostReload:
 		h.signal(syscall.SIGHUP)
 	default:
 		links := map[Kind]linkState{HostStoreSlow: linkSlow, HostStoreSilent: linkSilent, HostStoreOneWay: linkOneWay, HostStoreReset: linkReset}
 		h.store.set(links[f.Kind])
-		sleep(ctx, f.For)
+		timer.Sleep(ctx, f.For)
 		h.store.set(linkUp)
 	}
 }
@@ -92,7 +93,7 @@
 		return
 	}
 	for !h.ready(ctx) && ctx.Err() == nil {
-		sleep(ctx, 50*time.Millisecond)
+		timer.Sleep(ctx, 50*time.Millisecond)
 	}
 }
 
@@ -102,7 +103,7 @@
 		return
 	}
 	r.setStore(f.Kind, 1)
-	sleep(ctx, f.For)
+	timer.Sleep(ctx, f.For)
 	r.setStore(f.Kind, -1)
 	if f.Kind == StoreSilent {
 		r.store.Compact()
@@ -181,7 +182,7 @@
 	switch f.Kind {
 	case TargetCrash:
 		link.set(linkReset)
-		sleep(ctx, min(f.For, lapse))
+		timer.Sleep(ctx, min(f.For, lapse))
 		b.r.store.Delete(platformtest.TargetPrefix + t.ID)
 		b.replace(ctx)
 	case TargetLeave:
@@ -191,18 +192,18 @@
 			b.r.history.Left[t.ID] = b.r.since(time.Now())
 		}
 		b.r.mu.Unlock()
-		sleep(ctx, f.For+b.r.bounds.Drain)
+		timer.Sleep(ctx, f.For+b.r.bounds.Drain)
 		b.r.store.Delete(platformtest.TargetPrefix + t.ID)
 		b.replace(ctx)
 	default:
 		if behaviour, ok := behaviours[f.Kind]; ok {
 			t.SetBehaviour(behaviour)
-			sleep(ctx, f.For)
+			timer.Sleep(ctx, f.For)
 			t.SetBehaviour(platformtest.Behaviour{Work: usualWork})
 			return
 		}
 		link.set(links[f.Kind])
-		sleep(ctx, f.For)
+		timer.Sleep(ctx, f.For)
 		link.set(linkUp)
 	}
 }
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -30,6 +30,7 @@
 	"github.com/pkg/errors"
 
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
+	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
 	"tamaracktiller.example/tamaracktiller/platform/platformtest"
 )
 
@@ -162,7 +163,7 @@
 
 func (r *run) waitReady(ctx context.Context, h *host) error {
 	const limit = 10 * time.Second
-	for end := time.Now().Add(limit); !h.ready(ctx); sleep(ctx, 50*time.Millisecond) {
+	for end := time.Now().Add(limit); !h.ready(ctx); timer.Sleep(ctx, 50*time.Millisecond) {
 		if _, ok := h.running(); !ok {
 			return errors.Errorf("soak: %s ended at its start, see its log in %s", h.name, h.dir)
 		}
@@ -195,7 +196,7 @@
 	g.Go("rotation", func(ctx context.Context) error { r.rotate(ctx); return nil })
 	for _, f := range faults {
 		g.Go(string(f.Kind), func(ctx context.Context) error {
-			sleep(ctx, f.At)
+			timer.Sleep(ctx, f.At)
 			if ctx.Err() == nil {
 				r.inject(ctx, f)
 			}
@@ -222,7 +223,7 @@
 		if r.cfg.Progress != nil {
 			r.cfg.Progress(r.since(time.Now()), requests)
 		}
-		sleep(ctx, period)
+		timer.Sleep(ctx, period)
 	}
 }
 
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -184,13 +184,13 @@
 	for ctx.Err() == nil {
 		loaded := c.Snapshot().Head.Revision > 0
 		if loaded && !c.watches.Load() {
-			sleep(ctx, idleCheck)
+			timer.Sleep(ctx, idleCheck)
 			continue
 		}
 		next, err := c.readHead(ctx, version, loaded)
 		if err != nil {
 			c.cfg.Log.WithError(err).Warn("store is unavailable")
-			sleep(ctx, storeRetry)
+			timer.Sleep(ctx, storeRetry)
 			continue
 		}
 		version = next
@@ -213,7 +213,7 @@
 		return version, nil
 	case errors.Is(err, store.ErrNotFound):
 		c.loop.Post(headAbsent{})
-		sleep(ctx, idleCheck)
+		timer.Sleep(ctx, idleCheck)
 		return version, nil
 	case err != nil:
 		return version, err
@@ -260,16 +260,7 @@
 				c.loop.Post(hostsRead{hosts: hosts})
 			}
 		}
-		sleep(ctx, hostsPeriod)
+		timer.Sleep(ctx, hostsPeriod)
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/fleet/directory/follow.go
+++ b/internal/fleet/directory/follow.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
 	"tamaracktiller.example/tamaracktiller/internal/platform/store"
 )
 
@@ -95,20 +96,20 @@
 	if d.cfg.FirstStart {
 		// Hosts that start together for the first time read one after the other, so
 		// that most find what the first ones wrote.
-		sleep(ctx, rand.N(startSpread))
+		timer.Sleep(ctx, rand.N(startSpread))
 	}
 	w := &watcher{d: d}
 	for ctx.Err() == nil {
 		if !d.mustWatch(time.Now()) {
 			w.active, w.lost = false, false
-			sleep(ctx, roleCheck)
+			timer.Sleep(ctx, roleCheck)
 			continue
 		}
 		if !w.active {
 			d.cfg.Log.WithField("age-ms", d.Age(time.Now()).Milliseconds()).Info("watching the store")
 			w.active, w.reload = true, true
 		}
-		sleep(ctx, w.once(ctx))
+		timer.Sleep(ctx, w.once(ctx))
 	}
 	return nil
 }
@@ -173,7 +174,7 @@
 	for ctx.Err() == nil {
 		host, ok := d.followed(time.Now(), suspects)
 		if !ok {
-			sleep(ctx, roleCheck)
+			timer.Sleep(ctx, roleCheck)
 			continue
 		}
 		if err := d.hear(ctx, host, parentWait); err != nil {
@@ -209,7 +210,7 @@
 				d.cfg.Log.WithError(err).WithField(fieldHost, host.Name).Debug("spare host does not answer")
 			}
 		}
-		sleep(ctx, roleCheck)
+		timer.Sleep(ctx, roleCheck)
 	}
 	return nil
 }
@@ -245,12 +246,3 @@
 
 // outageAge is the time without a word of the store that counts as its outage.
 const outageAge = 2 * time.Second
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/fleet/directory/register.go
+++ b/internal/fleet/directory/register.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
 	"tamaracktiller.example/tamaracktiller/internal/platform/store"
 )
 
@@ -45,7 +46,7 @@
 	var lease uint64
 	pause := retryMin
 	for !r.Loaded() && ctx.Err() == nil {
-		sleep(ctx, loadCheck)
+		timer.Sleep(ctx, loadCheck)
 	}
 	for ctx.Err() == nil {
 		var err error
@@ -61,12 +62,12 @@
 		}
 		if err != nil {
 			r.Log.WithError(err).Warn("own entry is not renewed")
-			sleep(ctx, pause)
+			timer.Sleep(ctx, pause)
 			pause = min(retryMax, pause*2)
 			continue
 		}
 		pause = retryMin
-		sleep(ctx, r.period())
+		timer.Sleep(ctx, r.period())
 	}
 	return nil
 }
--- a/internal/traffic/dispatcher/cell.go
+++ b/internal/traffic/dispatcher/cell.go
@@ -12,6 +12,7 @@
 
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/roster"
+	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/queue"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/targets"
@@ -267,7 +268,7 @@
 		ids := d.affordable(c, d.chooser.Poll(time.Now(), c.id.key, pollTargets))
 		d.mu.Unlock()
 		d.ask(ctx, c, ids)
-		pause(ctx, pollPeriod)
+		timer.Sleep(ctx, pollPeriod)
 	}
 }
 
@@ -338,12 +339,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/traffic/job/service.go
+++ b/internal/traffic/job/service.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
 	"tamaracktiller.example/tamaracktiller/internal/platform/store"
 )
 
@@ -76,22 +77,13 @@
 	g, first := s.gather(j)
 	if first {
 		// The batch is written even if this caller goes away.
-		pause(ctx, gatherTime)
+		timer.Sleep(ctx, gatherTime)
 		s.write(context.WithoutCancel(ctx), g)
 	}
 	<-g.done
 	return g.err
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // gather adds the job to the batch that is being filled, and reports whether the
 // caller is the first one, who writes it.
 func (s *Service) gather(j Job) (*gathering, bool) {
--- a/internal/traffic/ledger/service.go
+++ b/internal/traffic/ledger/service.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
 	"tamaracktiller.example/tamaracktiller/internal/platform/store"
 )
 
@@ -89,7 +90,7 @@
 			break
 		}
 		if owner.Host == "" {
-			pause(ctx, claimPause)
+			timer.Sleep(ctx, claimPause)
 			continue
 		}
 		reply, err := s.claimAt(ctx, owner, c)
@@ -104,20 +105,11 @@
 		default:
 			return reply
 		}
-		pause(ctx, claimPause)
+		timer.Sleep(ctx, claimPause)
 	}
 	return last
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (s *Service) claimAt(ctx context.Context, owner Member, c Claim) (Reply, error) {
 	if owner.Host == s.cfg.Self.Host {
 		return s.handleClaim(ctx, c), nil
