--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -44,6 +44,9 @@
 	Changed func(s *Snapshot, restarted []string)
 	// Peers reaches other hosts; nil for the network.
 	Peers http.RoundTripper
+	// Waited is told how long each piece of news waited for the control goroutine. It
+	// may be nil.
+	Waited func(wait time.Duration)
 }
 
 // Directory is the view of a host. It is safe for concurrent use.
@@ -73,6 +76,22 @@
 	revision uint64
 	outage   bool
 	tick     bool
+	// from is the store or the host that told, received the time at which it did, and age
+	// that of its words then.
+	from     string
+	received time.Time
+	age      time.Duration
+}
+
+// fromStore is the origin of what the store told this host itself.
+const fromStore = "store"
+
+// origin returns the log fields that tell where news comes from, and how old it is.
+func (e *event) origin(now time.Time) logrus.Fields {
+	if e.from == "" {
+		return nil
+	}
+	return logrus.Fields{"from": e.from, "age-ms": e.age.Milliseconds(), "waited-ms": now.Sub(e.received).Milliseconds()}
 }
 
 // New returns a directory that is not started. Its goroutines run in g.
@@ -142,6 +161,9 @@
 // handle runs on the control goroutine.
 func (d *Directory) handle(e event) {
 	now := time.Now()
+	if d.cfg.Waited != nil && e.from != "" {
+		d.cfg.Waited(now.Sub(e.received))
+	}
 	changed := true
 	switch {
 	case e.tick:
@@ -159,7 +181,7 @@
 		d.journal.reach(e.revision)
 	}
 	for _, line := range d.state.TakeLines() {
-		entry := d.cfg.Log.WithFields(line.Fields)
+		entry := d.cfg.Log.WithFields(line.Fields).WithFields(e.origin(now))
 		if line.Warn {
 			entry.Warn(line.Text)
 		} else {
--- a/internal/fleet/directory/state.go
+++ b/internal/fleet/directory/state.go
@@ -138,9 +138,15 @@
 // Load takes in a full read of the store: keys that it lacks have ended.
 func (s *State) Load(now time.Time, page store.Page) {
 	listed := make(map[string]bool, len(page.Items))
+	before, missed := s.revision, 0
 	for _, item := range page.Items {
 		listed[item.Key] = true
-		s.Apply(now, item)
+		if s.Apply(now, item) && item.Revision <= before {
+			missed++
+		}
+	}
+	if missed > 0 && len(s.keys) > missed {
+		s.warn("a full read found changes that were not told", map[string]any{"count": missed, fieldRevision: before})
 	}
 	for key, k := range s.keys {
 		if !listed[key] && !k.deleted && k.revision <= page.Revision {
@@ -150,29 +156,25 @@
 	s.revision = max(s.revision, page.Revision)
 }
 
-// Apply takes in one item, unless something newer is known of its key.
-func (s *State) Apply(now time.Time, item store.Item) {
+// Apply takes in one item, unless something as new is known of its key. It reports
+// whether it did.
+func (s *State) Apply(now time.Time, item store.Item) bool {
 	if k, ok := s.keys[item.Key]; ok && k.revision >= item.Revision {
-		return
+		return false
 	}
 	s.keys[item.Key] = known{revision: item.Revision, deleted: item.Deleted}
 	s.revision = max(s.revision, item.Revision)
 	s.taken(item)
 	if s.decoder.IsConfig(item.Key) {
 		s.applyConfig(item)
-		return
-	}
-	if id, ok := s.decoder.TargetID(item.Key); ok {
+	} else if id, ok := s.decoder.TargetID(item.Key); ok {
 		s.applyTarget(now, id, item)
-		return
-	}
-	if item.Key == KeyKey && !item.Deleted {
+	} else if item.Key == KeyKey && !item.Deleted {
 		s.key = item.Value
-		return
-	}
-	if name, ok := strings.CutPrefix(item.Key, HostPrefix); ok {
+	} else if name, ok := strings.CutPrefix(item.Key, HostPrefix); ok {
 		s.applyHost(name, item)
 	}
+	return true
 }
 
 func (s *State) applyConfig(item store.Item) {
--- a/internal/fleet/directory/state_test.go
+++ b/internal/fleet/directory/state_test.go
@@ -173,7 +173,7 @@
 func TestAgeIsSteady(t *testing.T) {
 	d := New(Config{}, group.New(t.Context()))
 	require.Equal(t, never, d.Age(time.Now()))
-	d.heard(store.Page{}, false, 100*time.Millisecond)
+	d.heard(fromStore, store.Page{}, false, 100*time.Millisecond)
 	for _, step := range []int64{-30, 30} {
 		now := time.Now().Add(time.Second)
 		wall := (*uint64)(unsafe.Pointer(&now)) //nolint:gosec // The first field holds the seconds of the day from bit 30 on.
--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -23,6 +23,7 @@
 	latency  *prometheus.HistogramVec
 	asked    *prometheus.CounterVec
 	store    *prometheus.CounterVec
+	waited   prometheus.Histogram
 	burn     *burn.Meter
 }
 
@@ -41,9 +42,10 @@
 		sends:    prometheus.NewCounter(prometheus.CounterOpts{Name: "tamarack_entry_sends_total", Help: "Sends to targets."}),
 		latency:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "tamarack_entry_latency_seconds", Help: "Time to the final answer.", Buckets: latencyBuckets}, []string{labelService}),
 		asked:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_entry_questions_total", Help: "Questions to targets for their load."}, []string{labelService}),
+		waited:   prometheus.NewHistogram(prometheus.HistogramOpts{Name: "tamarack_view_wait_seconds", Help: "Time that news of the store waited to be taken in.", Buckets: latencyBuckets}),
 		store:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_store_calls_total", Help: "Calls of the metadata store by operation."}, []string{"operation"}),
 	}
-	m.registry.MustRegister(m.requests, m.sends, m.latency, m.asked, m.store)
+	m.registry.MustRegister(m.requests, m.sends, m.latency, m.asked, m.store, m.waited)
 	return m
 }
 
@@ -75,6 +77,9 @@
 	gauge("tamarack_store_age_seconds", "Time since the store was last heard, directly or through others.", func() float64 { return age().Seconds() })
 }
 
+// ViewWaited notes how long news of the store waited to be taken in.
+func (m *metrics) ViewWaited(wait time.Duration) { m.waited.Observe(wait.Seconds()) }
+
 // StoreCalled counts a call of the metadata store.
 func (m *metrics) StoreCalled(operation string) { m.store.WithLabelValues(operation).Inc() }
 
