Reproduce views that are older than they claim, known red

In virtual time, 100 hosts, links of 10 Mbit/s: each view is held against the age that it claims, and configurations against 2.5 s on the hosts that are not slow.

--- /dev/null
+++ b/internal/fleet/directory/age_test.go
@@ -0,0 +1,94 @@
+package directory
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// slowApply is the time that a change takes on a host of a sixth of a core that is slowed
+// down and busy with requests.
+const slowApply = 250 * time.Millisecond
+
+// slowHosts slows one in six hosts down, parents among them.
+func slowHosts(f *fleet) {
+	for i, address := range f.ranked() {
+		if i%6 == 1 {
+			f.hosts[address].applyTime.Store(int64(slowApply))
+		}
+	}
+}
+
+// writes holds when the store took in each revision.
+type writes map[uint64]time.Time
+
+// before returns the highest revision that was written by a time.
+func (w writes) before(t time.Time) uint64 {
+	highest := uint64(0)
+	for revision, at := range w {
+		if !at.After(t) {
+			highest = max(highest, revision)
+		}
+	}
+	return highest
+}
+
+// checkAges holds the view of each host against the age that it claims.
+func (f *fleet) checkAges(w writes) {
+	now := time.Now()
+	for _, h := range f.hosts {
+		age, revision := h.Age(now), h.Snapshot().Revision
+		due := w.before(now.Add(-age))
+		require.LessOrEqual(f.t, due, revision, "%s claims an age of %s, and lacks what was written %s ago", h.cfg.Self, age, now.Sub(w[revision+1]))
+	}
+}
+
+// A view holds everything that the store took in before the time that its age tells.
+func TestAgeVouchesForTheView(t *testing.T) {
+	tests := []struct {
+		name string
+		// size is that of a configuration in bytes.
+		size    int
+		trouble func(f *fleet)
+	}{
+		{name: "calm", size: 12_000},
+		{name: "one in six hosts takes long to apply a change", size: 12_000, trouble: slowHosts},
+		{name: "configurations fill the links", size: 100_000},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 100)
+				defer f.stop()
+				if tt.trouble != nil {
+					tt.trouble(f)
+				}
+				const (
+					period  = 100 * time.Millisecond
+					storm   = 30
+					periods = 70
+				)
+				w := writes{}
+				for n := range periods {
+					if n < storm {
+						w[f.store.put("config", padded(2+n, tt.size))] = time.Now()
+					}
+					time.Sleep(period)
+					f.checkAges(w)
+				}
+			})
+		})
+	}
+}
+
+// Hosts that are slow to apply changes are followed by others that are not.
+func TestSlowHostsKeepNoConfigurationFromOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 100)
+		defer f.stop()
+		slowHosts(f)
+		f.storm(30, 12_000)
+	})
+}
--- a/internal/fleet/directory/fleet_test.go
+++ b/internal/fleet/directory/fleet_test.go
@@ -8,8 +8,8 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,7 +41,7 @@
 	return &memory{items: map[string]store.Item{}, changed: make(chan struct{}), calls: map[string]int{}, refused: map[string]bool{}}
 }
 
-func (m *memory) put(key, value string) {
+func (m *memory) put(key, value string) uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.revision++
@@ -50,6 +50,7 @@
 	m.history = append(m.history, item)
 	close(m.changed)
 	m.changed = make(chan struct{})
+	return m.revision
 }
 
 func (m *memory) total() int {
@@ -164,6 +165,8 @@
 	mu   sync.Mutex
 	busy time.Time
 	sent int
+	// applyTime is what the host needs to take in a change, in nanoseconds.
+	applyTime atomic.Int64
 }
 
 // linkRate is the rate of the slowest hosts' links, in bytes a second.
@@ -211,10 +214,13 @@
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(1 + i%250)}), 80)
 		name := fmt.Sprintf("host-%d", i)
 		f.store.put(HostPrefix+name, fmt.Sprintf(`{"name":%q,"domain":"d-%d","peers":%q}`, name, i%4, address))
-		f.hosts[address.String()] = &member{Directory: New(Config{
+		h := &member{}
+		h.Directory = New(Config{
 			Self: name, Domain: fmt.Sprintf("d-%d", i%4), Source: source{f.store, name}, Decoder: plain{}, Timer: timer.New(),
 			Log: logrus.NewEntry(log), ReturnTime: time.Second, Peers: f,
-		}, f.g)}
+			Changed: func(*Snapshot, []string) { time.Sleep(time.Duration(h.applyTime.Load())) },
+		}, f.g)
+		f.hosts[address.String()] = h
 	}
 	for _, h := range f.hosts {
 		require.NoError(t, h.Start(t.Context()))
@@ -242,11 +248,12 @@
 	return list
 }
 
-// version returns the lowest version in force, and how many hosts have it.
+// version returns the lowest version in force on hosts that are neither dead nor slow,
+// and how many have it.
 func (f *fleet) version() (lowest uint64, hosts int) {
 	versions := map[uint64]int{}
 	for address, h := range f.hosts {
-		if !f.dead[address] {
+		if !f.dead[address] && h.applyTime.Load() == 0 {
 			versions[h.Snapshot().Table.Config.Version]++
 		}
 	}
@@ -267,7 +274,7 @@
 	written := map[uint64]time.Time{}
 	for n := range versions {
 		version := uint64(2 + n)
-		f.store.put("config", strings.Repeat("0", size)+fmt.Sprint(version))
+		f.store.put("config", padded(2+n, size))
 		written[version] = time.Now()
 		time.Sleep(100 * time.Millisecond)
 		f.check(written)
@@ -278,6 +285,11 @@
 	}
 }
 
+// padded returns a configuration of a version and a size.
+func padded(version, size int) string {
+	return fmt.Sprintf("%0*d", size, version)
+}
+
 func (f *fleet) check(written map[uint64]time.Time) {
 	lowest, hosts := f.version()
 	if at, ok := written[lowest+1]; ok {
