Let the age of a view move on with its content

Callers got what an older configuration says, from hosts in touch that follow a slow one. Cause: heard renewed the contact with the store as soon as an answer had arrived, while its items still waited for the control goroutine. The host told its followers that young age with the old content, so they asked neither spares nor the store. Until the items were taken in it asked its parent for the same again, without a pause, and each copy rebuilt the view, so that a slow host fell further behind.

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -60,22 +60,19 @@
 	// began is the origin of contact. Differences of times are steady, whatever is done
 	// to the time of day.
 	began time.Time
-	// contact is the time since began at which the store was last heard, directly or
-	// through others, in nanoseconds; 0 for never.
+	// contact is the time since began up to which the view holds what the store has taken
+	// in, in nanoseconds; 0 for never.
 	contact atomic.Int64
 	peers   *http.Client
 	// spread is added to othersAge.
 	spread time.Duration
 }
 
-// event is what the control goroutine applies. One of the parts is set.
-type event struct {
-	load  *store.Page
-	items []store.Item
-	// revision is that of the store after the items.
-	revision uint64
-	outage   bool
-	tick     bool
+// news is what the store, or another host, told.
+type news struct {
+	page store.Page
+	// full says that the items are all keys.
+	full bool
 	// from is the store or the host that told, received the time at which it did, and age
 	// that of its words then.
 	from     string
@@ -87,11 +84,15 @@
 const fromStore = "store"
 
 // origin returns the log fields that tell where news comes from, and how old it is.
-func (e *event) origin(now time.Time) logrus.Fields {
-	if e.from == "" {
-		return nil
-	}
-	return logrus.Fields{"from": e.from, "age-ms": e.age.Milliseconds(), "waited-ms": now.Sub(e.received).Milliseconds()}
+func (n *news) origin(now time.Time) logrus.Fields {
+	return logrus.Fields{"from": n.from, "age-ms": n.age.Milliseconds(), "waited-ms": now.Sub(n.received).Milliseconds()}
+}
+
+// event is what the control goroutine applies: news, or a tick if there is none.
+type event struct {
+	news *news
+	// taken is closed when the news is part of the view.
+	taken chan struct{}
 }
 
 // New returns a directory that is not started. Its goroutines run in g.
@@ -120,13 +121,17 @@
 // Fresh reports whether the store has told of its changes until a short time ago.
 func (d *Directory) Fresh(now time.Time) bool { return d.Age(now) < freshAge }
 
-// Age returns the time since the store was last heard, directly or through others.
+// Age returns the time since which the view may lack what the store has taken in.
 func (d *Directory) Age(now time.Time) time.Duration {
-	contact := d.contact.Load()
+	return d.ageOf(now, time.Duration(d.contact.Load()))
+}
+
+// ageOf returns the age of a contact.
+func (d *Directory) ageOf(now time.Time, contact time.Duration) time.Duration {
 	if contact == 0 {
 		return never
 	}
-	return max(0, now.Sub(d.began)-time.Duration(contact))
+	return max(0, now.Sub(d.began)-contact)
 }
 
 // never is the age of what was not heard.
@@ -148,7 +153,7 @@
 	if err := d.loop.Start(ctx); err != nil {
 		return err
 	}
-	d.cfg.Timer.Every("directory", expirePeriod, func(time.Time) { d.loop.Post(event{tick: true}) })
+	d.cfg.Timer.Every("directory", expirePeriod, func(time.Time) { d.loop.Post(event{}) })
 	d.g.Go("store watch", d.watch)
 	d.g.Go("follow", d.follow)
 	d.g.Go("ask spares", d.askSpares)
@@ -161,27 +166,43 @@
 // handle runs on the control goroutine.
 func (d *Directory) handle(e event) {
 	now := time.Now()
-	if d.cfg.Waited != nil && e.from != "" {
-		d.cfg.Waited(now.Sub(e.received))
+	if e.news == nil {
+		changed := d.state.Tick(now)
+		d.publish(changed, nil)
+		return
+	}
+	defer close(e.taken)
+	if d.cfg.Waited != nil {
+		d.cfg.Waited(now.Sub(e.news.received))
 	}
-	changed := true
-	switch {
-	case e.tick:
-		changed = d.state.Tick(now)
-	case e.outage:
+	contact := e.news.received.Sub(d.began) - min(e.news.age, never/2)
+	last := time.Duration(d.contact.Load())
+	if last > 0 && contact-last > outageAge {
 		d.state.Outage(now)
-		changed = false
-	case e.load != nil:
-		d.state.Load(now, *e.load)
-		d.journal.reach(e.load.Revision)
-	default:
-		for _, item := range e.items {
-			d.state.Apply(now, item)
-		}
-		d.journal.reach(e.revision)
 	}
+	changed := d.apply(now, e.news)
+	d.journal.reach(e.news.page.Revision, contact)
+	d.publish(changed, e.news.origin(now))
+	// The view vouches for a time only once it holds what the store had taken in by then.
+	d.contact.Store(int64(max(contact, last)))
+}
+
+// apply takes news in, and reports whether it changed the view.
+func (d *Directory) apply(now time.Time, n *news) (changed bool) {
+	if n.full {
+		return d.state.Load(now, n.page)
+	}
+	for _, item := range n.page.Items {
+		changed = d.state.Apply(now, item) || changed
+	}
+	return changed
+}
+
+// publish logs what has happened, with the origin of the news, and replaces the snapshot
+// if it changed.
+func (d *Directory) publish(changed bool, origin logrus.Fields) {
 	for _, line := range d.state.TakeLines() {
-		entry := d.cfg.Log.WithFields(line.Fields).WithFields(e.origin(now))
+		entry := d.cfg.Log.WithFields(line.Fields).WithFields(origin)
 		if line.Warn {
 			entry.Warn(line.Text)
 		} else {
@@ -197,3 +218,17 @@
 		d.cfg.Changed(s, d.state.TakeRestarted())
 	}
 }
+
+// take hands news to the control goroutine and waits until it is part of the view, so that
+// nobody asks for the same again meanwhile.
+func (d *Directory) take(ctx context.Context, n news) {
+	e := event{news: &n, taken: make(chan struct{})}
+	if !d.loop.Post(e) {
+		d.cfg.Log.WithField("from", n.from).Warn("news is dropped, too much waits to be taken in")
+		return
+	}
+	select {
+	case <-e.taken:
+	case <-ctx.Done():
+	}
+}
--- a/internal/fleet/directory/follow.go
+++ b/internal/fleet/directory/follow.go
@@ -130,7 +130,7 @@
 	if w.lost {
 		d.cfg.Log.WithField(fieldRevision, page.Revision).Info("store is back")
 	}
-	d.heard(fromStore, page, full, 0)
+	d.take(ctx, news{page: page, full: full, from: fromStore, received: time.Now()})
 	w.lost, w.reload, w.pause = false, false, 0
 	switch {
 	case d.Snapshot().Key == nil:
@@ -221,29 +221,9 @@
 	if err != nil {
 		return err
 	}
-	d.heard(host.Name, store.Page{Items: c.Items, Revision: c.Revision}, c.Full, c.Age)
+	d.take(ctx, news{page: store.Page{Items: c.Items, Revision: c.Revision}, full: c.Full, from: host.Name, received: time.Now(), age: c.Age})
 	return nil
 }
 
-// heard takes in what the store, or another host, said. age is the time since the
-// store said it.
-func (d *Directory) heard(from string, page store.Page, full bool, age time.Duration) {
-	now := time.Now()
-	contact := int64(time.Since(d.began) - min(age, never/2))
-	last := d.contact.Load()
-	if last > 0 && time.Duration(contact-last) > outageAge {
-		d.loop.Post(event{outage: true})
-	}
-	if full {
-		d.loop.Post(event{load: &page, from: from, received: now, age: age})
-	} else if len(page.Items) > 0 || page.Revision > d.journal.reached() {
-		d.loop.Post(event{items: page.Items, revision: page.Revision, from: from, received: now, age: age})
-	}
-	for last < contact && !d.contact.CompareAndSwap(last, contact) {
-		last = d.contact.Load()
-	}
-	d.journal.contacted(d.contact.Load())
-}
-
 // outageAge is the time without a word of the store that counts as its outage.
 const outageAge = 2 * time.Second
--- a/internal/fleet/directory/journal.go
+++ b/internal/fleet/directory/journal.go
@@ -25,8 +25,9 @@
 	revision uint64
 	// complete is the revision after which recent holds every change.
 	complete uint64
-	// contact is the contact with the store that the followers were last told of.
-	contact int64
+	// contact is the time up to which the items are complete, since any origin, and
+	// woken that at which the followers were last woken.
+	contact, woken time.Duration
 	// changed is closed at the next change, or renewal of the contact.
 	changed chan struct{}
 }
@@ -54,59 +55,62 @@
 	}
 }
 
-// reach notes that everything up to a revision was taken in, and wakes those who
-// wait. The first read skips what happened before; a later full read adds what it
-// finds to have changed, deleted keys too.
-func (j *journal) reach(revision uint64) {
+// reach notes that everything up to a revision was taken in, which was complete at a time
+// since any origin, and wakes those who wait if there is something to tell. The first read
+// skips what happened before; a later full read adds what it finds to have changed,
+// deleted keys too.
+func (j *journal) reach(revision uint64, contact time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.revision == 0 {
 		j.complete = max(j.complete, revision)
 	}
-	if revision <= j.revision {
-		return
+	changed := revision > j.revision
+	j.revision = max(j.revision, revision)
+	j.contact = max(j.contact, contact)
+	if changed || j.contact-j.woken >= contactStep {
+		j.wake()
 	}
-	j.revision = revision
-	j.wake()
-}
-
-// contacted notes the time at which the store was heard, in nanoseconds since any
-// origin, and wakes those who wait if it moved on by contactStep.
-func (j *journal) contacted(at int64) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if time.Duration(at-j.contact) < contactStep {
-		return
-	}
-	j.contact = at
-	j.wake()
 }
 
 // wake ends the waits of the followers. The caller holds the mutex.
 func (j *journal) wake() {
+	j.woken = j.contact
 	close(j.changed)
 	j.changed = make(chan struct{})
 }
 
+// extract is what a journal passes on.
+type extract struct {
+	page store.Page
+	// full says that the items are all keys.
+	full bool
+	// contact is the time up to which they are complete.
+	contact time.Duration
+	// changed is closed at the next change or renewal of the contact.
+	changed <-chan struct{}
+}
+
 // since returns what changed after a revision, or everything when that is not known
-// any more. changed is closed at the next change or renewal of the contact.
-func (j *journal) since(after uint64) (page store.Page, full bool, changed <-chan struct{}) {
+// any more.
+func (j *journal) since(after uint64) extract {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	page.Revision = j.revision
+	e := extract{page: store.Page{Revision: j.revision}, contact: j.contact, changed: j.changed}
 	if after >= j.complete {
 		for _, item := range j.recent {
 			if item.Revision > after {
-				page.Items = append(page.Items, item)
+				e.page.Items = append(e.page.Items, item)
 			}
 		}
-		return page, false, j.changed
+		return e
 	}
+	e.full = true
 	for _, item := range j.items {
-		page.Items = append(page.Items, item)
+		e.page.Items = append(e.page.Items, item)
 	}
-	slices.SortFunc(page.Items, func(a, b store.Item) int { return strings.Compare(a.Key, b.Key) })
-	return page, true, j.changed
+	slices.SortFunc(e.page.Items, func(a, b store.Item) int { return strings.Compare(a.Key, b.Key) })
+	return e
 }
 
 // reached returns the revision up to which everything was taken in.
--- a/internal/fleet/directory/peers.go
+++ b/internal/fleet/directory/peers.go
@@ -57,19 +57,19 @@
 		http.Error(w, "want a revision and a wait", http.StatusBadRequest)
 		return
 	}
-	page, full, changed := d.journal.since(after)
-	if !full && len(page.Items) == 0 {
+	e := d.journal.since(after)
+	if !e.full && len(e.page.Items) == 0 {
 		timer := time.NewTimer(min(wait, maxPeerWait))
 		defer timer.Stop()
 		select {
-		case <-changed:
-			page, full, _ = d.journal.since(after)
+		case <-e.changed:
+			e = d.journal.since(after)
 		case <-timer.C:
 		case <-r.Context().Done():
 			return
 		}
 	}
-	body, err := cbor.Marshal(changes{Items: page.Items, Revision: page.Revision, Full: full, Age: d.Age(time.Now())})
+	body, err := cbor.Marshal(changes{Items: e.page.Items, Revision: e.page.Revision, Full: e.full, Age: d.ageOf(time.Now(), e.contact)})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
--- a/internal/fleet/directory/state.go
+++ b/internal/fleet/directory/state.go
@@ -135,14 +135,18 @@
 // Outage notes that the store was away until now.
 func (s *State) Outage(now time.Time) { s.roster.Outage(now) }
 
-// Load takes in a full read of the store: keys that it lacks have ended.
-func (s *State) Load(now time.Time, page store.Page) {
+// Load takes in a full read of the store: keys that it lacks have ended. It reports
+// whether anything was new.
+func (s *State) Load(now time.Time, page store.Page) (changed bool) {
 	listed := make(map[string]bool, len(page.Items))
 	before, missed := s.revision, 0
 	for _, item := range page.Items {
 		listed[item.Key] = true
-		if s.Apply(now, item) && item.Revision <= before {
-			missed++
+		if s.Apply(now, item) {
+			changed = true
+			if item.Revision <= before {
+				missed++
+			}
 		}
 	}
 	if missed > 0 && len(s.keys) > missed {
@@ -150,10 +154,11 @@
 	}
 	for key, k := range s.keys {
 		if !listed[key] && !k.deleted && k.revision <= page.Revision {
-			s.Apply(now, store.Item{Key: key, Revision: page.Revision, Deleted: true})
+			changed = s.Apply(now, store.Item{Key: key, Revision: page.Revision, Deleted: true}) || changed
 		}
 	}
 	s.revision = max(s.revision, page.Revision)
+	return changed
 }
 
 // Apply takes in one item, unless something as new is known of its key. It reports
--- a/internal/fleet/directory/state_test.go
+++ b/internal/fleet/directory/state_test.go
@@ -123,37 +123,36 @@
 func TestJournalTellsWhatChangedOrEverything(t *testing.T) {
 	j := newJournal()
 	j.add(put("a", "1", 5))
-	j.reach(5)
-	page, full, _ := j.since(0)
-	require.True(t, full, "what was before the first full read is not known")
-	require.Len(t, page.Items, 1)
-	page, full, changed := j.since(5)
-	require.False(t, full)
-	require.Empty(t, page.Items)
+	j.reach(5, 0)
+	e := j.since(0)
+	require.True(t, e.full, "what was before the first full read is not known")
+	require.Len(t, e.page.Items, 1)
+	e = j.since(5)
+	require.False(t, e.full)
+	require.Empty(t, e.page.Items)
 	j.add(store.Item{Key: "a", Revision: 8, Deleted: true})
-	j.reach(8)
-	<-changed
-	page, full, _ = j.since(5)
-	require.False(t, full)
-	require.Equal(t, []store.Item{{Key: "a", Revision: 8, Deleted: true}}, page.Items)
+	j.reach(8, 0)
+	<-e.changed
+	e = j.since(5)
+	require.False(t, e.full)
+	require.Equal(t, []store.Item{{Key: "a", Revision: 8, Deleted: true}}, e.page.Items)
 	for n := range uint64(journalLength + 1) {
 		j.add(put("b"+strconv.FormatUint(n, 10), "", 9+n))
-		j.reach(9 + n)
+		j.reach(9+n, 0)
 	}
-	_, full, _ = j.since(8)
-	require.True(t, full, "the change after 8 was dropped")
+	require.True(t, j.since(8).full, "the change after 8 was dropped")
 }
 
 func TestJournalTellsTheNewestItemOfEachKey(t *testing.T) {
 	j := newJournal()
-	j.reach(1)
+	j.reach(1, 0)
 	for _, item := range []store.Item{put("a", "", 2), put("b", "", 5), put("a", "", 4), put("c", "", 3)} {
 		j.add(item)
 	}
-	j.reach(5)
-	page, full, _ := j.since(1)
-	require.False(t, full)
-	require.Equal(t, []store.Item{put("b", "", 5), put("a", "", 4), put("c", "", 3)}, page.Items)
+	j.reach(5, 0)
+	e := j.since(1)
+	require.False(t, e.full)
+	require.Equal(t, []store.Item{put("b", "", 5), put("a", "", 4), put("c", "", 3)}, e.page.Items)
 }
 
 // Hosts that follow one that read everything again get what changed, not everything.
@@ -161,19 +160,19 @@
 	j := newJournal()
 	s := NewState(Host{}, plain{}, time.Second, j.add)
 	s.Load(now, store.Page{Revision: 3, Items: []store.Item{put("t/a", "", 1), put("t/b", "", 2), put("t/c", "", 3)}})
-	j.reach(3)
+	j.reach(3, 0)
 	s.Load(now, store.Page{Revision: 7, Items: []store.Item{put("t/a", "", 1), put("t/c", "", 6)}})
-	j.reach(7)
-	page, full, _ := j.since(3)
-	require.False(t, full)
-	require.ElementsMatch(t, []store.Item{put("t/c", "", 6), {Key: "t/b", Revision: 7, Deleted: true}}, page.Items)
+	j.reach(7, 0)
+	e := j.since(3)
+	require.False(t, e.full)
+	require.ElementsMatch(t, []store.Item{put("t/c", "", 6), {Key: "t/b", Revision: 7, Deleted: true}}, e.page.Items)
 }
 
 // A step of the time of day neither makes the view old nor keeps it fresh.
 func TestAgeIsSteady(t *testing.T) {
 	d := New(Config{}, group.New(t.Context()))
 	require.Equal(t, never, d.Age(time.Now()))
-	d.heard(fromStore, store.Page{}, false, 100*time.Millisecond)
+	d.handle(event{news: &news{received: time.Now(), age: 100 * time.Millisecond}, taken: make(chan struct{})})
 	for _, step := range []int64{-30, 30} {
 		now := time.Now().Add(time.Second)
 		wall := (*uint64)(unsafe.Pointer(&now)) //nolint:gosec // The first field holds the seconds of the day from bit 30 on.
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -62,6 +62,8 @@
 // refused.
 func (h *Handler) prepare(w http.ResponseWriter, r *http.Request, now time.Time) (*journey, *verdict) {
 	j := &journey{h: h, r: r, id: h.cfg.Dialect.RequestID(r.Header), began: now, route: &routing.Route{}}
+	// Asked first: a view that is replaced in between must not be taken for a fresh one.
+	fresh := h.cfg.Fresh(now)
 	s := h.cfg.Snapshot()
 	if s.Table == nil {
 		return j, refuse(http.StatusServiceUnavailable, "no configuration is known yet", notReadyRetry)
@@ -69,7 +71,7 @@
 	j.version, j.revision = s.Table.Config.Version, s.Revision
 	route, ok := s.Table.Match(hostOnly(r.Host), r.URL.Path)
 	if !ok {
-		if !h.cfg.Fresh(now) {
+		if !fresh {
 			return j, refuse(http.StatusServiceUnavailable, "no route, but the configuration may be old", notReadyRetry)
 		}
 		return j, refuse(http.StatusNotFound, "no route", 0)
