Count the way of an answer in the age of a view

Callers got 404 for added routes, and old services, from hosts that counted as up to date. Cause: a follower took the age that its parent told as of the answer's arrival, and the root took every answer of the store for news of that moment. What an answer took over a full link, or until a busy host had read it, was in no age, and up to five answers lie between the store and a host. So hosts did not ask spares or the store when the tree was slow.

A parent tells how long it held a question, so that what the question took beyond that is the way, without comparing clocks. A read of the store vouches for the time of its question, an empty watch for the end of its wait, and a watch with changes for its question too; the next watch is shorter then, so that the contact is renewed as often as before. With the ages true, what is late is asked of spares and the store in time.

--- a/internal/fleet/directory/age_test.go
+++ b/internal/fleet/directory/age_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +22,14 @@
 	}
 }
 
+// farStore lets answers of the store take long to the first host, as when it is too busy to
+// read them.
+func farStore(f *fleet) {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	f.store.ways[f.hosts[f.ranked()[0]].cfg.Self] = 2 * time.Second
+}
+
 // writes holds when the store took in each revision.
 type writes map[uint64]time.Time
 
@@ -56,6 +65,7 @@
 		{name: "calm", size: 12_000},
 		{name: "one in six hosts takes long to apply a change", size: 12_000, trouble: slowHosts},
 		{name: "configurations fill the links", size: 100_000},
+		{name: "answers of the store take long to the first host", size: 12_000, trouble: farStore},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -83,12 +93,31 @@
 	}
 }
 
-// Hosts that are slow to apply changes are followed by others that are not.
+// Hosts that are slow to hear or to apply changes are followed by others that are not.
 func TestSlowHostsKeepNoConfigurationFromOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 100)
-		defer f.stop()
-		slowHosts(f)
-		f.storm(30, 12_000)
-	})
+	for _, trouble := range []func(f *fleet){slowHosts, farStore} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 100)
+			defer f.stop()
+			trouble(f)
+			f.storm(30, 12_000)
+		})
+	}
+}
+
+// Configurations that take a second and more over the links of a few followers.
+func TestLargeConfigurationsAreInForceInTime(t *testing.T) {
+	for _, size := range []int{100_000, 200_000, 400_000} {
+		for _, versions := range []int{1, 10} {
+			for _, hosts := range []int{13, 100, 300} {
+				t.Run(fmt.Sprintf("%d of %d KB on %d hosts", versions, size/1000, hosts), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						f := newFleet(t, hosts)
+						defer f.stop()
+						f.storm(versions, size)
+					})
+				})
+			}
+		}
+	}
 }
--- a/internal/fleet/directory/fleet_test.go
+++ b/internal/fleet/directory/fleet_test.go
@@ -35,10 +35,12 @@
 	refused map[string]bool
 	// silent watches hear nothing until the time.
 	silent time.Time
+	// ways are the times that answers take to hosts.
+	ways map[string]time.Duration
 }
 
 func newMemory() *memory {
-	return &memory{items: map[string]store.Item{}, changed: make(chan struct{}), calls: map[string]int{}, refused: map[string]bool{}}
+	return &memory{items: map[string]store.Item{}, changed: make(chan struct{}), calls: map[string]int{}, refused: map[string]bool{}, ways: map[string]time.Duration{}}
 }
 
 func (m *memory) put(key, value string) uint64 {
@@ -85,6 +87,14 @@
 	return nil
 }
 
+// arrive waits until an answer has come.
+func (s source) arrive() {
+	s.m.mu.Lock()
+	way := s.m.ways[s.host]
+	s.m.mu.Unlock()
+	time.Sleep(way)
+}
+
 func (s source) Get(context.Context, string) (store.Item, error) {
 	return store.Item{}, store.ErrNotFound
 }
@@ -93,6 +103,7 @@
 	if err := s.called(); err != nil {
 		return store.Page{}, err
 	}
+	defer s.arrive()
 	s.m.mu.Lock()
 	defer s.m.mu.Unlock()
 	page := store.Page{Revision: s.m.revision}
@@ -106,6 +117,7 @@
 	if err := s.called(); err != nil {
 		return store.Page{}, err
 	}
+	defer s.arrive()
 	end := time.After(wait)
 	s.m.mu.Lock()
 	if silent := time.Until(s.m.silent); silent > 0 {
--- a/internal/fleet/directory/follow.go
+++ b/internal/fleet/directory/follow.go
@@ -24,6 +24,8 @@
 	// watchWait is the wait of one watch of the store. It bounds the time in which
 	// a store that went silent is noticed.
 	watchWait = 600 * time.Millisecond
+	// shortestWait is the wait of a watch when the view is old.
+	shortestWait = 100 * time.Millisecond
 	// batchPause is the time between two watches after a change, so that changes
 	// that come together cost one call.
 	batchPause = 60 * time.Millisecond
@@ -118,7 +120,11 @@
 func (w *watcher) once(ctx context.Context) time.Duration {
 	d := w.d
 	after := d.journal.reached()
-	page, full, err := d.read(ctx, after, w.reload)
+	asked := time.Now()
+	// A watch that ends with changes vouches for the time of its question only. The next
+	// one ends when that would be too long ago.
+	wait := min(watchWait, max(shortestWait, watchWait-d.Age(asked)))
+	page, full, err := d.read(ctx, after, wait, w.reload)
 	switch {
 	case errors.Is(err, store.ErrCompacted):
 		d.cfg.Log.WithField("after", after).Info("history is gone, reading everything")
@@ -130,7 +136,8 @@
 	if w.lost {
 		d.cfg.Log.WithField(fieldRevision, page.Revision).Info("store is back")
 	}
-	d.take(ctx, news{page: page, full: full, from: fromStore, received: time.Now()})
+	received := time.Now()
+	d.take(ctx, news{page: page, full: full, from: fromStore, received: received, age: ageOfAnswer(received.Sub(asked), wait, page, full)})
 	w.lost, w.reload, w.pause = false, false, 0
 	switch {
 	case d.Snapshot().Key == nil:
@@ -141,6 +148,15 @@
 	return 0
 }
 
+// ageOfAnswer returns the age of an answer of the store that took some time to come. An
+// empty watch was held for its wait; anything else may be as old as its question.
+func ageOfAnswer(took, wait time.Duration, page store.Page, full bool) time.Duration {
+	if !full && len(page.Items) == 0 {
+		return max(0, took-wait)
+	}
+	return took
+}
+
 func (w *watcher) failed(ctx context.Context, err error, revision uint64) time.Duration {
 	if !w.lost && ctx.Err() == nil {
 		w.d.cfg.Log.WithError(err).WithField(fieldRevision, revision).Warn("store is lost")
@@ -158,12 +174,12 @@
 	return w.pause/2 + rand.N(w.pause/2)
 }
 
-func (d *Directory) read(ctx context.Context, after uint64, reload bool) (page store.Page, full bool, err error) {
+func (d *Directory) read(ctx context.Context, after uint64, wait time.Duration, reload bool) (page store.Page, full bool, err error) {
 	if reload || after == 0 {
 		page, err = d.cfg.Source.Range(ctx, everything)
 		return page, true, err
 	}
-	page, err = d.cfg.Source.Watch(ctx, everything, after, watchWait)
+	page, err = d.cfg.Source.Watch(ctx, everything, after, wait)
 	return page, false, err
 }
 
--- a/internal/fleet/directory/peers.go
+++ b/internal/fleet/directory/peers.go
@@ -44,8 +44,10 @@
 	Revision uint64       `cbor:"2,keyasint"`
 	// Full says that the items are all keys.
 	Full bool `cbor:"3,keyasint,omitempty"`
-	// Age is the time since the store was last heard, directly or through others.
-	Age time.Duration `cbor:"4,keyasint"`
+	// Age is the time since which the items may lack what the store has taken in, as of the
+	// answer, and Held that for which the question waited for it.
+	Age  time.Duration `cbor:"4,keyasint"`
+	Held time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // ServeHTTP passes changes on to another host. It implements http.Handler.
@@ -57,6 +59,7 @@
 		http.Error(w, "want a revision and a wait", http.StatusBadRequest)
 		return
 	}
+	asked := time.Now()
 	e := d.journal.since(after)
 	if !e.full && len(e.page.Items) == 0 {
 		timer := time.NewTimer(min(wait, maxPeerWait))
@@ -69,7 +72,10 @@
 			return
 		}
 	}
-	body, err := cbor.Marshal(changes{Items: e.page.Items, Revision: e.page.Revision, Full: e.full, Age: d.ageOf(time.Now(), e.contact)})
+	now := time.Now()
+	body, err := cbor.Marshal(changes{
+		Items: e.page.Items, Revision: e.page.Revision, Full: e.full, Age: d.ageOf(now, e.contact), Held: now.Sub(asked),
+	})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
@@ -84,8 +90,10 @@
 	return hex.EncodeToString(mac.Sum(nil))
 }
 
-// askPeer asks another host for what changed after a revision.
+// askPeer asks another host for what changed after a revision. The age in its answer
+// includes the way.
 func (d *Directory) askPeer(ctx context.Context, host Host, after uint64, wait time.Duration) (changes, error) {
+	asked := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, wait+peerGrace)
 	defer cancel()
 	query := url.Values{paramAfter: {strconv.FormatUint(after, 10)}, paramWait: {wait.String()}}
@@ -106,5 +114,10 @@
 		return changes{}, errors.Wrapf(errPeer, "%s: status %d", host.Name, res.StatusCode)
 	}
 	var c changes
-	return c, errors.Wrap(cbor.Unmarshal(body, &c), host.Name)
+	if err := cbor.Unmarshal(body, &c); err != nil {
+		return changes{}, errors.Wrap(err, host.Name)
+	}
+	// The clocks of hosts differ, so the way is what the question took beyond its wait.
+	c.Age += max(0, time.Since(asked)-max(0, c.Held))
+	return c, nil
 }
