--- a/internal/contract/confirmation/service.go
+++ b/internal/contract/confirmation/service.go
@@ -71,10 +71,10 @@
 
 // Load reads the head and the documents that it names, except those that held
 // returns.
-func Load(ctx context.Context, s store.Store, held Documents) (*catalog.Head, store.Version, *catalog.Catalog, error) {
+func Load(ctx context.Context, s store.Store, held Documents) (*catalog.Head, store.Revision, *catalog.Catalog, error) {
 	head, version, err := loadHead(ctx, s)
 	if err != nil {
-		return nil, 0, nil, err
+		return nil, store.Revision{}, nil, err
 	}
 	c, err := catalog.Assemble(head, func(isPool bool, name string, digest catalog.Digest) ([]byte, error) {
 		key := catalog.DocumentKey(isPool, name, digest)
@@ -89,17 +89,17 @@
 	return head, version, c, err
 }
 
-func loadHead(ctx context.Context, s store.Store) (*catalog.Head, store.Version, error) {
+func loadHead(ctx context.Context, s store.Store) (*catalog.Head, store.Revision, error) {
 	v, err := s.Get(ctx, HeadKey)
 	if errors.Is(err, store.ErrNotFound) {
-		return catalog.New().HeadAfter(&catalog.Head{}, catalog.Confirmation{}).WithoutHistory(), 0, nil
+		return catalog.New().HeadAfter(&catalog.Head{}, catalog.Confirmation{}).WithoutHistory(), store.Revision{}, nil
 	}
 	if err != nil {
-		return nil, 0, err
+		return nil, store.Revision{}, err
 	}
 	var head catalog.Head
 	if err := json.Unmarshal(v.Data, &head); err != nil {
-		return nil, 0, errors.Wrap(err, "confirmation: head")
+		return nil, store.Revision{}, errors.Wrap(err, "confirmation: head")
 	}
 	return &head, v.Version, nil
 }
@@ -128,7 +128,7 @@
 	p.ID = fmt.Sprintf("%s.%s", by.Partner, s.newID())
 	p.Operator = by.Name
 	p.UnixMilli = s.now().UnixMilli()
-	if _, err := s.store.Swap(ctx, planKey(p.ID), 0, encode(p)); err != nil {
+	if _, err := s.store.Swap(ctx, planKey(p.ID), store.Revision{}, encode(p)); err != nil {
 		return nil, unavailable(err)
 	}
 	return p, nil
@@ -172,13 +172,13 @@
 	return mine, nil
 }
 
-func (s *Service) list(ctx context.Context, prefix string) ([]*plan.Plan, []store.Version, error) {
+func (s *Service) list(ctx context.Context, prefix string) ([]*plan.Plan, []store.Revision, error) {
 	values, err := s.store.List(ctx, prefix)
 	if err != nil {
 		return nil, nil, unavailable(err)
 	}
 	plans := make([]*plan.Plan, 0, len(values))
-	versions := make([]store.Version, 0, len(values))
+	versions := make([]store.Revision, 0, len(values))
 	for _, v := range values {
 		var p plan.Plan
 		if err := json.Unmarshal(v.Data, &p); err != nil {
@@ -273,7 +273,7 @@
 	return refusal
 }
 
-func (s *Service) swap(ctx context.Context, by Operator, p *plan.Plan, head *catalog.Head, version store.Version, next *catalog.Catalog) (catalog.Confirmation, error) {
+func (s *Service) swap(ctx context.Context, by Operator, p *plan.Plan, head *catalog.Head, version store.Revision, next *catalog.Catalog) (catalog.Confirmation, error) {
 	confirmation := catalog.Confirmation{
 		ID: p.ID, Revision: next.Revision, Partner: by.Partner, Operator: by.Name,
 		Reason: p.Intent.Reason, UnixMilli: s.now().UnixMilli(),
@@ -312,7 +312,7 @@
 // settle learns the outcome of a swap whose answer was lost. Reading the head is
 // not enough: the swap may land after the read. A further swap of the same
 // content fences it: when the fence lands first, the lost swap can only fail.
-func (s *Service) settle(ctx context.Context, by Operator, p *plan.Plan, version store.Version) (catalog.Confirmation, error) {
+func (s *Service) settle(ctx context.Context, by Operator, p *plan.Plan, version store.Revision) (catalog.Confirmation, error) {
 	var last error
 	for range settleAttempts {
 		head, current, err := loadHead(ctx, s.store)
@@ -349,7 +349,7 @@
 		if known == d.Digest {
 			continue
 		}
-		_, err := s.store.Swap(ctx, d.Key(), 0, d.Content)
+		_, err := s.store.Swap(ctx, d.Key(), store.Revision{}, d.Content)
 		if err != nil && !errors.Is(err, store.ErrConflict) {
 			return err
 		}
@@ -357,20 +357,20 @@
 	return nil
 }
 
-func (s *Service) load(ctx context.Context, id string) (*plan.Plan, store.Version, error) {
+func (s *Service) load(ctx context.Context, id string) (*plan.Plan, store.Revision, error) {
 	if strings.Contains(id, "/") {
-		return nil, 0, errors.Wrap(ErrUnknownPlan, id)
+		return nil, store.Revision{}, errors.Wrap(ErrUnknownPlan, id)
 	}
 	v, err := s.store.Get(ctx, planKey(id))
 	if errors.Is(err, store.ErrNotFound) {
-		return nil, 0, errors.Wrap(ErrUnknownPlan, id)
+		return nil, store.Revision{}, errors.Wrap(ErrUnknownPlan, id)
 	}
 	if err != nil {
-		return nil, 0, unavailable(err)
+		return nil, store.Revision{}, unavailable(err)
 	}
 	var p plan.Plan
 	if err := json.Unmarshal(v.Data, &p); err != nil {
-		return nil, 0, errors.Wrapf(err, "confirmation: plan %s", id)
+		return nil, store.Revision{}, errors.Wrapf(err, "confirmation: plan %s", id)
 	}
 	return &p, v.Version, nil
 }
--- a/internal/fleet/controller/controller.go
+++ b/internal/fleet/controller/controller.go
@@ -180,7 +180,7 @@
 // watchStore follows the head in the store while this host is a watcher, or has
 // no configuration.
 func (c *Controller) watchStore(ctx context.Context) error {
-	var version store.Version
+	var version store.Revision
 	for ctx.Err() == nil {
 		loaded := c.Snapshot().Head.Revision > 0
 		if loaded && !c.watches.Load() {
@@ -200,7 +200,7 @@
 
 // readHead reads the head once: at once while there is no configuration, by a
 // watch otherwise. It returns the version to watch after.
-func (c *Controller) readHead(ctx context.Context, version store.Version, loaded bool) (store.Version, error) {
+func (c *Controller) readHead(ctx context.Context, version store.Revision, loaded bool) (store.Revision, error) {
 	var v store.Value
 	var err error
 	if loaded {
--- a/internal/fleet/controller/loop_test.go
+++ b/internal/fleet/controller/loop_test.go
@@ -59,7 +59,7 @@
 	reachableSince time.Time
 	// seen is the version of the head that the host has read, asked the time of
 	// its last call.
-	seen  store.Version
+	seen  store.Revision
 	asked time.Time
 }
 
@@ -81,7 +81,7 @@
 	frames  int64
 	inForce map[uint64]time.Time
 	// version is that of the head; a watch answers when it changes.
-	version store.Version
+	version store.Revision
 	// mixed makes some reads stale.
 	mixed bool
 	// naive hosts take whatever the store says.
@@ -132,7 +132,7 @@
 	n.reachableSince = f.now
 	self := member.Host{Name: n.name, Domain: n.domain, Incarnation: fmt.Sprint(n.incarnation), Peer: netip.MustParseAddrPort("192.0.2.1:1")}
 	n.state = newState(self, member.DefaultConfig())
-	n.seen, n.asked = 0, time.Time{}
+	n.seen, n.asked = store.Revision{}, time.Time{}
 	incarnation := n.incarnation
 	every := func(period time.Duration, fn func()) {
 		var next func()
@@ -280,7 +280,7 @@
 	n.seen = v.Version
 	if f.stale != nil && f.mixed && f.rng.IntN(3) == 0 {
 		v.Data = f.stale
-		n.seen = 0
+		n.seen = store.Revision{}
 	}
 	var head catalog.Head
 	if err := json.Unmarshal(v.Data, &head); err != nil {
@@ -335,7 +335,7 @@
 		Name: target, Address: netip.MustParseAddrPort("192.0.2.9:80"), Domain: "d0", Slots: 1, Connections: 10,
 	}}}
 	for _, d := range next.Documents() {
-		if _, err := f.table.Swap(ctx, d.Key(), 0, d.Content); err != nil {
+		if _, err := f.table.Swap(ctx, d.Key(), store.Revision{}, d.Content); err != nil {
 			return err
 		}
 	}
@@ -344,7 +344,7 @@
 		panic(err)
 	}
 	if f.version, err = f.table.Swap(ctx, confirmation.HeadKey, v.Version, data); err != nil {
-		f.version = v.Version + 1
+		f.version = store.At(v.Version.Era, v.Version.Number+1)
 		return err
 	}
 	if v.Data != nil {
--- a/internal/fleet/directory/age_test.go
+++ b/internal/fleet/directory/age_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"tamaracktiller.example/tamaracktiller/internal/platform/store"
 )
 
 // slowApply is the time that a change takes on a host of a sixth of a core that is slowed
@@ -31,14 +33,14 @@
 }
 
 // writes holds when the store took in each revision.
-type writes map[uint64]time.Time
+type writes map[store.Revision]time.Time
 
 // before returns the highest revision that was written by a time.
-func (w writes) before(t time.Time) uint64 {
-	highest := uint64(0)
+func (w writes) before(t time.Time) store.Revision {
+	var highest store.Revision
 	for revision, at := range w {
 		if !at.After(t) {
-			highest = max(highest, revision)
+			highest = store.Latest(highest, revision)
 		}
 	}
 	return highest
@@ -50,7 +52,7 @@
 	for _, h := range f.hosts {
 		age, revision := h.Age(now), h.Snapshot().Revision
 		due := w.before(now.Add(-age))
-		require.LessOrEqual(f.t, due, revision, "%s claims an age of %s, and lacks what was written %s ago", h.cfg.Self, age, now.Sub(w[revision+1]))
+		require.False(f.t, due.After(revision), "%s claims an age of %s, and has %s in place of %s", h.cfg.Self, age, revision, due)
 	}
 }
 
--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -80,6 +80,15 @@
 	age      time.Duration
 }
 
+// follows reports whether news can be taken in by a view that has reached a revision: an
+// era that has passed says nothing any more, and a later one begins with everything.
+func (n *news) follows(reached store.Revision) bool {
+	if n.full {
+		return n.page.Revision.Era >= reached.Era
+	}
+	return n.page.Revision.Era == reached.Era
+}
+
 // fromStore is the origin of what the store told this host itself.
 const fromStore = "store"
 
@@ -172,6 +181,12 @@
 		return
 	}
 	defer close(e.taken)
+	if reached := d.journal.reached(); !e.news.follows(reached) {
+		d.cfg.Log.WithFields(e.news.origin(now)).WithFields(logrus.Fields{
+			fieldRevision: e.news.page.Revision.String(), "reached": reached.String(),
+		}).Info("news of another era is left out")
+		return
+	}
 	if d.cfg.Waited != nil {
 		d.cfg.Waited(now.Sub(e.news.received))
 	}
--- a/internal/fleet/directory/fleet_test.go
+++ b/internal/fleet/directory/fleet_test.go
@@ -27,7 +27,7 @@
 	mu       sync.Mutex
 	items    map[string]store.Item
 	history  []store.Item
-	revision uint64
+	revision store.Revision
 	changed  chan struct{}
 	// calls counts reads by host.
 	calls map[string]int
@@ -43,10 +43,10 @@
 	return &memory{items: map[string]store.Item{}, changed: make(chan struct{}), calls: map[string]int{}, refused: map[string]bool{}, ways: map[string]time.Duration{}}
 }
 
-func (m *memory) put(key, value string) uint64 {
+func (m *memory) put(key, value string) store.Revision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.revision++
+	m.revision.Number++
 	item := store.Item{Key: key, Value: []byte(value), Revision: m.revision}
 	m.items[key] = item
 	m.history = append(m.history, item)
@@ -113,7 +113,7 @@
 	return page, nil
 }
 
-func (s source) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (store.Page, error) {
+func (s source) Watch(ctx context.Context, _ string, after store.Revision, wait time.Duration) (store.Page, error) {
 	if err := s.called(); err != nil {
 		return store.Page{}, err
 	}
@@ -128,8 +128,12 @@
 	for {
 		s.m.mu.Lock()
 		page := store.Page{Revision: s.m.revision}
+		if page.Revision.Era != after.Era {
+			s.m.mu.Unlock()
+			return store.Page{}, store.ErrCompacted
+		}
 		for _, item := range s.m.history {
-			if item.Revision > after {
+			if item.Revision.After(after) {
 				page.Items = append(page.Items, item)
 			}
 		}
--- a/internal/fleet/directory/follow.go
+++ b/internal/fleet/directory/follow.go
@@ -69,7 +69,7 @@
 // mustWatch reports whether this host should watch the store now.
 func (d *Directory) mustWatch(now time.Time) bool {
 	s := d.Snapshot()
-	if s.Key == nil || d.contact.Load() == 0 {
+	if len(s.Keys) == 0 || d.contact.Load() == 0 {
 		return true
 	}
 	switch s.place.rank {
@@ -127,20 +127,20 @@
 	page, full, err := d.read(ctx, after, wait, w.reload)
 	switch {
 	case errors.Is(err, store.ErrCompacted):
-		d.cfg.Log.WithField("after", after).Info("history is gone, reading everything")
+		d.cfg.Log.WithField("after", after.String()).Info("history is gone, reading everything")
 		w.reload = true
 		return 0
 	case err != nil:
 		return w.failed(ctx, err, after)
 	}
 	if w.lost {
-		d.cfg.Log.WithField(fieldRevision, page.Revision).Info("store is back")
+		d.cfg.Log.WithField(fieldRevision, page.Revision.String()).Info("store is back")
 	}
 	received := time.Now()
 	d.take(ctx, news{page: page, full: full, from: fromStore, received: received, age: ageOfAnswer(received.Sub(asked), wait, page, full)})
 	w.lost, w.reload, w.pause = false, false, 0
 	switch {
-	case d.Snapshot().Key == nil:
+	case len(d.Snapshot().Keys) == 0:
 		return startPause
 	case len(page.Items) > 0:
 		return batchPause
@@ -157,9 +157,9 @@
 	return took
 }
 
-func (w *watcher) failed(ctx context.Context, err error, revision uint64) time.Duration {
+func (w *watcher) failed(ctx context.Context, err error, revision store.Revision) time.Duration {
 	if !w.lost && ctx.Err() == nil {
-		w.d.cfg.Log.WithError(err).WithField(fieldRevision, revision).Warn("store is lost")
+		w.d.cfg.Log.WithError(err).WithField(fieldRevision, revision.String()).Warn("store is lost")
 	}
 	silent := !w.lost && !w.reload && errors.Is(err, store.ErrUnclear)
 	w.lost, w.reload = true, true
@@ -174,8 +174,8 @@
 	return w.pause/2 + rand.N(w.pause/2)
 }
 
-func (d *Directory) read(ctx context.Context, after uint64, wait time.Duration, reload bool) (page store.Page, full bool, err error) {
-	if reload || after == 0 {
+func (d *Directory) read(ctx context.Context, after store.Revision, wait time.Duration, reload bool) (page store.Page, full bool, err error) {
+	if reload || after.IsZero() {
 		page, err = d.cfg.Source.Range(ctx, everything)
 		return page, true, err
 	}
@@ -205,7 +205,7 @@
 // root.
 func (d *Directory) followed(now time.Time, suspects map[string]time.Time) (Host, bool) {
 	s := d.Snapshot()
-	if s.Key == nil || len(s.place.parent) == 0 {
+	if len(s.Keys) == 0 || len(s.place.parent) == 0 {
 		return Host{}, false
 	}
 	for _, h := range slices.Concat(s.place.parent, s.place.spares) {
@@ -220,7 +220,7 @@
 func (d *Directory) askSpares(ctx context.Context) error {
 	for turn := 0; ctx.Err() == nil; turn++ {
 		s := d.Snapshot()
-		if spares := s.place.spares; s.Key != nil && len(spares) > 0 && d.Age(time.Now()) > spareAge {
+		if spares := s.place.spares; len(s.Keys) > 0 && len(spares) > 0 && d.Age(time.Now()) > spareAge {
 			host := spares[turn%len(spares)]
 			if err := d.hear(ctx, host, 0); err != nil {
 				d.cfg.Log.WithError(err).WithField(fieldHost, host.Name).Debug("spare host does not answer")
@@ -237,6 +237,9 @@
 	if err != nil {
 		return err
 	}
+	if reached := d.journal.reached(); c.Revision.Era < reached.Era {
+		return errors.Wrapf(errPeer, "%s: era %d has passed", host.Name, c.Revision.Era)
+	}
 	d.take(ctx, news{page: store.Page{Items: c.Items, Revision: c.Revision}, full: c.Full, from: host.Name, received: time.Now(), age: c.Age})
 	return nil
 }
--- a/internal/fleet/directory/journal.go
+++ b/internal/fleet/directory/journal.go
@@ -22,9 +22,9 @@
 	items map[string]store.Item
 	// recent holds the newest item of each key that changed a short time ago.
 	recent   []store.Item
-	revision uint64
+	revision store.Revision
 	// complete is the revision after which recent holds every change.
-	complete uint64
+	complete store.Revision
 	// contact is the time up to which the items are complete, since any origin, and
 	// woken that at which the followers were last woken.
 	contact, woken time.Duration
@@ -50,23 +50,24 @@
 	}
 	j.recent = append(j.recent, item)
 	if len(j.recent) > journalLength {
-		j.complete = max(j.complete, j.recent[0].Revision)
+		j.complete = store.Latest(j.complete, j.recent[0].Revision)
 		j.recent = slices.Delete(j.recent, 0, 1)
 	}
 }
 
 // reach notes that everything up to a revision was taken in, which was complete at a time
 // since any origin, and wakes those who wait if there is something to tell. The first read
-// skips what happened before; a later full read adds what it finds to have changed,
-// deleted keys too.
-func (j *journal) reach(revision uint64, contact time.Duration) {
+// skips what happened before, and so does the first one of an era; a later full read adds
+// what it finds to have changed, deleted keys too.
+func (j *journal) reach(revision store.Revision, contact time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.revision == 0 {
-		j.complete = max(j.complete, revision)
+	if j.revision.IsZero() || revision.Era > j.revision.Era {
+		j.complete = store.Latest(j.complete, revision)
+		j.recent = nil
 	}
-	changed := revision > j.revision
-	j.revision = max(j.revision, revision)
+	changed := revision.After(j.revision)
+	j.revision = store.Latest(j.revision, revision)
 	j.contact = max(j.contact, contact)
 	if changed || j.contact-j.woken >= contactStep {
 		j.wake()
@@ -93,13 +94,13 @@
 
 // since returns what changed after a revision, or everything when that is not known
 // any more.
-func (j *journal) since(after uint64) extract {
+func (j *journal) since(after store.Revision) extract {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	e := extract{page: store.Page{Revision: j.revision}, contact: j.contact, changed: j.changed}
-	if after >= j.complete {
+	if !j.complete.After(after) {
 		for _, item := range j.recent {
-			if item.Revision > after {
+			if item.Revision.After(after) {
 				e.page.Items = append(e.page.Items, item)
 			}
 		}
@@ -114,7 +115,7 @@
 }
 
 // reached returns the revision up to which everything was taken in.
-func (j *journal) reached() uint64 {
+func (j *journal) reached() store.Revision {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.revision
--- a/internal/fleet/directory/peers.go
+++ b/internal/fleet/directory/peers.go
@@ -11,7 +11,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -25,6 +24,8 @@
 
 const (
 	headerCode = "Fleet-Code"
+	// headerKey names the secret that the asker knows.
+	headerKey  = "Fleet-Key"
 	paramAfter = "after"
 	paramWait  = "wait"
 	// maxChangesBytes bounds one answer: all keys of a large fleet.
@@ -40,8 +41,8 @@
 
 // changes is what a host passes on.
 type changes struct {
-	Items    []store.Item `cbor:"1,keyasint,omitempty"`
-	Revision uint64       `cbor:"2,keyasint"`
+	Items    []store.Item   `cbor:"1,keyasint,omitempty"`
+	Revision store.Revision `cbor:"2,keyasint"`
 	// Full says that the items are all keys.
 	Full bool `cbor:"3,keyasint,omitempty"`
 	// Age is the time since which the items may lack what the store has taken in, as of the
@@ -52,8 +53,8 @@
 
 // ServeHTTP passes changes on to another host. It implements http.Handler.
 func (d *Directory) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	key := d.Snapshot().Key
-	after, err := strconv.ParseUint(r.URL.Query().Get(paramAfter), 10, 64)
+	key := keyNamed(d.Snapshot().Keys, r.Header.Get(headerKey))
+	after, err := store.ParseRevision(r.URL.Query().Get(paramAfter))
 	wait, waitErr := time.ParseDuration(r.URL.Query().Get(paramWait))
 	if err != nil || waitErr != nil || key == nil {
 		http.Error(w, "want a revision and a wait", http.StatusBadRequest)
@@ -84,6 +85,26 @@
 	_, _ = w.Write(body)
 }
 
+// keyName returns the name by which hosts tell secrets apart.
+func keyName(key []byte) string {
+	const nameBytes = 8
+	sum := sha256.Sum256(key)
+	return hex.EncodeToString(sum[:nameBytes])
+}
+
+// keyNamed returns the secret with a name, or the newest one; nil if none is known.
+func keyNamed(keys [][]byte, name string) []byte {
+	for _, key := range keys {
+		if keyName(key) == name {
+			return key
+		}
+	}
+	if len(keys) == 0 {
+		return nil
+	}
+	return keys[0]
+}
+
 func code(key, body []byte) string {
 	mac := hmac.New(sha256.New, key)
 	_, _ = mac.Write(body)
@@ -92,15 +113,17 @@
 
 // askPeer asks another host for what changed after a revision. The age in its answer
 // includes the way.
-func (d *Directory) askPeer(ctx context.Context, host Host, after uint64, wait time.Duration) (changes, error) {
+func (d *Directory) askPeer(ctx context.Context, host Host, after store.Revision, wait time.Duration) (changes, error) {
 	asked := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, wait+peerGrace)
 	defer cancel()
-	query := url.Values{paramAfter: {strconv.FormatUint(after, 10)}, paramWait: {wait.String()}}
+	query := url.Values{paramAfter: {after.String()}, paramWait: {wait.String()}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s?%s", host.Peers, ChangesPath, query.Encode()), nil)
 	if err != nil {
 		return changes{}, err
 	}
+	key := d.Snapshot().Key()
+	req.Header.Set(headerKey, keyName(key))
 	res, err := d.peers.Do(req)
 	if err != nil {
 		return changes{}, err
@@ -110,7 +133,7 @@
 	if err != nil {
 		return changes{}, err
 	}
-	if res.StatusCode != http.StatusOK || !hmac.Equal([]byte(res.Header.Get(headerCode)), []byte(code(d.Snapshot().Key, body))) {
+	if res.StatusCode != http.StatusOK || !hmac.Equal([]byte(res.Header.Get(headerCode)), []byte(code(key, body))) {
 		return changes{}, errors.Wrapf(errPeer, "%s: status %d", host.Name, res.StatusCode)
 	}
 	var c changes
--- a/internal/fleet/directory/state.go
+++ b/internal/fleet/directory/state.go
@@ -18,6 +18,7 @@
 // This file defines State, the control state without I/O, and Snapshot.
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"net/netip"
@@ -69,26 +70,42 @@
 	HostChanges int
 	// place is the own place in the tree over which changes spread.
 	place place
-	// Key authenticates messages between hosts; nil while none is known.
-	Key []byte
+	// Keys authenticate messages between hosts: the newest signs, and older ones are still
+	// accepted. None is known at first.
+	Keys [][]byte
+	// KeyStored says that the store holds the newest key, and Entry is the own host's
+	// entry there.
+	KeyStored bool
+	Entry     Host
 	// MaxHosts is the highest number of hosts that may exist.
 	MaxHosts int
 	// Revision is the highest revision of the store that was taken in.
-	Revision uint64
+	Revision store.Revision
 	// Changed counts the changes of the targets.
 	Changed int
 }
 
+// Key returns the key that signs messages between hosts; nil while none is known.
+func (s *Snapshot) Key() []byte {
+	if len(s.Keys) == 0 {
+		return nil
+	}
+	return s.Keys[0]
+}
+
 // known is what is known of a key.
 type known struct {
-	revision uint64
+	revision store.Revision
 	deleted  bool
+	// value is the last one. It outlives the key: a copy of the store may bring it back.
+	value []byte
 }
 
 // Names of log fields.
 const (
 	fieldRevision = "revision"
 	fieldHost     = "host"
+	fieldTarget   = "target"
 )
 
 // Line is a change to log.
@@ -104,7 +121,6 @@
 	decoder Decoder
 	// taken is called for each item that is newer than what was known of its key.
 	taken    func(store.Item)
-	keys     map[string]known
 	roster   *roster.Roster
 	table    *routing.Table
 	hosts    map[string]Host
@@ -115,10 +131,19 @@
 	hostsChanged, targetsChanged bool
 	// joined and left are the names of hosts that came and went since the last lines.
 	joined, left []string
-	key          []byte
-	revision     uint64
-	changes      int
-	lines        []Line
+	keys         map[string]known
+	secrets      [][]byte
+	secretStored bool
+	// entry is that of the own host in the store.
+	entry      Host
+	revision   store.Revision
+	returnTime time.Duration
+	// missing holds the hosts whose entries a copy of the store lacks, and when they
+	// count as gone, and keepUntil the time until which hosts are kept so.
+	missing   map[string]time.Time
+	keepUntil time.Time
+	changes   int
+	lines     []Line
 	// restarted lists targets that are new under their id.
 	restarted []string
 }
@@ -128,6 +153,7 @@
 func NewState(self Host, decoder Decoder, returnTime time.Duration, taken func(store.Item)) *State {
 	return &State{
 		self: self, decoder: decoder, taken: taken, keys: map[string]known{}, roster: roster.New(returnTime), hosts: map[string]Host{},
+		returnTime: returnTime, missing: map[string]time.Time{},
 		last: &Snapshot{}, hostsChanged: true, targetsChanged: true,
 	}
 }
@@ -140,81 +166,145 @@
 func (s *State) Load(now time.Time, page store.Page) (changed bool) {
 	listed := make(map[string]bool, len(page.Items))
 	before, missed := s.revision, 0
+	if len(s.keys) > 0 && page.Revision.Era > before.Era {
+		s.comeBack(now, page.Revision)
+		changed = true
+	}
 	for _, item := range page.Items {
 		listed[item.Key] = true
 		if s.Apply(now, item) {
 			changed = true
-			if item.Revision <= before {
+			if item.Revision.Era == before.Era && !item.Revision.After(before) {
 				missed++
 			}
 		}
 	}
 	if missed > 0 && len(s.keys) > missed {
-		s.warn("a full read found changes that were not told", map[string]any{"count": missed, fieldRevision: before})
+		s.warn("a full read found changes that were not told", map[string]any{"count": missed, fieldRevision: before.String()})
 	}
 	for key, k := range s.keys {
-		if !listed[key] && !k.deleted && k.revision <= page.Revision {
+		if !listed[key] && !k.deleted && !k.revision.After(page.Revision) {
 			changed = s.Apply(now, store.Item{Key: key, Revision: page.Revision, Deleted: true}) || changed
 		}
 	}
-	s.revision = max(s.revision, page.Revision)
+	s.revision = store.Latest(s.revision, page.Revision)
 	return changed
 }
 
+// comeBack prepares for a store that came back from a copy: what the copy lacks may be
+// written again.
+func (s *State) comeBack(now time.Time, revision store.Revision) {
+	s.warn("store came back from a copy", map[string]any{fieldRevision: revision.String(), "before": s.revision.String()})
+	s.roster.Outage(now)
+	s.keepUntil = now.Add(s.returnTime)
+}
+
 // Apply takes in one item, unless something as new is known of its key. It reports
 // whether it did.
 func (s *State) Apply(now time.Time, item store.Item) bool {
-	if k, ok := s.keys[item.Key]; ok && k.revision >= item.Revision {
+	old, ok := s.keys[item.Key]
+	if ok && !item.Revision.After(old.revision) {
 		return false
 	}
-	s.keys[item.Key] = known{revision: item.Revision, deleted: item.Deleted}
-	s.revision = max(s.revision, item.Revision)
+	next := known{revision: item.Revision, deleted: item.Deleted, value: item.Value}
+	if item.Deleted {
+		next.value = old.value
+	}
+	s.keys[item.Key] = next
+	s.revision = store.Latest(s.revision, item.Revision)
 	s.taken(item)
+	if old.copiedAs(item) {
+		return true
+	}
 	if s.decoder.IsConfig(item.Key) {
 		s.applyConfig(item)
 	} else if id, ok := s.decoder.TargetID(item.Key); ok {
-		s.applyTarget(now, id, item)
-	} else if item.Key == KeyKey && !item.Deleted {
-		s.key = item.Value
+		s.applyTarget(now, id, item, old)
+	} else if item.Key == KeyKey {
+		s.applySecret(item)
 	} else if name, ok := strings.CutPrefix(item.Key, HostPrefix); ok {
-		s.applyHost(name, item)
+		s.applyHost(now, name, item)
 	}
 	return true
 }
 
+// copiedAs reports whether an item is the same write in a copy of the store.
+func (k *known) copiedAs(item store.Item) bool {
+	return k.revision.Era < item.Revision.Era && k.revision.Number == item.Revision.Number &&
+		!k.deleted && !item.Deleted && bytes.Equal(k.value, item.Value)
+}
+
+// maxSecrets bounds the secrets that are accepted.
+const maxSecrets = 3
+
+// applySecret takes in the secret of the fleet. One that a copy of the store lacks stays in
+// force and is written again; one that it replaces is still accepted, since hosts learn of
+// the new one at different times.
+func (s *State) applySecret(item store.Item) {
+	s.secretStored = !item.Deleted
+	if item.Deleted || len(s.secrets) > 0 && bytes.Equal(s.secrets[0], item.Value) {
+		return
+	}
+	rest := slices.DeleteFunc(slices.Clone(s.secrets), func(old []byte) bool { return bytes.Equal(old, item.Value) })
+	s.secrets = append([][]byte{item.Value}, rest[:min(len(rest), maxSecrets-1)]...)
+	s.log("secret of the fleet is known", map[string]any{"name": keyName(item.Value), "accepted": len(s.secrets), fieldRevision: item.Revision.String()})
+}
+
 func (s *State) applyConfig(item store.Item) {
 	if item.Deleted {
-		s.warn("configuration was deleted; the one in force stays", map[string]any{fieldRevision: item.Revision})
+		s.warn("configuration was deleted; the one in force stays", map[string]any{fieldRevision: item.Revision.String()})
 		return
 	}
 	c, err := s.decoder.Config(item.Value)
 	if err != nil {
-		s.warn("configuration cannot be read; the one in force stays", map[string]any{fieldRevision: item.Revision, "error": err.Error()})
+		s.warn("configuration cannot be read; the one in force stays", map[string]any{fieldRevision: item.Revision.String(), "error": err.Error()})
 		return
 	}
 	if s.table != nil && c.Version <= s.table.Config.Version {
-		s.log("configuration is not newer", map[string]any{"version": c.Version, "in-force": s.table.Config.Version, fieldRevision: item.Revision})
+		s.log("configuration is not newer", map[string]any{"version": c.Version, "in-force": s.table.Config.Version, fieldRevision: item.Revision.String()})
 		return
 	}
 	s.table = routing.NewTable(c)
-	s.log("configuration is in force", map[string]any{"version": c.Version, "routes": len(c.Routes), fieldRevision: item.Revision})
+	s.log("configuration is in force", map[string]any{"version": c.Version, "routes": len(c.Routes), fieldRevision: item.Revision.String()})
 }
 
-func (s *State) applyTarget(now time.Time, id string, item store.Item) {
+func (s *State) applyTarget(now time.Time, id string, item store.Item, old known) {
 	if item.Deleted {
 		s.targetChanged(id, item.Revision, s.roster.Remove(now, id))
 		return
 	}
 	t, err := s.decoder.Target(id, item.Value)
 	if err != nil {
-		s.warn("entry names no target", map[string]any{"target": id, fieldRevision: item.Revision, "error": err.Error()})
+		s.warn("entry names no target", map[string]any{fieldTarget: id, fieldRevision: item.Revision.String(), "error": err.Error()})
 		s.targetChanged(id, item.Revision, s.roster.Remove(now, id))
 		return
 	}
+	if s.isOutdated(id, t, item.Revision, old) {
+		s.log("entry of a copy is older than what is known", map[string]any{
+			fieldTarget: id, "sequence": t.Sequence, "known": old.revision.String(), "ended": old.deleted, fieldRevision: item.Revision.String(),
+		})
+		return
+	}
 	s.targetChanged(id, item.Revision, s.roster.Put(now, t))
 }
 
-func (s *State) targetChanged(id string, revision uint64, c roster.Change) {
+// isOutdated reports whether the entry of a target that a copy of the store brings back was
+// written before what is known of it, by the target's own count.
+func (s *State) isOutdated(id string, t roster.Target, revision store.Revision, old known) bool {
+	if old.value == nil || old.revision.Era >= revision.Era {
+		return false
+	}
+	last, err := s.decoder.Target(id, old.value)
+	if err != nil {
+		return false
+	}
+	if old.deleted {
+		return !t.WrittenAfter(last)
+	}
+	return last.WrittenAfter(t)
+}
+
+func (s *State) targetChanged(id string, revision store.Revision, c roster.Change) {
 	s.changes++
 	s.targetsChanged = true
 	if c == roster.Unchanged {
@@ -223,23 +313,23 @@
 	if c == roster.Restarted {
 		s.restarted = append(s.restarted, id)
 	}
-	s.log("target "+c.String(), map[string]any{"target": id, fieldRevision: revision, "targets": s.roster.Targets()})
+	s.log("target "+c.String(), map[string]any{fieldTarget: id, fieldRevision: revision.String(), "targets": s.roster.Targets()})
 }
 
-func (s *State) applyHost(name string, item store.Item) {
+func (s *State) applyHost(now time.Time, name string, item store.Item) {
 	if item.Deleted {
-		if _, ok := s.hosts[name]; ok {
-			delete(s.hosts, name)
-			s.hostsChanged = true
-			s.left = append(s.left, name)
-		}
+		s.endHost(now, name)
 		return
 	}
 	var h Host
 	if err := json.Unmarshal(item.Value, &h); err != nil || h.Name != name {
-		s.warn("entry names no host", map[string]any{fieldHost: name, fieldRevision: item.Revision})
+		s.warn("entry names no host", map[string]any{fieldHost: name, fieldRevision: item.Revision.String()})
 		return
 	}
+	if name == s.self.Name {
+		s.entry = h
+	}
+	delete(s.missing, name)
 	if s.hosts[name] == h {
 		return
 	}
@@ -249,6 +339,29 @@
 	s.joined = append(s.joined, name)
 }
 
+// endHost takes in the end of a host's entry. Hosts that a copy of the store lacks get some
+// time to write theirs again.
+func (s *State) endHost(now time.Time, name string) {
+	if name == s.self.Name {
+		s.entry = Host{}
+	}
+	if _, ok := s.hosts[name]; !ok {
+		return
+	}
+	if now.Before(s.keepUntil) {
+		s.missing[name] = s.keepUntil
+		return
+	}
+	s.dropHost(name)
+}
+
+func (s *State) dropHost(name string) {
+	delete(s.hosts, name)
+	delete(s.missing, name)
+	s.hostsChanged = true
+	s.left = append(s.left, name)
+}
+
 // maxNames bounds the names of hosts in a line.
 const maxNames = 16
 
@@ -260,7 +373,7 @@
 		names []string
 	}{{"hosts joined", s.joined}, {"hosts left", s.left}} {
 		if n := len(change.names); n > 0 {
-			s.log(change.text, map[string]any{"count": n, "names": change.names[:min(n, maxNames)], "hosts": len(s.hosts), fieldRevision: s.revision})
+			s.log(change.text, map[string]any{"count": n, "names": change.names[:min(n, maxNames)], "hosts": len(s.hosts), fieldRevision: s.revision.String()})
 		}
 	}
 	s.joined, s.left = nil, nil
@@ -272,13 +385,20 @@
 		changed = true
 		s.targetChanged(id, s.revision, c)
 	})
+	for name, until := range s.missing {
+		if now.After(until) {
+			s.dropHost(name)
+			changed = true
+		}
+	}
 	return changed
 }
 
 // Snapshot returns the present view.
 func (s *State) Snapshot() *Snapshot {
 	next := *s.last
-	next.Table, next.Key, next.MaxHosts, next.Revision, next.Changed = s.table, s.key, s.maxHosts, s.revision, s.changes
+	next.Table, next.MaxHosts, next.Revision, next.Changed = s.table, s.maxHosts, s.revision, s.changes
+	next.Keys, next.KeyStored, next.Entry = s.secrets, s.secretStored, s.entry
 	if s.hostsChanged {
 		next.Hosts = maps.Clone(s.hosts)
 		next.HostChanges++
--- a/internal/fleet/directory/state_test.go
+++ b/internal/fleet/directory/state_test.go
@@ -43,7 +43,7 @@
 func newState() *State { return NewState(Host{}, plain{}, time.Second, func(store.Item) {}) }
 
 func put(key, value string, revision uint64) store.Item {
-	return store.Item{Key: key, Value: []byte(value), Revision: revision}
+	return store.Item{Key: key, Value: []byte(value), Revision: store.At(0, revision)}
 }
 
 func TestConfigurationOnlyGoesUp(t *testing.T) {
@@ -56,7 +56,7 @@
 		{name: "older under a newer revision", items: []store.Item{put("config", "7", 1), put("config", "3", 2)}, want: 7},
 		{name: "older revision comes late", items: []store.Item{put("config", "7", 9), put("config", "8", 2)}, want: 7},
 		{name: "unreadable", items: []store.Item{put("config", "7", 1), put("config", "x", 2)}, want: 7},
-		{name: "deleted", items: []store.Item{put("config", "7", 1), {Key: "config", Revision: 2, Deleted: true}}, want: 7},
+		{name: "deleted", items: []store.Item{put("config", "7", 1), {Key: "config", Revision: store.At(0, 2), Deleted: true}}, want: 7},
 		{name: "good after unreadable", items: []store.Item{put("config", "7", 1), put("config", "x", 2), put("config", "9", 3)}, want: 9},
 	}
 	for _, tt := range tests {
@@ -96,7 +96,7 @@
 			key := "t/" + strconv.Itoa(rng.IntN(6))
 			item := put(key, "", revision)
 			if rng.IntN(3) == 0 {
-				item = store.Item{Key: key, Revision: revision, Deleted: true}
+				item = store.Item{Key: key, Revision: store.At(0, revision), Deleted: true}
 				delete(live, key)
 			} else {
 				live[key] = revision
@@ -106,7 +106,7 @@
 				s.Apply(now, history[rng.IntN(len(history))])
 			}
 			if rng.IntN(10) == 0 {
-				page := store.Page{Revision: revision}
+				page := store.Page{Revision: store.At(0, revision)}
 				for k, rev := range live {
 					page.Items = append(page.Items, put(k, "", rev))
 				}
@@ -123,34 +123,34 @@
 func TestJournalTellsWhatChangedOrEverything(t *testing.T) {
 	j := newJournal()
 	j.add(put("a", "1", 5))
-	j.reach(5, 0)
-	e := j.since(0)
+	j.reach(store.At(0, 5), 0)
+	e := j.since(store.At(0, 0))
 	require.True(t, e.full, "what was before the first full read is not known")
 	require.Len(t, e.page.Items, 1)
-	e = j.since(5)
+	e = j.since(store.At(0, 5))
 	require.False(t, e.full)
 	require.Empty(t, e.page.Items)
-	j.add(store.Item{Key: "a", Revision: 8, Deleted: true})
-	j.reach(8, 0)
+	j.add(store.Item{Key: "a", Revision: store.At(0, 8), Deleted: true})
+	j.reach(store.At(0, 8), 0)
 	<-e.changed
-	e = j.since(5)
+	e = j.since(store.At(0, 5))
 	require.False(t, e.full)
-	require.Equal(t, []store.Item{{Key: "a", Revision: 8, Deleted: true}}, e.page.Items)
+	require.Equal(t, []store.Item{{Key: "a", Revision: store.At(0, 8), Deleted: true}}, e.page.Items)
 	for n := range uint64(journalLength + 1) {
 		j.add(put("b"+strconv.FormatUint(n, 10), "", 9+n))
-		j.reach(9+n, 0)
+		j.reach(store.At(0, 9+n), 0)
 	}
-	require.True(t, j.since(8).full, "the change after 8 was dropped")
+	require.True(t, j.since(store.At(0, 8)).full, "the change after 8 was dropped")
 }
 
 func TestJournalTellsTheNewestItemOfEachKey(t *testing.T) {
 	j := newJournal()
-	j.reach(1, 0)
+	j.reach(store.At(0, 1), 0)
 	for _, item := range []store.Item{put("a", "", 2), put("b", "", 5), put("a", "", 4), put("c", "", 3)} {
 		j.add(item)
 	}
-	j.reach(5, 0)
-	e := j.since(1)
+	j.reach(store.At(0, 5), 0)
+	e := j.since(store.At(0, 1))
 	require.False(t, e.full)
 	require.Equal(t, []store.Item{put("b", "", 5), put("a", "", 4), put("c", "", 3)}, e.page.Items)
 }
@@ -159,13 +159,13 @@
 func TestFullReadTellsFollowersOnlyWhatChanged(t *testing.T) {
 	j := newJournal()
 	s := NewState(Host{}, plain{}, time.Second, j.add)
-	s.Load(now, store.Page{Revision: 3, Items: []store.Item{put("t/a", "", 1), put("t/b", "", 2), put("t/c", "", 3)}})
-	j.reach(3, 0)
-	s.Load(now, store.Page{Revision: 7, Items: []store.Item{put("t/a", "", 1), put("t/c", "", 6)}})
-	j.reach(7, 0)
-	e := j.since(3)
+	s.Load(now, store.Page{Revision: store.At(0, 3), Items: []store.Item{put("t/a", "", 1), put("t/b", "", 2), put("t/c", "", 3)}})
+	j.reach(store.At(0, 3), 0)
+	s.Load(now, store.Page{Revision: store.At(0, 7), Items: []store.Item{put("t/a", "", 1), put("t/c", "", 6)}})
+	j.reach(store.At(0, 7), 0)
+	e := j.since(store.At(0, 3))
 	require.False(t, e.full)
-	require.ElementsMatch(t, []store.Item{put("t/c", "", 6), {Key: "t/b", Revision: 7, Deleted: true}}, e.page.Items)
+	require.ElementsMatch(t, []store.Item{put("t/c", "", 6), {Key: "t/b", Revision: store.At(0, 7), Deleted: true}}, e.page.Items)
 }
 
 // A step of the time of day neither makes the view old nor keeps it fresh.
--- a/internal/fleet/packet/fuzz_test.go
+++ b/internal/fleet/packet/fuzz_test.go
@@ -21,8 +21,8 @@
 	f.Add(data, true)
 	f.Add(append(data, code(key, data)...), false)
 	f.Fuzz(func(t *testing.T, data []byte, sealed bool) {
-		c := &Conn[letter]{key: func() []byte { return key }}
-		other := &Conn[letter]{key: func() []byte { return []byte("other") }}
+		c := &Conn[letter]{keys: func() [][]byte { return [][]byte{key} }}
+		other := &Conn[letter]{keys: func() [][]byte { return [][]byte{[]byte("other")} }}
 		if sealed {
 			data = append(data, code(key, data)...)
 		}
--- a/internal/fleet/packet/packet.go
+++ b/internal/fleet/packet/packet.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	c, err := packet.Listen(ctx, address, key)
+//	c, err := packet.Listen(ctx, address, keys)
 //	g.Go("packets", func(ctx context.Context) error { return c.Run(ctx, handle) })
 //	err = c.Send(to, message)
 package packet
@@ -20,6 +20,7 @@
 	"crypto/sha256"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 
 	"github.com/fxamacker/cbor/v2"
@@ -38,14 +39,14 @@
 
 // Conn sends and receives messages of type M. It is safe for concurrent use.
 type Conn[M any] struct {
-	udp *net.UDPConn
-	key func() []byte
-	bad atomic.Int64
+	udp  *net.UDPConn
+	keys func() [][]byte
+	bad  atomic.Int64
 }
 
-// Listen opens the socket. key returns the fleet's key, or nil while none is known;
-// then nothing is sent or taken in.
-func Listen[M any](ctx context.Context, address netip.AddrPort, key func() []byte) (*Conn[M], error) {
+// Listen opens the socket. keys returns the fleet's keys, none while none is known; then
+// nothing is sent or taken in. The first one signs, and all are accepted.
+func Listen[M any](ctx context.Context, address netip.AddrPort, keys func() [][]byte) (*Conn[M], error) {
 	var cfg net.ListenConfig
 	pc, err := cfg.ListenPacket(ctx, "udp", address.String())
 	if err != nil {
@@ -55,7 +56,7 @@
 	if !ok {
 		return nil, errors.Errorf("packet: unexpected socket %T", pc)
 	}
-	return &Conn[M]{udp: udp, key: key}, nil
+	return &Conn[M]{udp: udp, keys: keys}, nil
 }
 
 // Close closes the socket.
@@ -66,8 +67,8 @@
 
 // Send sends a message. It may be lost without an error.
 func (c *Conn[M]) Send(to netip.AddrPort, m M) error {
-	key := c.key()
-	if key == nil {
+	keys := c.keys()
+	if len(keys) == 0 {
 		return errors.New("packet: no key is known yet")
 	}
 	data, err := cbor.Marshal(m)
@@ -77,7 +78,7 @@
 	if len(data)+codeBytes > MaxBytes {
 		return errors.Wrapf(ErrTooLarge, "%d bytes", len(data))
 	}
-	_, err = c.udp.WriteToUDPAddrPort(append(data, code(key, data)...), to)
+	_, err = c.udp.WriteToUDPAddrPort(append(data, code(keys[0], data)...), to)
 	return errors.Wrap(err, "packet")
 }
 
@@ -110,12 +111,11 @@
 }
 
 func (c *Conn[M]) decode(datagram []byte) (m M, ok bool) {
-	key := c.key()
-	if key == nil || len(datagram) <= codeBytes {
+	if len(datagram) <= codeBytes {
 		return m, false
 	}
 	data, given := datagram[:len(datagram)-codeBytes], datagram[len(datagram)-codeBytes:]
-	if !hmac.Equal(given, code(key, data)) {
+	if !slices.ContainsFunc(c.keys(), func(key []byte) bool { return hmac.Equal(given, code(key, data)) }) {
 		return m, false
 	}
 	return m, cbor.Unmarshal(data, &m) == nil
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -42,6 +42,15 @@
 	Sequence int64 `cbor:"9,keyasint"`
 }
 
+// WrittenAfter reports whether a target wrote its entry after another one of it: by a later
+// run, or later in the same one.
+func (t *Target) WrittenAfter(other Target) bool {
+	if !t.Started.Equal(other.Started) {
+		return t.Started.After(other.Started)
+	}
+	return t.Sequence > other.Sequence
+}
+
 // Change is what became of a target.
 type Change int
 
--- a/internal/platform/store/items.go
+++ b/internal/platform/store/items.go
@@ -19,7 +19,7 @@
 	Key   string `cbor:"1,keyasint"`
 	Value []byte `cbor:"2,keyasint,omitempty"`
 	// Revision is the revision of the store at the last change of the key.
-	Revision uint64 `cbor:"3,keyasint"`
+	Revision Revision `cbor:"3,keyasint"`
 	// Lease is the lease that the key ends with; 0 for none.
 	Lease uint64 `cbor:"4,keyasint,omitempty"`
 	// Deleted says that the item reports the end of the key.
@@ -29,13 +29,13 @@
 // Page is a list of items, as of a revision of the store.
 type Page struct {
 	Items    []Item
-	Revision uint64
+	Revision Revision
 }
 
-// Condition names the revision that a key must have; 0 means no such key.
+// Condition names the revision that a key must have; the zero one means no such key.
 type Condition struct {
 	Key      string
-	Revision uint64
+	Revision Revision
 }
 
 // Put is a value to write, with the lease that it ends with; 0 for none.
@@ -51,7 +51,7 @@
 	Range(ctx context.Context, prefix string) (Page, error)
 	// Watch waits until a key with the prefix changes after a revision, at most
 	// for wait, and returns the changes. Errors: ErrCompacted, ErrDown, ErrUnclear.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Page, error)
+	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Page, error)
 }
 
 // Leaser keeps keys that end with the process that wrote them.
@@ -65,7 +65,7 @@
 	Revoke(ctx context.Context, lease uint64) error
 	// Commit writes and deletes keys, all or nothing, if the conditions hold.
 	// Errors: ErrConflict, ErrNotFound when the lease has ended, ErrDown, ErrUnclear.
-	Commit(ctx context.Context, conditions []Condition, writes []Put, deletes []string) (uint64, error)
+	Commit(ctx context.Context, conditions []Condition, writes []Put, deletes []string) (Revision, error)
 }
 
 // Service is the platform's service.
--- a/internal/platform/store/keyed.go
+++ b/internal/platform/store/keyed.go
@@ -27,7 +27,7 @@
 // watched is the state of the watches of a key.
 type watched struct {
 	// reached is the revision up to which every change of the key is known.
-	reached uint64
+	reached Revision
 	// last is the newest value that a watch saw.
 	last Value
 }
@@ -39,7 +39,7 @@
 
 // NewKeyed returns the store of single keys over a service.
 func NewKeyed(service Service) *Keyed {
-	return &Keyed{service: service, watched: map[string]*watched{}}
+	return &Keyed{service: NewInOrder(service), watched: map[string]*watched{}}
 }
 
 // Get implements Store.
@@ -49,17 +49,17 @@
 }
 
 // Swap implements Store.
-func (k *Keyed) Swap(ctx context.Context, key string, old Version, data []byte) (Version, error) {
+func (k *Keyed) Swap(ctx context.Context, key string, old Revision, data []byte) (Revision, error) {
 	if len(data) > MaxValueBytes {
-		return 0, errors.Errorf("store: swap %s: %d bytes, the limit is %d", key, len(data), MaxValueBytes)
+		return Revision{}, errors.Errorf("store: swap %s: %d bytes, the limit is %d", key, len(data), MaxValueBytes)
 	}
-	revision, err := k.service.Commit(ctx, []Condition{{Key: key, Revision: uint64(old)}}, []Put{{Key: key, Value: data}}, nil)
-	return Version(revision), errors.Wrap(err, key)
+	revision, err := k.service.Commit(ctx, []Condition{{Key: key, Revision: old}}, []Put{{Key: key, Value: data}}, nil)
+	return revision, errors.Wrap(err, key)
 }
 
 // Delete implements Store.
-func (k *Keyed) Delete(ctx context.Context, key string, old Version) error {
-	_, err := k.service.Commit(ctx, []Condition{{Key: key, Revision: uint64(old)}}, nil, []string{key})
+func (k *Keyed) Delete(ctx context.Context, key string, old Revision) error {
+	_, err := k.service.Commit(ctx, []Condition{{Key: key, Revision: old}}, nil, []string{key})
 	return errors.Wrap(err, key)
 }
 
@@ -91,14 +91,14 @@
 }
 
 // Watch implements Store.
-func (k *Keyed) Watch(ctx context.Context, key string, after Version, wait time.Duration) (Value, error) {
+func (k *Keyed) Watch(ctx context.Context, key string, after Revision, wait time.Duration) (Value, error) {
 	reached, last := k.known(key, after)
-	if last.Version > after {
+	if last.Version.After(after) {
 		return last, nil
 	}
 	var page Page
 	err := ErrCompacted
-	if reached > 0 {
+	if !reached.IsZero() {
 		page, err = k.service.Watch(ctx, key, reached, wait)
 	}
 	if errors.Is(err, ErrCompacted) {
@@ -107,7 +107,7 @@
 	if err != nil {
 		return Value{}, reading(err, key)
 	}
-	if last = k.learn(key, page); last.Version > after {
+	if last = k.learn(key, page); last.Version.After(after) {
 		return last, nil
 	}
 	return Value{}, errors.Wrap(ErrUnchanged, key)
@@ -115,14 +115,14 @@
 
 // known returns up to which revision the changes of a key are known to one who has
 // seen the version after, and the newest value that a watch saw.
-func (k *Keyed) known(key string, after Version) (reached uint64, last Value) {
+func (k *Keyed) known(key string, after Revision) (reached Revision, last Value) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	w := k.watched[key]
 	if w == nil {
-		return uint64(after), Value{}
+		return after, Value{}
 	}
-	return max(w.reached, uint64(after)), w.last
+	return Latest(w.reached, after), w.last
 }
 
 // learn takes in what a watch told, and returns the newest value.
@@ -134,17 +134,21 @@
 		w = &watched{}
 		k.watched[key] = w
 	}
+	if page.Revision.Era > w.last.Version.Era {
+		// The store may have come back without the value.
+		w.last = Value{}
+	}
 	for _, item := range page.Items {
-		if item.Key == key && !item.Deleted && Version(item.Revision) > w.last.Version {
+		if item.Key == key && !item.Deleted && item.Revision.After(w.last.Version) {
 			w.last = valueOf(item)
 		}
 	}
-	w.reached = max(w.reached, page.Revision)
+	w.reached = Latest(w.reached, page.Revision)
 	return w.last
 }
 
 func valueOf(item Item) Value {
-	return Value{Key: item.Key, Version: Version(item.Revision), Data: item.Value}
+	return Value{Key: item.Key, Version: item.Revision, Data: item.Value}
 }
 
 // reading returns the error of a read: one that may have been performed did no harm.
--- /dev/null
+++ b/internal/platform/store/revision_test.go
@@ -0,0 +1,102 @@
+package store_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"tamaracktiller.example/tamaracktiller/internal/platform/store"
+	"tamaracktiller.example/tamaracktiller/platform"
+	"tamaracktiller.example/tamaracktiller/platform/platformtest"
+)
+
+func TestErasGoBeforeNumbers(t *testing.T) {
+	tests := []struct {
+		a, b store.Revision
+		want int
+	}{
+		{a: store.At(1, 5), b: store.At(1, 5), want: 0},
+		{a: store.At(1, 5), b: store.At(1, 6), want: -1},
+		{a: store.At(2, 5), b: store.At(1, 6), want: 1},
+		{a: store.Revision{}, b: store.At(0, 1), want: -1},
+	}
+	for _, tt := range tests {
+		require.Equal(t, tt.want, tt.a.Compare(tt.b), "%s, %s", tt.a, tt.b)
+		data, err := cbor.Marshal(tt.a)
+		require.NoError(t, err)
+		var got store.Revision
+		require.NoError(t, cbor.Unmarshal(data, &got))
+		require.Equal(t, tt.a, got)
+		got, err = store.ParseRevision(tt.a.String())
+		require.NoError(t, err)
+		require.Equal(t, tt.a, got)
+	}
+	for _, bad := range []string{"", "7", "1.", ".1", "1.-1", "a.1"} {
+		_, err := store.ParseRevision(bad)
+		require.Error(t, err, bad)
+	}
+}
+
+func TestServiceKeepsToTheErasOfTheStore(t *testing.T) {
+	s := platformtest.NewStore()
+	defer s.Close()
+	ctx := t.Context()
+	client := platform.NewClient(s.Address(), nil)
+	ordered := store.NewInOrder(client)
+	put := func(value string) []store.Put { return []store.Put{{Key: "k", Value: []byte(value)}} }
+
+	first, err := ordered.Commit(ctx, nil, put("1"), nil)
+	require.NoError(t, err)
+	c := s.Copy()
+	second, err := ordered.Commit(ctx, []store.Condition{{Key: "k", Revision: first}}, put("2"), nil)
+	require.NoError(t, err)
+	s.Restore(c)
+	s.Put("other", nil)
+	s.Put("k", []byte("3"))
+
+	_, err = client.Watch(ctx, "", second, time.Second)
+	require.NoError(t, err, "the store gives the revision out again, so it does not refuse it")
+	_, err = ordered.Watch(ctx, "", second, time.Second)
+	require.ErrorIs(t, err, store.ErrCompacted)
+	_, err = ordered.Commit(ctx, []store.Condition{{Key: "k", Revision: second}}, put("4"), nil)
+	require.ErrorIs(t, err, store.ErrConflict)
+	item, err := ordered.Get(ctx, "k")
+	require.NoError(t, err)
+	require.Equal(t, "3", string(item.Value))
+	require.EqualValues(t, 2, item.Revision.Era)
+	_, err = ordered.Commit(ctx, []store.Condition{{Key: "k", Revision: item.Revision}}, put("5"), nil)
+	require.NoError(t, err)
+}
+
+func TestConditionOfAnEraThatEndsMeanwhileIsUnclear(t *testing.T) {
+	s := platformtest.NewStore()
+	defer s.Close()
+	ctx := t.Context()
+	ordered := store.NewInOrder(platform.NewClient(s.Address(), nil))
+	first, err := ordered.Commit(ctx, nil, []store.Put{{Key: "k", Value: []byte("1")}}, nil)
+	require.NoError(t, err)
+	s.Restore(s.Copy())
+	_, err = ordered.Commit(ctx, []store.Condition{{Key: "k", Revision: first}}, []store.Put{{Key: "k", Value: []byte("2")}}, nil)
+	require.ErrorIs(t, err, store.ErrUnclear)
+}
+
+func TestWatchOfAKeyGoesOnInANewEra(t *testing.T) {
+	served, keyed := open(t)
+	ctx := t.Context()
+	first, err := keyed.Swap(ctx, "k", store.Revision{}, []byte("1"))
+	require.NoError(t, err)
+	c := served.Copy()
+	second, err := keyed.Swap(ctx, "k", first, []byte("2"))
+	require.NoError(t, err)
+	_, err = keyed.Watch(ctx, "k", second, time.Millisecond)
+	require.ErrorIs(t, err, store.ErrUnchanged)
+	served.Restore(c)
+	v, err := keyed.Watch(ctx, "k", second, time.Second)
+	require.NoError(t, err, "the store says something else than what was seen")
+	require.Equal(t, "1", string(v.Data))
+	third, err := keyed.Swap(ctx, "k", v.Version, []byte("3"))
+	require.NoError(t, err)
+	require.True(t, third.After(second))
+}
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -42,13 +42,11 @@
 	ErrUnchanged = errors.New("store: unchanged")
 )
 
-// Version grows with each write of a key. The version of an absent key is 0.
-type Version uint64
-
-// Value is the content of a key.
+// Value is the content of a key. Its version grows with each write; that of an absent key is
+// zero.
 type Value struct {
 	Key     string
-	Version Version
+	Version Revision
 	Data    []byte
 }
 
@@ -58,14 +56,14 @@
 	Get(ctx context.Context, key string) (Value, error)
 	// Swap writes the value if the key has the given version. Errors:
 	// ErrConflict, ErrUnclear, ErrDown.
-	Swap(ctx context.Context, key string, old Version, data []byte) (Version, error)
+	Swap(ctx context.Context, key string, old Revision, data []byte) (Revision, error)
 	// Delete removes the key if it has the given version. Errors as of Swap.
-	Delete(ctx context.Context, key string, old Version) error
+	Delete(ctx context.Context, key string, old Revision) error
 	// List returns the values whose keys start with prefix, in key order.
 	List(ctx context.Context, prefix string) ([]Value, error)
 	// Watch waits until the version of the key exceeds after. Errors:
 	// ErrUnchanged when the wait is over, ErrDown.
-	Watch(ctx context.Context, key string, after Version, wait time.Duration) (Value, error)
+	Watch(ctx context.Context, key string, after Revision, wait time.Duration) (Value, error)
 }
 
 // HostState is the state of a host in the platform's list.
--- a/internal/platform/table/table.go
+++ b/internal/platform/table/table.go
@@ -39,7 +39,7 @@
 }
 
 type entry struct {
-	version store.Version
+	version store.Revision
 	data    []byte
 	deleted bool
 	// lease is the lease that the value ends with; 0 for none.
@@ -54,7 +54,7 @@
 
 type heldWrite struct {
 	key  string
-	old  store.Version
+	old  store.Revision
 	data []byte
 }
 
@@ -219,51 +219,51 @@
 }
 
 // Swap implements store.Store.
-func (t *Table) Swap(_ context.Context, key string, old store.Version, data []byte) (store.Version, error) {
+func (t *Table) Swap(_ context.Context, key string, old store.Revision, data []byte) (store.Revision, error) {
 	return t.write("swap", key, old, slices.Clone(data), false)
 }
 
 // Delete implements store.Store.
-func (t *Table) Delete(_ context.Context, key string, old store.Version) error {
+func (t *Table) Delete(_ context.Context, key string, old store.Revision) error {
 	_, err := t.write("delete", key, old, nil, true)
 	return err
 }
 
-func (t *Table) write(operation, key string, old store.Version, data []byte, remove bool) (store.Version, error) {
+func (t *Table) write(operation, key string, old store.Revision, data []byte, remove bool) (store.Revision, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if err := t.begin(operation); err != nil {
-		return 0, err
+		return store.Revision{}, err
 	}
 	meant := t.faults.OnlyKey == "" || t.faults.OnlyKey == key
 	if meant && t.faults.HoldWrites > 0 {
 		t.faults.HoldWrites--
 		t.held = append(t.held, heldWrite{key: key, old: old, data: data})
-		return 0, errors.Wrap(store.ErrUnclear, key)
+		return store.Revision{}, errors.Wrap(store.ErrUnclear, key)
 	}
 	version, err := t.put(key, old, data, remove)
 	if meant && t.faults.LoseAnswers > 0 {
 		t.faults.LoseAnswers--
-		return 0, errors.Wrap(store.ErrUnclear, key)
+		return store.Revision{}, errors.Wrap(store.ErrUnclear, key)
 	}
 	return version, err
 }
 
 // put performs a write. Versions go on after a delete, so that a writer that
 // knew the old value cannot mistake a new one for it.
-func (t *Table) put(key string, old store.Version, data []byte, remove bool) (store.Version, error) {
+func (t *Table) put(key string, old store.Revision, data []byte, remove bool) (store.Revision, error) {
 	e, ok := t.entries[key]
 	if !ok {
 		e = &entry{deleted: true}
 	}
 	current := e.version
 	if e.deleted {
-		current = 0
+		current = store.Revision{}
 	}
 	if current != old || remove && e.deleted {
-		return 0, errors.Wrap(store.ErrConflict, key)
+		return store.Revision{}, errors.Wrap(store.ErrConflict, key)
 	}
-	e.version++
+	e.version.Number++
 	e.lease = 0
 	e.data = data
 	e.deleted = remove
@@ -300,7 +300,7 @@
 }
 
 // Watch implements store.Store.
-func (t *Table) Watch(ctx context.Context, key string, after store.Version, wait time.Duration) (store.Value, error) {
+func (t *Table) Watch(ctx context.Context, key string, after store.Revision, wait time.Duration) (store.Value, error) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	t.mu.Lock()
@@ -314,7 +314,7 @@
 		v, err := t.get(key)
 		ch := t.channel(key)
 		t.mu.Unlock()
-		if err == nil && v.Version > after {
+		if err == nil && v.Version.After(after) {
 			return v, nil
 		}
 		select {
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -115,7 +115,7 @@
 	}
 	p.metrics.watchLogs(p.async)
 	p.metrics.watchDirectory(func() *directory.Snapshot { return p.directory.Snapshot() }, func() time.Duration { return p.directory.Age(time.Now()) })
-	p.store = platform.OpenStore(cfg.Store, p.metrics.StoreCalled)
+	p.store = store.NewInOrder(platform.OpenStore(cfg.Store, p.metrics.StoreCalled))
 	timers := timer.New()
 	p.services.Provide("timer", timers)
 	p.directory = directory.New(directory.Config{
@@ -183,8 +183,7 @@
 	}
 	registration := &directory.Registration{
 		Self:  directory.Host{Name: p.cfg.Name, Domain: p.cfg.Domain, Peers: p.cfg.Peers, Incarnation: uuid.NewString()},
-		Store: p.store, HasKey: func() bool { return p.fleetKey() != nil },
-		Loaded: p.directory.Loaded, Hosts: func() int { return p.directory.Snapshot().MaxHosts }, Log: p.log.For("directory"),
+		Store: p.store, Standing: p.directory.Standing, Log: p.log.For("directory"),
 	}
 	p.g.Go("registration", registration.Run)
 	if err := p.listenPeers(ctx); err != nil {
@@ -255,12 +254,12 @@
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 }
 
-// fleetKey authenticates the messages between hosts.
-func (p *Process) fleetKey() []byte { return p.directory.Snapshot().Key }
+// fleetKeys authenticate the messages between hosts.
+func (p *Process) fleetKeys() [][]byte { return p.directory.Snapshot().Keys }
 
 func (p *Process) listenPeers(ctx context.Context) error {
 	var err error
-	if p.packets, err = packet.Listen[dispatcher.Message](ctx, p.cfg.Peers, p.fleetKey); err != nil {
+	if p.packets, err = packet.Listen[dispatcher.Message](ctx, p.cfg.Peers, p.fleetKeys); err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
--- a/internal/traffic/entry/reply.go
+++ b/internal/traffic/entry/reply.go
@@ -155,7 +155,7 @@
 	}
 	line := h.cfg.Log
 	if v.outcome == Denied {
-		line = line.WithFields(logrus.Fields{"host": j.r.Host, "path": j.r.URL.Path, "revision": j.revision})
+		line = line.WithFields(logrus.Fields{"host": j.r.Host, "path": j.r.URL.Path, "revision": j.revision.String()})
 	}
 	line.WithFields(logrus.Fields{
 		fieldRequest: j.id, "route": j.route.Name, "service": j.service.Name, "version": j.version,
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
+	"tamaracktiller.example/tamaracktiller/internal/platform/store"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
 )
 
@@ -39,7 +40,7 @@
 	service routing.Service
 	// version is that of the configuration, as of a revision of the store.
 	version  uint64
-	revision uint64
+	revision store.Revision
 	began    time.Time
 	// deadline is the time of the last answer; objective is the time up to which
 	// an answer counts in full.
--- a/internal/traffic/job/service.go
+++ b/internal/traffic/job/service.go
@@ -112,14 +112,14 @@
 // put writes a new batch. When the outcome is unclear, an empty batch under the
 // same key tells: if it can be written, the first write never will be.
 func (s *Service) put(ctx context.Context, key string, b Batch) error {
-	_, err := s.cfg.Store.Swap(ctx, key, 0, encode(b))
+	_, err := s.cfg.Store.Swap(ctx, key, store.Revision{}, encode(b))
 	switch {
 	case err == nil:
 		return nil
 	case !errors.Is(err, store.ErrUnclear) || !s.fences:
 		return errors.Wrap(ErrNotAccepted, err.Error())
 	}
-	_, err = s.cfg.Store.Swap(ctx, key, 0, encode(Batch{MadeMilli: b.MadeMilli}))
+	_, err = s.cfg.Store.Swap(ctx, key, store.Revision{}, encode(Batch{MadeMilli: b.MadeMilli}))
 	switch {
 	case err == nil:
 		return errors.Wrap(ErrNotAccepted, "the store did not take it")
@@ -239,7 +239,7 @@
 }
 
 // release removes a batch that is done, or gives up its lease.
-func (s *Service) release(ctx context.Context, key string, version store.Version, b Batch) {
+func (s *Service) release(ctx context.Context, key string, version store.Revision, b Batch) {
 	if len(b.Jobs) == 0 {
 		_ = s.cfg.Store.Delete(ctx, key, version)
 		return
--- a/internal/traffic/ledger/service.go
+++ b/internal/traffic/ledger/service.go
@@ -317,17 +317,17 @@
 }
 
 // readRecord reads the record of a partition; version 0 means that there is none.
-func (s *Service) readRecord(ctx context.Context, partition int) (Record, store.Version, error) {
+func (s *Service) readRecord(ctx context.Context, partition int) (Record, store.Revision, error) {
 	v, err := s.cfg.Store.Get(ctx, storeKey(partition))
 	if errors.Is(err, store.ErrNotFound) {
-		return Record{Partition: partition}, 0, nil
+		return Record{Partition: partition}, store.Revision{}, nil
 	}
 	if err != nil {
-		return Record{}, 0, errors.Wrap(err, "ledger: record")
+		return Record{}, store.Revision{}, errors.Wrap(err, "ledger: record")
 	}
 	var r Record
 	if err := json.Unmarshal(v.Data, &r); err != nil {
-		return Record{}, 0, errors.Wrap(err, "ledger: record")
+		return Record{}, store.Revision{}, errors.Wrap(err, "ledger: record")
 	}
 	return r, v.Version, nil
 }
--- a/internal/traffic/ledger/takeover.go
+++ b/internal/traffic/ledger/takeover.go
@@ -158,7 +158,7 @@
 
 // swapIn gives the journal to the new witnesses, swaps the record into the store
 // and becomes the owner.
-func (s *Service) swapIn(ctx context.Context, next Record, version store.Version, content Journal) (Member, error) {
+func (s *Service) swapIn(ctx context.Context, next Record, version store.Revision, content Journal) (Member, error) {
 	if len(next.Witnesses) == 0 {
 		return Member{}, errors.New("ledger: there is no host to be a witness")
 	}
@@ -178,7 +178,7 @@
 // swapRecord swaps a record in. An unclear swap counts only when it is seen in
 // the store: this host names itself in it by its incarnation, so nobody else can
 // have written it.
-func (s *Service) swapRecord(ctx context.Context, next Record, version store.Version) error {
+func (s *Service) swapRecord(ctx context.Context, next Record, version store.Revision) error {
 	data, err := json.Marshal(next)
 	if err != nil {
 		return errors.Wrap(err, "ledger: record")
@@ -200,7 +200,7 @@
 // renew replaces lost witnesses of an owned partition, or extends its range. The
 // owner holds the whole journal. While a new witness is brought in nothing is
 // granted, since the grant needs all witnesses of the epoch in force.
-func (s *Service) renew(ctx context.Context, r Record, version store.Version, broken bool) (Member, error) {
+func (s *Service) renew(ctx context.Context, r Record, version store.Revision, broken bool) (Member, error) {
 	next := r
 	next.UntilMilli = max(r.UntilMilli, s.cfg.Now().Add(Horizon).UnixMilli())
 	if !broken && s.allAlive(r.Witnesses) {
@@ -225,7 +225,7 @@
 	return true
 }
 
-func (s *Service) replaceWitnesses(ctx context.Context, next Record, version store.Version) (Member, error) {
+func (s *Service) replaceWitnesses(ctx context.Context, next Record, version store.Revision) (Member, error) {
 	next.Epoch++
 	next.Nonce = uuid.NewString()
 	next.Witnesses = s.chooseWitnesses(next.Partition)
@@ -249,7 +249,7 @@
 	return owner, err
 }
 
-func (s *Service) swapWith(ctx context.Context, j *journal, next Record, version store.Version) (Member, error) {
+func (s *Service) swapWith(ctx context.Context, j *journal, next Record, version store.Revision) (Member, error) {
 	s.mu.Lock()
 	content := j.content()
 	s.mu.Unlock()
