Let the store of the soak come back from a copy

A fault that takes a copy, lets the store be away for a moment, brings the copy back and writes again what the operator and the targets had written, half a second later. One at a time now.

--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -38,7 +39,11 @@
 		r.disturbHost(ctx, r.hosts[f.Index], f)
 		r.note(f.Kind, f.Index, began)
 	case f.ofStore():
-		r.disturbStore(ctx, f)
+		if f.Kind == StoreCopy {
+			began = r.restoreStore(ctx, f.For)
+		} else {
+			r.disturbStore(ctx, f)
+		}
 		r.note(f.Kind, everyHost, began)
 	case f.Kind == ConfigChange:
 		r.configure()
@@ -110,6 +115,33 @@
 	}
 }
 
+// restoreStore lets the store come back from a copy of some age after it was away for a
+// moment. What the operator and the targets wrote is written again soon. It returns when the
+// store went away.
+func (r *run) restoreStore(ctx context.Context, age time.Duration) (began time.Duration) {
+	const (
+		away  = 300 * time.Millisecond
+		again = 500 * time.Millisecond
+	)
+	if !r.copying.CompareAndSwap(false, true) {
+		// An older copy would lose what is written again after the return.
+		return r.since(time.Now())
+	}
+	defer r.copying.Store(false)
+	c := r.store.Copy()
+	timer.Sleep(ctx, age)
+	began = r.since(time.Now())
+	r.setStore(StoreDown, 1)
+	timer.Sleep(ctx, away)
+	lost := r.store.Restore(c)
+	r.setStore(StoreDown, -1)
+	timer.Sleep(context.WithoutCancel(ctx), again)
+	r.store.WriteAgain(c, lost, func(key string) bool {
+		return key == platformtest.ConfigKey || strings.HasPrefix(key, platformtest.TargetPrefix)
+	})
+	return began
+}
+
 // setStore adds a fault of the store, or takes one away.
 func (r *run) setStore(kind Kind, change int) {
 	r.mu.Lock()
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -29,6 +29,8 @@
 	StoreLate    Kind = "store-late-writes"
 	StoreSilent  Kind = "store-silent-watches"
 	StoreCompact Kind = "store-compact"
+	// StoreCopy lets the store come back from a copy that is some time old.
+	StoreCopy Kind = "store-copy"
 
 	TargetSlow   Kind = "target-slow"
 	TargetFail   Kind = "target-fail"
@@ -48,7 +50,7 @@
 
 var kinds = []Kind{
 	HostKill, HostPause, HostStop, HostReload, HostStoreSlow, HostStoreSilent, HostStoreOneWay, HostStoreReset,
-	StoreDown, StoreSlow, StoreLost, StoreLate, StoreSilent, StoreCompact,
+	StoreDown, StoreSlow, StoreLost, StoreLate, StoreSilent, StoreCompact, StoreCopy,
 	TargetSlow, TargetFail, TargetShed, TargetLose, TargetCrash, TargetLeave, TargetSilent, TargetOneWay, TargetReset, TargetDelay,
 	ConfigChange, ConfigChange, ConfigStorm, StrangeEntry,
 }
@@ -108,7 +110,7 @@
 }
 
 func (f Fault) ofStore() bool {
-	return slices.Contains(kinds[8:14], f.Kind)
+	return slices.Contains(kinds[8:15], f.Kind)
 }
 
 // upTo returns a random time below d.
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -67,6 +67,8 @@
 	hosts   []*host
 	targets []*backend
 	lastID  atomic.Int64
+	// copying says that the store is on its way back from a copy.
+	copying atomic.Bool
 
 	mu         sync.Mutex
 	inRotation []*host
