--- a/internal/platform/table/table.go
+++ b/internal/platform/table/table.go
@@ -69,6 +69,8 @@
 	hosts   []store.Host
 	leases  map[uint64]*lease
 	granted uint64
+	// era counts the times that the table came back from a copy.
+	era uint64
 }
 
 var (
@@ -81,6 +83,34 @@
 	return &Table{entries: map[string]*entry{}, changed: map[string]chan struct{}{}, calls: map[string]int{}, leases: map[uint64]*lease{}}
 }
 
+// Copy is what a table holds at a moment.
+type Copy struct{ entries map[string]entry }
+
+// Copy returns a copy of the values.
+func (t *Table) Copy() Copy {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := Copy{entries: map[string]entry{}}
+	for key, e := range t.entries {
+		c.entries[key] = *e
+	}
+	return c
+}
+
+// Restore lets the table come back from a copy: what was written since is gone, and
+// versions are given out again in a new era.
+func (t *Table) Restore(c Copy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.era++
+	t.entries, t.leases = map[string]*entry{}, map[uint64]*lease{}
+	for key, e := range c.entries {
+		e.version.Era, e.lease = t.era, 0
+		t.entries[key] = &e
+		t.notify(key)
+	}
+}
+
 // SetFaults replaces the failures shown from now on.
 func (t *Table) SetFaults(f Faults) {
 	t.mu.Lock()
@@ -254,7 +284,7 @@
 func (t *Table) put(key string, old store.Revision, data []byte, remove bool) (store.Revision, error) {
 	e, ok := t.entries[key]
 	if !ok {
-		e = &entry{deleted: true}
+		e = &entry{version: store.At(t.era, 0), deleted: true}
 	}
 	current := e.version
 	if e.deleted {
--- a/internal/traffic/ledger/seeded_test.go
+++ b/internal/traffic/ledger/seeded_test.go
@@ -31,6 +31,9 @@
 	naive bool
 	// lies makes the fleet's view wrong now and then.
 	lies bool
+	// returns lets the store come back from copies now and then.
+	returns bool
+	copied  table.Copy
 	// runs is the witness: how often each key ran.
 	runs     map[Key]int
 	verdicts map[Verdict]int
@@ -329,6 +332,12 @@
 		if n%4 == 0 {
 			w.disturb()
 		}
+		if w.returns && n%copyEvery == 0 {
+			w.copied = w.table.Copy()
+		}
+		if w.returns && n%copyEvery == copyEvery/2 {
+			w.table.Restore(w.copied)
+		}
 		time.Sleep(w.delay(200 * time.Millisecond))
 	}
 	w.heal()
@@ -342,6 +351,9 @@
 	return double
 }
 
+// copyEvery is the number of keys between two copies of the store.
+const copyEvery = 30
+
 const (
 	ledgerSeeds = 12
 	ledgerKeys  = 150
@@ -360,6 +372,16 @@
 	require.Greater(t, granted, ledgerSeeds*ledgerKeys/2, "the runs must grant keys")
 }
 
+func TestKeyRunsAtMostOnceWhenTheStoreComesBackFromACopy(t *testing.T) {
+	for seed := range uint64(ledgerSeeds) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, seed, 5)
+			w.returns = true
+			require.Zero(t, w.run(ledgerKeys), "seed %d", seed)
+		})
+	}
+}
+
 // naiveSeeds bounds the search for a run in which the naive version fails. The
 // order of goroutines within an instant is not seeded, so one seed may or may not
 // fail; the first failure ends the search.
