Let large answers between hosts take turns

Cause: a configuration of 160 KB takes longer over the links of 10 Mbit/s than the 0.9 s from which hosts ask spares, and the root and the second host are spares of all. Each host asked them ten times a second, each answer was the whole configuration again, and was given up by its asker after 0.25 s.

Four large answers are on their way at once; a question that finds no turn within its wait is told so, in a few bytes, and its asker goes on elsewhere. An answer that has begun to arrive is read to its end.

The links of the fleet's test carry questions and answers window by window now, also those of the own host's calls of the store: six cases of TestLargeConfigurationsAreInForceInTime failed so.

--- a/internal/fleet/directory/fleet_test.go
+++ b/internal/fleet/directory/fleet_test.go
@@ -1,19 +1,20 @@
 package directory
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
@@ -65,19 +66,55 @@
 	return n
 }
 
-// source is the store as one host reaches it.
+// source is the store as one host reaches it, over its own link.
 type source struct {
 	m    *memory
 	host string
+	link *link
 }
 
+// link is what a host sends over, one packet after the other.
+type link struct {
+	mu   sync.Mutex
+	busy time.Time
+	sent int
+}
+
+// send queues a number of bytes and returns when they have left.
+func (l *link) send(n int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent += n
+	if now := time.Now(); l.busy.Before(now) {
+		l.busy = now
+	}
+	l.busy = l.busy.Add(time.Duration(n) * time.Second / linkRate)
+	return l.busy
+}
+
+func (l *link) total() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sent
+}
+
+// headBytes is the size of a question, or of the head of an answer.
+const headBytes = 200
+
+// callTimeout bounds a call of the store without a wait, as that of its client does.
+const callTimeout = 1500 * time.Millisecond
+
 var _ store.Source = source{}
 
 // storeDelay is the time that a call of the store takes.
 const storeDelay = 4 * time.Millisecond
 
 func (s source) called() error {
-	time.Sleep(storeDelay)
+	way := storeDelay + time.Until(s.link.send(headBytes))
+	time.Sleep(min(way, callTimeout))
+	if way > callTimeout {
+		return store.ErrUnclear
+	}
 	s.m.mu.Lock()
 	defer s.m.mu.Unlock()
 	s.m.calls[s.host]++
@@ -178,9 +215,7 @@
 // member is a host of the fleet with its uplink.
 type member struct {
 	*Directory
-	mu   sync.Mutex
-	busy time.Time
-	sent int
+	link link
 	// applyTime is what the host needs to take in a change, in nanoseconds.
 	applyTime atomic.Int64
 }
@@ -188,35 +223,89 @@
 // linkRate is the rate of the slowest hosts' links, in bytes a second.
 const linkRate = 10_000_000 / 8
 
-// RoundTrip implements http.RoundTripper: answers of a host leave over its link one
-// after the other.
-func (f *fleet) RoundTrip(r *http.Request) (*http.Response, error) {
-	h := f.hosts[r.URL.Host]
-	if f.dead[r.URL.Host] {
+// port is how a host asks others.
+type port struct {
+	f    *fleet
+	link *link
+}
+
+// RoundTrip implements http.RoundTripper: questions and answers of a host leave over its
+// link one after the other.
+func (p port) RoundTrip(r *http.Request) (*http.Response, error) {
+	h := p.f.hosts[r.URL.Host]
+	if p.f.dead[r.URL.Host] {
 		<-r.Context().Done()
 		return nil, r.Context().Err()
 	}
-	time.Sleep(500 * time.Microsecond)
-	w := httptest.NewRecorder()
-	h.ServeHTTP(w, r)
-	const headBytes = 200
-	size := headBytes + w.Body.Len()
-	h.mu.Lock()
-	h.sent += size
-	if now := time.Now(); h.busy.Before(now) {
-		h.busy = now
+	if !arrives(r.Context(), p.link.send(headBytes).Add(500*time.Microsecond)) {
+		return nil, r.Context().Err()
 	}
-	h.busy = h.busy.Add(time.Duration(size) * time.Second / linkRate)
-	arrival := h.busy
-	h.mu.Unlock()
+	reader, writer := io.Pipe()
+	a := &answer{link: &h.link, head: http.Header{}, status: http.StatusOK, body: writer, begun: make(chan struct{})}
+	p.f.g.Go("answer", func(context.Context) error {
+		h.ServeHTTP(a, r)
+		a.begin()
+		return writer.Close()
+	})
 	select {
-	case <-time.After(time.Until(arrival)):
+	case <-a.begun:
+		return &http.Response{StatusCode: a.status, Header: a.head, Body: reader}, nil
 	case <-r.Context().Done():
-		return nil, r.Context().Err()
+		_ = reader.Close()
+		return nil, errors.Wrap(r.Context().Err(), "no answer")
+	}
+}
+
+// arrives waits until a time, unless ctx ends before.
+func arrives(ctx context.Context, at time.Time) bool {
+	select {
+	case <-time.After(time.Until(at)):
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	res := w.Result()
-	res.Body = io.NopCloser(bytes.NewReader(w.Body.Bytes()))
-	return res, nil
+}
+
+// window is what a connection holds on its way.
+const window = 64 << 10
+
+// answer is one on its way over a link. Whoever writes it waits for the link, window by
+// window, until the asker has closed the connection.
+type answer struct {
+	link   *link
+	head   http.Header
+	status int
+	body   *io.PipeWriter
+	begun  chan struct{}
+	once   sync.Once
+}
+
+var _ http.ResponseWriter = (*answer)(nil)
+
+func (a *answer) Header() http.Header { return a.head }
+
+func (a *answer) WriteHeader(status int) {
+	a.status = status
+	a.begin()
+}
+
+// begin lets the head arrive.
+func (a *answer) begin() {
+	a.once.Do(func() {
+		time.Sleep(time.Until(a.link.send(headBytes)))
+		close(a.begun)
+	})
+}
+
+func (a *answer) Write(data []byte) (int, error) {
+	a.begin()
+	for part := range slices.Chunk(data, window) {
+		time.Sleep(time.Until(a.link.send(len(part))))
+		if _, err := a.body.Write(part); err != nil {
+			return 0, err
+		}
+	}
+	return len(data), nil
 }
 
 // newFleet starts n hosts in four domains that know each other. Call it in a bubble.
@@ -232,8 +321,8 @@
 		f.store.put(HostPrefix+name, fmt.Sprintf(`{"name":%q,"domain":"d-%d","peers":%q}`, name, i%4, address))
 		h := &member{}
 		h.Directory = New(Config{
-			Self: name, Domain: fmt.Sprintf("d-%d", i%4), Source: source{f.store, name}, Decoder: plain{}, Timer: timer.New(),
-			Log: logrus.NewEntry(log), ReturnTime: time.Second, Peers: f,
+			Self: name, Domain: fmt.Sprintf("d-%d", i%4), Source: source{f.store, name, &h.link}, Decoder: plain{}, Timer: timer.New(),
+			Log: logrus.NewEntry(log), ReturnTime: time.Second, Peers: port{f, &h.link},
 			Changed: func(*Snapshot, []string) { time.Sleep(time.Duration(h.applyTime.Load())) },
 		}, f.g)
 		f.hosts[address.String()] = h
@@ -301,9 +390,16 @@
 	}
 }
 
-// padded returns a configuration of a version and a size.
+// padded returns a configuration of a version and a size, which cannot be made much
+// smaller.
 func padded(version, size int) string {
-	return fmt.Sprintf("%0*d", size, version)
+	const letters = "0123456789abcdef"
+	rng := rand.New(rand.NewPCG(uint64(version), 1))
+	text := make([]byte, size)
+	for i := range text {
+		text[i] = letters[rng.IntN(len(letters))]
+	}
+	return fmt.Sprintf("%s %d", text, version)
 }
 
 func (f *fleet) check(written map[uint64]time.Time) {
@@ -380,9 +476,7 @@
 func (f *fleet) sent() map[string]int {
 	sent := map[string]int{}
 	for address, h := range f.hosts {
-		h.mu.Lock()
-		sent[address] = h.sent
-		h.mu.Unlock()
+		sent[address] = h.link.total()
 	}
 	return sent
 }
--- a/internal/fleet/directory/follow.go
+++ b/internal/fleet/directory/follow.go
@@ -193,7 +193,9 @@
 			timer.Sleep(ctx, roleCheck)
 			continue
 		}
-		if err := d.hear(ctx, host, parentWait); err != nil {
+		if err := d.hear(ctx, host, parentWait); errors.Is(err, errBusy) {
+			timer.Sleep(ctx, roleCheck)
+		} else if err != nil {
 			d.cfg.Log.WithError(err).WithField(fieldHost, host.Name).Debug("host does not pass changes on")
 			suspects[host.Name] = time.Now().Add(suspectTime)
 		}
--- a/internal/fleet/directory/peers.go
+++ b/internal/fleet/directory/peers.go
@@ -11,6 +11,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -32,13 +33,22 @@
 	maxChangesBytes = 16 << 20
 	// maxPeerWait bounds the wait of a question.
 	maxPeerWait = 2 * time.Second
-	// peerGrace is the time beyond its wait after which a question is lost.
-	peerGrace = 250 * time.Millisecond
+	// peerGrace is the time beyond its wait after which a question is lost, unless its
+	// answer has begun to arrive, and answerTime that after which the answer is.
+	peerGrace  = 250 * time.Millisecond
+	answerTime = 1500 * time.Millisecond
+	// largeAnswer is the size of the items from which answers take turns: it fills a link
+	// of 10 Mbit/s for 13 ms. largeAtOnce is the number of those on their way at once.
+	largeAnswer = 16 << 10
+	largeAtOnce = fanOut
 )
 
 // errPeer reports an answer of another host that cannot be used.
 var errPeer = errors.New("directory: answer of a host cannot be used")
 
+// errBusy reports that a host passes on too much at the moment.
+var errBusy = errors.New("directory: host is busy with others")
+
 // changes is what a host passes on.
 type changes struct {
 	Items    []store.Item   `cbor:"1,keyasint,omitempty"`
@@ -61,17 +71,18 @@
 		return
 	}
 	asked := time.Now()
-	e := d.journal.since(after)
-	if !e.full && len(e.page.Items) == 0 {
-		timer := time.NewTimer(min(wait, maxPeerWait))
-		defer timer.Stop()
-		select {
-		case <-e.changed:
-			e = d.journal.since(after)
-		case <-timer.C:
-		case <-r.Context().Done():
+	e, ok := d.await(r.Context(), after, min(wait, maxPeerWait))
+	if !ok {
+		return
+	}
+	if e.bytes() >= largeAnswer {
+		if !d.turns.take(r.Context(), wait-time.Since(asked)) {
+			http.Error(w, "too many large answers are on their way", http.StatusServiceUnavailable)
 			return
 		}
+		defer d.turns.leave()
+		e = d.journal.since(after)
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTime))
 	}
 	now := time.Now()
 	body, err := cbor.Marshal(changes{
@@ -82,9 +93,53 @@
 		return
 	}
 	w.Header().Set(headerCode, code(key, body))
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body)
 }
 
+// await returns what changed after a revision, and waits if there is nothing. It is false
+// if the asker has left.
+func (d *Directory) await(ctx context.Context, after store.Revision, wait time.Duration) (extract, bool) {
+	e := d.journal.since(after)
+	if e.full || len(e.page.Items) > 0 {
+		return e, true
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-e.changed:
+		return d.journal.since(after), true
+	case <-timer.C:
+		return e, true
+	case <-ctx.Done():
+		return e, false
+	}
+}
+
+// turns bounds the large answers that are on their way at once. More of them would only
+// delay each other, and what the own host asks of the store.
+type turns chan struct{}
+
+// take waits for a turn, and reports whether there was one in time.
+func (t turns) take(ctx context.Context, wait time.Duration) bool {
+	select {
+	case t <- struct{}{}:
+		return true
+	default:
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case t <- struct{}{}:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+func (t turns) leave() { <-t }
+
 // keyName returns the name by which hosts tell secrets apart.
 func keyName(key []byte) string {
 	const nameBytes = 8
@@ -115,8 +170,10 @@
 // includes the way.
 func (d *Directory) askPeer(ctx context.Context, host Host, after store.Revision, wait time.Duration) (changes, error) {
 	asked := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, wait+peerGrace)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	lost := time.AfterFunc(wait+peerGrace, cancel)
+	defer lost.Stop()
 	query := url.Values{paramAfter: {after.String()}, paramWait: {wait.String()}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s?%s", host.Peers, ChangesPath, query.Encode()), nil)
 	if err != nil {
@@ -129,6 +186,10 @@
 		return changes{}, err
 	}
 	defer res.Body.Close()
+	lost.Reset(answerTime)
+	if res.StatusCode == http.StatusServiceUnavailable {
+		return changes{}, errors.Wrap(errBusy, host.Name)
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxChangesBytes))
 	if err != nil {
 		return changes{}, err
--- a/internal/fleet/directory/state_test.go
+++ b/internal/fleet/directory/state_test.go
@@ -17,7 +17,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/platform/store"
 )
 
-// plain decodes configurations that are a version, and targets that are an id.
+// plain decodes configurations that end with a version, and targets that are an id.
 type plain struct{}
 
 var _ Decoder = plain{}
@@ -25,7 +25,8 @@
 func (plain) IsConfig(key string) bool { return key == "config" }
 
 func (plain) Config(data []byte) (*routing.Config, error) {
-	version, err := strconv.ParseUint(string(data), 10, 64)
+	text := string(data)
+	version, err := strconv.ParseUint(text[strings.LastIndexByte(text, ' ')+1:], 10, 64)
 	return &routing.Config{Version: version}, err
 }
 
