Let large values travel compressed between hosts

Values of 4 KB and more are compressed once, by the host that read them; others pass on the bytes that they got.

--- a/internal/fleet/directory/follow.go
+++ b/internal/fleet/directory/follow.go
@@ -235,14 +235,14 @@
 
 // hear takes in what another host knows beyond the own view.
 func (d *Directory) hear(ctx context.Context, host Host, wait time.Duration) error {
-	c, err := d.askPeer(ctx, host, d.journal.reached(), wait)
+	n, err := d.askPeer(ctx, host, d.journal.reached(), wait)
 	if err != nil {
 		return err
 	}
-	if reached := d.journal.reached(); c.Revision.Era < reached.Era {
-		return errors.Wrapf(errPeer, "%s: era %d has passed", host.Name, c.Revision.Era)
+	if reached := d.journal.reached(); n.page.Revision.Era < reached.Era {
+		return errors.Wrapf(errPeer, "%s: era %d has passed", host.Name, n.page.Revision.Era)
 	}
-	d.take(ctx, news{page: store.Page{Items: c.Items, Revision: c.Revision}, full: c.Full, from: host.Name, received: time.Now(), age: c.Age})
+	d.take(ctx, n)
 	return nil
 }
 
--- a/internal/fleet/directory/fuzz_test.go
+++ b/internal/fleet/directory/fuzz_test.go
@@ -17,7 +17,7 @@
 		{put("config", "3", 1), put("t/a", "", 2), {Key: "t/a", Revision: store.At(0, 3), Deleted: true}},
 		{put(HostPrefix+"a", `{"name":"a","domain":"d","peers":"10.0.0.1:80"}`, 4), put(HostPrefix+"b", "{", 5), put(KeyKey, "k", 6)},
 	} {
-		data, err := cbor.Marshal(changes{Items: items, Revision: store.At(0, 9), Full: true})
+		data, err := cbor.Marshal(changes{Items: newPacker().pack(items), Revision: store.At(0, 9), Full: true})
 		require.NoError(f, err)
 		f.Add(data)
 	}
@@ -26,16 +26,20 @@
 		if cbor.Unmarshal(data, &c) != nil {
 			return
 		}
+		items, err := newPacker().unpack(c.Items)
+		if err != nil {
+			return
+		}
 		s := newState()
 		last := uint64(0)
-		for _, item := range c.Items {
+		for _, item := range items {
 			s.Apply(now, item)
 			if table := s.Snapshot().Table; table != nil {
 				require.GreaterOrEqual(t, table.Config.Version, last)
 				last = table.Config.Version
 			}
 		}
-		s.Load(now, store.Page{Items: c.Items, Revision: c.Revision})
+		s.Load(now, store.Page{Items: items, Revision: c.Revision})
 		snapshot := s.Snapshot()
 		for name, h := range snapshot.Hosts {
 			require.Equal(t, name, h.Name)
--- a/internal/fleet/directory/journal.go
+++ b/internal/fleet/directory/journal.go
@@ -92,15 +92,6 @@
 	changed <-chan struct{}
 }
 
-// bytes returns the size of the items.
-func (e *extract) bytes() int {
-	n := 0
-	for _, item := range e.page.Items {
-		n += len(item.Key) + len(item.Value)
-	}
-	return n
-}
-
 // since returns what changed after a revision, or everything when that is not known
 // any more.
 func (j *journal) since(after store.Revision) extract {
--- a/internal/fleet/directory/peers.go
+++ b/internal/fleet/directory/peers.go
@@ -51,7 +51,7 @@
 
 // changes is what a host passes on.
 type changes struct {
-	Items    []store.Item   `cbor:"1,keyasint,omitempty"`
+	Items    []parcel       `cbor:"1,keyasint,omitempty"`
 	Revision store.Revision `cbor:"2,keyasint"`
 	// Full says that the items are all keys.
 	Full bool `cbor:"3,keyasint,omitempty"`
@@ -75,18 +75,20 @@
 	if !ok {
 		return
 	}
-	if e.bytes() >= largeAnswer {
+	parcels := d.packer.pack(e.page.Items)
+	if bytesOf(parcels) >= largeAnswer {
 		if !d.turns.take(r.Context(), wait-time.Since(asked)) {
 			http.Error(w, "too many large answers are on their way", http.StatusServiceUnavailable)
 			return
 		}
 		defer d.turns.leave()
 		e = d.journal.since(after)
+		parcels = d.packer.pack(e.page.Items)
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTime))
 	}
 	now := time.Now()
 	body, err := cbor.Marshal(changes{
-		Items: e.page.Items, Revision: e.page.Revision, Full: e.full, Age: d.ageOf(now, e.contact), Held: now.Sub(asked),
+		Items: parcels, Revision: e.page.Revision, Full: e.full, Age: d.ageOf(now, e.contact), Held: now.Sub(asked),
 	})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -166,9 +168,9 @@
 	return hex.EncodeToString(mac.Sum(nil))
 }
 
-// askPeer asks another host for what changed after a revision. The age in its answer
-// includes the way.
-func (d *Directory) askPeer(ctx context.Context, host Host, after store.Revision, wait time.Duration) (changes, error) {
+// askPeer asks another host for what changed after a revision. The age of its news includes
+// the way.
+func (d *Directory) askPeer(ctx context.Context, host Host, after store.Revision, wait time.Duration) (news, error) {
 	asked := time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -177,31 +179,36 @@
 	query := url.Values{paramAfter: {after.String()}, paramWait: {wait.String()}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s?%s", host.Peers, ChangesPath, query.Encode()), nil)
 	if err != nil {
-		return changes{}, err
+		return news{}, err
 	}
 	key := d.Snapshot().Key()
 	req.Header.Set(headerKey, keyName(key))
 	res, err := d.peers.Do(req)
 	if err != nil {
-		return changes{}, err
+		return news{}, err
 	}
 	defer res.Body.Close()
 	lost.Reset(answerTime)
 	if res.StatusCode == http.StatusServiceUnavailable {
-		return changes{}, errors.Wrap(errBusy, host.Name)
+		return news{}, errors.Wrap(errBusy, host.Name)
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxChangesBytes))
 	if err != nil {
-		return changes{}, err
+		return news{}, err
 	}
 	if res.StatusCode != http.StatusOK || !hmac.Equal([]byte(res.Header.Get(headerCode)), []byte(code(key, body))) {
-		return changes{}, errors.Wrapf(errPeer, "%s: status %d", host.Name, res.StatusCode)
+		return news{}, errors.Wrapf(errPeer, "%s: status %d", host.Name, res.StatusCode)
 	}
 	var c changes
 	if err := cbor.Unmarshal(body, &c); err != nil {
-		return changes{}, errors.Wrap(err, host.Name)
+		return news{}, errors.Wrap(err, host.Name)
 	}
+	items, err := d.packer.unpack(c.Items)
+	if err != nil {
+		return news{}, errors.Wrap(err, host.Name)
+	}
+	received := time.Now()
 	// The clocks of hosts differ, so the way is what the question took beyond its wait.
-	c.Age += max(0, time.Since(asked)-max(0, c.Held))
-	return c, nil
+	way := max(0, received.Sub(asked)-max(0, c.Held))
+	return news{page: store.Page{Items: items, Revision: c.Revision}, full: c.Full, from: host.Name, received: received, age: max(0, c.Age) + way}, nil
 }
