Serve followers before those that ask a spare, two at once

A question that does not wait gets a large answer only while no other is on its way; two in place of four are sent at once.

--- a/internal/fleet/directory/peers.go
+++ b/internal/fleet/directory/peers.go
@@ -40,7 +40,7 @@
 	// largeAnswer is the size of the items from which answers take turns: it fills a link
 	// of 10 Mbit/s for 13 ms. largeAtOnce is the number of those on their way at once.
 	largeAnswer = 16 << 10
-	largeAtOnce = fanOut
+	largeAtOnce = 2
 )
 
 // errPeer reports an answer of another host that cannot be used.
@@ -122,12 +122,12 @@
 // delay each other, and what the own host asks of the store.
 type turns chan struct{}
 
-// take waits for a turn, and reports whether there was one in time.
+// take waits for a turn, and reports whether there was one in time. Who does not wait gets
+// one only while there is nothing else on its way: followers go before those that ask a
+// spare.
 func (t turns) take(ctx context.Context, wait time.Duration) bool {
-	select {
-	case t <- struct{}{}:
-		return true
-	default:
+	if wait <= 0 {
+		return len(t) == 0 && t.take(ctx, time.Millisecond)
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
