--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -64,8 +64,9 @@
 	// in, in nanoseconds; 0 for never.
 	contact atomic.Int64
 	peers   *http.Client
-	turns   turns
-	packer  *packer
+	// turns and packer serve the answers to other hosts.
+	turns  turns
+	packer *packer
 	// spread is added to othersAge.
 	spread time.Duration
 }
@@ -108,7 +109,10 @@
 
 // New returns a directory that is not started. Its goroutines run in g.
 func New(cfg Config, g *group.Group) *Directory {
-	d := &Directory{cfg: cfg, g: g, journal: newJournal(), turns: make(turns, largeAtOnce), packer: newPacker(), began: time.Now().Add(-never), spread: rand.N(othersSpread)}
+	d := &Directory{
+		cfg: cfg, g: g, journal: newJournal(), turns: make(turns, largeAtOnce), packer: newPacker(),
+		began: time.Now().Add(-never), spread: rand.N(othersSpread),
+	}
 	d.state = NewState(Host{Name: cfg.Self, Domain: cfg.Domain}, cfg.Decoder, cfg.ReturnTime, d.journal.add)
 	if cfg.Peers == nil {
 		cfg.Peers = &http.Transport{DialContext: openPeer, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdle, DisableCompression: true}
--- a/internal/fleet/directory/follow.go
+++ b/internal/fleet/directory/follow.go
@@ -3,8 +3,8 @@
 // This file defines who watches the store, and who follows other hosts.
 //
 // The root of the tree watches the store, since each call there is priced, and the
-// others follow their parents by long polls. Every answer tells how long ago the store
-// was heard, and returns when that is renewed. A host whose parent does not answer
+// others follow their parents by long polls. Every answer tells the age of what it holds,
+// and returns when that is renewed. A host whose parent does not answer
 // follows another; one that hears nothing newer through others watches the store
 // itself, the second of the ranking soonest.
 
