Ask a host again soon that does not know the secret yet

Trace: host-1 read the store when only host-2 was registered, followed it, and got 400 since host-2 had not read the secret back; so it passed it over for two seconds, knew no third host to follow and learned of the other hosts 1.07 s later by its own read. Meanwhile it told deaths to another coordinator than they did.

A host without the secret answers 503 now, which an asker takes for busy and asks again in 0.1 s.

--- a/internal/fleet/directory/peers.go
+++ b/internal/fleet/directory/peers.go
@@ -46,8 +46,9 @@
 // errPeer reports an answer of another host that cannot be used.
 var errPeer = errors.New("directory: answer of a host cannot be used")
 
-// errBusy reports that a host passes on too much at the moment.
-var errBusy = errors.New("directory: host is busy with others")
+// errBusy reports that a host cannot answer at the moment: it passes on too much, or does
+// not know the secret yet.
+var errBusy = errors.New("directory: host cannot answer now")
 
 // changes is what a host passes on.
 type changes struct {
@@ -66,10 +67,14 @@
 	key := keyNamed(d.Snapshot().Keys, r.Header.Get(headerKey))
 	after, err := store.ParseRevision(r.URL.Query().Get(paramAfter))
 	wait, waitErr := time.ParseDuration(r.URL.Query().Get(paramWait))
-	if err != nil || waitErr != nil || key == nil {
+	if err != nil || waitErr != nil {
 		http.Error(w, "want a revision and a wait", http.StatusBadRequest)
 		return
 	}
+	if key == nil {
+		http.Error(w, "the secret is not known yet", http.StatusServiceUnavailable)
+		return
+	}
 	asked := time.Now()
 	e, ok := d.await(r.Context(), after, min(wait, maxPeerWait))
 	if !ok {
--- a/internal/fleet/directory/turns_test.go
+++ b/internal/fleet/directory/turns_test.go
@@ -1,11 +1,15 @@
 package directory
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 )
 
 func TestFollowersGoBeforeThoseThatAskASpare(t *testing.T) {
@@ -24,3 +28,21 @@
 		require.True(t, turns.take(t.Context(), 0))
 	})
 }
+
+// A host that has just started is asked again soon, and not passed over.
+func TestHostWithoutTheSecretIsOnlyBusy(t *testing.T) {
+	d := New(Config{Decoder: plain{}}, group.New(t.Context()))
+	tests := []struct {
+		query string
+		want  int
+	}{
+		{query: "after=0.0&wait=0s", want: http.StatusServiceUnavailable},
+		{query: "after=7&wait=0s", want: http.StatusBadRequest},
+		{query: "after=0.0", want: http.StatusBadRequest},
+	}
+	for _, tt := range tests {
+		w := httptest.NewRecorder()
+		d.ServeHTTP(w, httptest.NewRequest(http.MethodGet, ChangesPath+"?"+tt.query, nil))
+		require.Equal(t, tt.want, w.Code, tt.query)
+	}
+}
