--- a/internal/fleet/directory/peers.go
+++ b/internal/fleet/directory/peers.go
@@ -89,6 +89,7 @@
 		defer d.turns.leave()
 		e = d.journal.since(after)
 		parcels = d.packer.pack(e.page.Items)
+		// Only writers of tests know no deadlines.
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTime))
 	}
 	now := time.Now()
