Log and export the rate limits that targets name

No line or metric said that a target had named a limit, to which host and when it changed, so the three hypotheses on the incident could not be told apart. The header is now decoded in the adapter, followed per target, logged with its source and age, and exported per target. No decision uses it yet.

--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -77,6 +77,31 @@
 	gauge("tamarack_store_age_seconds", "Age of this host's view of the store.", func() float64 { return age().Seconds() })
 }
 
+// limitCollector exports the rate limits that targets name.
+type limitCollector struct {
+	limits      func() map[string]float64
+	description *prometheus.Desc
+}
+
+var _ prometheus.Collector = (*limitCollector)(nil)
+
+// registerLimits registers the gauges of the rate limits that targets name. A target has one
+// as long as it names a limit.
+func (m *metrics) registerLimits(limits func() map[string]float64) {
+	m.registry.MustRegister(&limitCollector{limits: limits, description: prometheus.NewDesc(
+		"tamarack_target_limit_per_second", "Requests a second that a target takes from all hosts together.", []string{"target"}, nil)})
+}
+
+// Describe implements prometheus.Collector.
+func (c *limitCollector) Describe(out chan<- *prometheus.Desc) { out <- c.description }
+
+// Collect implements prometheus.Collector.
+func (c *limitCollector) Collect(out chan<- prometheus.Metric) {
+	for target, perSecond := range c.limits() {
+		out <- prometheus.MustNewConstMetric(c.description, prometheus.GaugeValue, perSecond, target)
+	}
+}
+
 // ObserveUpdateDelay records how long an update from the store waited to be applied.
 func (m *metrics) ObserveUpdateDelay(wait time.Duration) { m.updateDelay.Observe(wait.Seconds()) }
 
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -133,6 +133,7 @@
 		Self: cfg.Name, Prober: p.links, Placement: placement.DefaultConfig(), ProbesPerSecond: cfg.Bounds.ProbesPerSecond,
 		Send: p.send, Log: p.log.For("dispatcher"), OnProbe: p.metrics.CountProbe, OnEvidence: crashes.HandleEvidence,
 	}, p.g)
+	p.metrics.registerLimits(p.dispatcher.Limits)
 	p.handler = entry.New(entry.Config{
 		Domain: cfg.Domain, Dialect: platform.Dialect, Placer: p.dispatcher, Links: p.links,
 		Snapshot: p.directory.Snapshot, Fresh: p.directory.Fresh, Bounds: cfg.Bounds, Log: p.log.For("entry"), Observer: p.metrics, CrashTracker: crashes,
--- a/internal/traffic/dispatcher/cell.go
+++ b/internal/traffic/dispatcher/cell.go
@@ -15,6 +15,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/queue"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/targets"
 )
 
@@ -316,8 +317,9 @@
 	responded := make(chan struct{}, len(ids))
 	for _, id := range ids {
 		d.g.Go("ask", func(ctx context.Context) error {
+			sent := time.Now()
 			report, err := d.cfg.Prober.Probe(ctx, id, c.healthPath)
-			d.recordProbe(id, report, err)
+			d.recordProbe(id, sent, report, err)
 			responded <- struct{}{}
 			return nil
 		})
@@ -339,10 +341,13 @@
 	return false
 }
 
-func (d *Dispatcher) recordProbe(id string, r targets.ProbeResult, err error) {
+func (d *Dispatcher) recordProbe(id string, sent time.Time, r targets.ProbeResult, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	if err == nil {
+		d.observeLimit(now, id, ratelimit.Observation{Report: r.Limit, SentAt: sent, Source: ratelimit.Probe})
+	}
 	switch {
 	case errors.Is(err, targets.ErrGone):
 		d.chooser.MarkGone(now, id)
--- a/internal/traffic/dispatcher/dispatcher.go
+++ b/internal/traffic/dispatcher/dispatcher.go
@@ -18,6 +18,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/traffic/budget"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/crash"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/targets"
 )
 
@@ -67,6 +68,7 @@
 	rng      *rand.Rand
 	chooser  *placement.Chooser
 	probes   *budget.Probes
+	limits   *ratelimit.Limits
 	snapshot *directory.Snapshot
 	// cells holds the cells by key, and services those of the current snapshot by service.
 	cells    map[string]*cell
@@ -93,7 +95,7 @@
 func New(cfg Config, g *group.Group) *Dispatcher {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Dispatcher{
-		cfg: cfg, g: g, rng: rng, chooser: placement.NewChooser(cfg.Placement, rng), probes: budget.NewProbes(time.Now(), cfg.ProbesPerSecond),
+		cfg: cfg, g: g, rng: rng, chooser: placement.NewChooser(cfg.Placement, rng), limits: ratelimit.New(), probes: budget.NewProbes(time.Now(), cfg.ProbesPerSecond),
 		snapshot: &directory.Snapshot{}, cells: map[string]*cell{}, services: map[string][]*cell{}, suspectedUntil: map[string]time.Time{},
 		pending: map[uint64]chan Message{}, remoteRequests: map[remoteKey]*remoteRequest{}, lastReceived: map[netip.AddrPort]time.Time{}, recentGrants: map[uint64]time.Time{}, loggedProfiles: map[string]profileSummary{}, lastID: rng.Uint64(),
 	}
@@ -115,6 +117,7 @@
 	d.snapshot = s
 	for _, id := range restarted {
 		d.chooser.Reset(id)
+		d.limits.Forget(id)
 	}
 	all := map[string][]placement.Spec{}
 	d.services = map[string][]*cell{}
@@ -132,6 +135,7 @@
 	}
 	d.chooser.SetTargets(all)
 	d.probes.Retain(d.chooser.Has)
+	d.limits.Retain(d.chooser.Has)
 	for key, c := range d.cells {
 		if _, ok := all[key]; !ok {
 			c.targets = 0
@@ -272,15 +276,17 @@
 	} else {
 		d.chooser.RecordRun(now, g.Choice, now.Sub(g.at), o.Result)
 	}
-	d.recordOutcome(now, g.ID, o)
+	d.recordOutcome(now, g, o)
 	d.dispatchQueue(now, c)
 }
 
 // recordOutcome records what the outcome of an attempt says about the target.
-func (d *Dispatcher) recordOutcome(now time.Time, id string, o Outcome) {
+func (d *Dispatcher) recordOutcome(now time.Time, g Grant, o Outcome) {
+	id := g.ID
 	if o.Gone {
 		d.chooser.MarkGone(now, id)
 	}
+	d.observeLimit(now, id, ratelimit.Observation{Report: o.Limit, SentAt: g.at, Source: ratelimit.Response})
 	if o.Result == placement.Served {
 		d.chooser.RecordResponse(id, o.LoadKnown)
 	}
--- a/internal/traffic/dispatcher/remote.go
+++ b/internal/traffic/dispatcher/remote.go
@@ -180,7 +180,7 @@
 	if !ok {
 		return
 	}
-	d.send(host.PeerAddress, Message{Kind: kindDone, ID: g.id, Target: g.ID, Result: o.Result, Gone: o.Gone, Load: o.Load, LoadKnown: o.LoadKnown})
+	d.send(host.PeerAddress, Message{Kind: kindDone, ID: g.id, Target: g.ID, Result: o.Result, Gone: o.Gone, Load: o.Load, LoadKnown: o.LoadKnown, Limit: o.Limit})
 }
 
 // Receive handles a message from another host. It does not block.
@@ -305,7 +305,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.chooser.Done(now, r.grant.at, r.grant.ID, m.Result)
-	d.recordOutcome(now, r.grant.ID, Outcome{Result: m.Result, Gone: m.Gone, Load: m.Load, LoadKnown: m.LoadKnown})
+	d.recordOutcome(now, *r.grant, Outcome{Result: m.Result, Gone: m.Gone, Load: m.Load, LoadKnown: m.LoadKnown, Limit: m.Limit})
 	d.dispatchQueue(now, r.cell)
 }
 
--- a/internal/traffic/dispatcher/request.go
+++ b/internal/traffic/dispatcher/request.go
@@ -27,6 +27,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/traffic/crash"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/queue"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
 )
 
 // Request is a request that needs a target.
@@ -85,6 +86,8 @@
 	Gone      bool
 	Load      placement.Load
 	LoadKnown bool
+	// Limit is what the response says about the rate limit of the target.
+	Limit ratelimit.Report
 }
 
 // RejectedError reports that no target was assigned to a request.
@@ -159,6 +162,7 @@
 	Result    placement.Result `cbor:"20,keyasint,omitempty"`
 	Gone      bool             `cbor:"21,keyasint,omitempty"`
 	Cancelled bool             `cbor:"22,keyasint,omitempty"`
+	Limit     ratelimit.Report `cbor:"31,keyasint,omitzero"`
 
 	// Redirected is set in requests that another cell redirected.
 	Redirected bool `cbor:"24,keyasint,omitempty"`
--- a/internal/traffic/entry/attempt.go
+++ b/internal/traffic/entry/attempt.go
@@ -13,6 +13,7 @@
 
 	"tamaracktiller.example/tamaracktiller/internal/traffic/dispatcher"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/relay"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/targets"
 )
@@ -115,12 +116,24 @@
 	return out
 }
 
+// limit returns what the response says about the rate limit of the target. Only a response
+// of the target itself can say that there is none.
+func (r *attempt) limit() ratelimit.Report {
+	switch {
+	case r.info.Misdirected:
+		return ratelimit.Report{}
+	case r.info.Limit.Kind == ratelimit.Unlimited && !r.info.Signed && !r.info.NotRun:
+		return ratelimit.Report{}
+	}
+	return r.info.Limit
+}
+
 // typicalTimeGain is the weight of a new sample in the typical service time of a route.
 const typicalTimeGain = 0.05
 
 // reportDone reports the end of an attempt to the dispatcher and the crash tracker.
 func (h *Handler) reportDone(ctx context.Context, req *clientRequest, r *attempt) {
-	o := dispatcher.Outcome{Gone: r.info.Misdirected, Load: r.info.Load, LoadKnown: r.info.LoadKnown}
+	o := dispatcher.Outcome{Gone: r.info.Misdirected, Load: r.info.Load, LoadKnown: r.info.LoadKnown, Limit: r.limit()}
 	switch r.outcome {
 	case succeeded:
 		o.Result = placement.Served
--- a/internal/traffic/targets/targets.go
+++ b/internal/traffic/targets/targets.go
@@ -28,6 +28,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/kernel/dial"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/relay"
 )
 
@@ -75,6 +76,8 @@
 	TargetID  string
 	Load      placement.Load
 	LoadKnown bool
+	// Limit is the rate limit that the target reports.
+	Limit ratelimit.Report
 }
 
 // Reader reads the response headers of targets.
@@ -92,6 +95,8 @@
 	Full      bool
 	Load      placement.Load
 	LoadKnown bool
+	// Limit is the rate limit that the target reports.
+	Limit ratelimit.Report
 }
 
 // Link holds the connections to one target.
@@ -223,5 +228,5 @@
 	if info.TargetID != "" && info.TargetID != id {
 		return ProbeResult{}, errors.Wrapf(ErrGone, "%s: %s responded at its address", id, info.TargetID)
 	}
-	return ProbeResult{Healthy: res.StatusCode == http.StatusOK, Full: info.NotRun && !info.LoadKnown, Load: info.Load, LoadKnown: info.LoadKnown}, nil
+	return ProbeResult{Healthy: res.StatusCode == http.StatusOK, Full: info.NotRun && !info.LoadKnown, Load: info.Load, LoadKnown: info.LoadKnown, Limit: info.Limit}, nil
 }
