--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -32,8 +32,11 @@
 	t       *testing.T
 	store   *platformtest.Store
 	targets []*platformtest.Target
-	hosts   []*host
 	version int
+
+	// mu guards hosts, to which tests add while others send requests.
+	mu    sync.Mutex
+	hosts []*host
 }
 
 type host struct {
@@ -120,6 +123,8 @@
 	h.cancel = cancel
 	go func() { h.done <- p.Run(ctx) }()
 	cl.t.Cleanup(cancel)
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
 	cl.hosts = append(cl.hosts, h)
 	return h
 }
