--- a/internal/process/entry/limit_test.go
+++ b/internal/process/entry/limit_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -22,6 +24,9 @@
 	limitNotice = 3 * time.Second
 	limitRatio  = 1.5
 	limitSlack  = 5.0
+	// minLimitUse is the share of the limits that is used while callers send more than all
+	// targets take, also around planned stops and while the store is down.
+	minLimitUse = 0.35
 )
 
 // eventLog records the events of a target.
@@ -158,14 +163,80 @@
 			l := cl.runLoad(ctx, 12*time.Millisecond)
 			ended := time.Now()
 			for n, perSecond := range tt.perSecond {
-				got := logs[n].mostIn(limitWindow, began.Add(limitNotice), ended, false)
+				got := logs[n].mostIn(limitWindow, began.Add(limitNotice), ended, true)
 				if perSecond < 0 {
 					require.Positive(t, got)
 					continue
 				}
 				allowed := int(limitRatio*perSecond*limitWindow.Seconds() + limitSlack)
-				require.LessOrEqual(t, got, allowed, "%s: requests in %s at a limit of %g a second; statuses %v", list[n].ID, limitWindow, perSecond, l.statuses)
+				require.LessOrEqual(t, got, allowed, "%s: requests and probes in %s at a limit of %g a second; statuses %v", list[n].ID, limitWindow, perSecond, l.statuses)
+				if !slices.Contains(tt.limits, "") {
+					used := logs[n].mostIn(ended.Sub(began), began.Add(limitNotice), ended, false)
+					require.GreaterOrEqual(t, float64(used), minLimitUse*perSecond*(ended.Sub(began)-limitNotice).Seconds(), "%s: requests at a limit of %g a second", list[n].ID, perSecond)
+				}
 			}
 		})
 	}
 }
+
+func TestRequestsBeyondTheLimitsOfAllTargetsAreRefusedAtOnce(t *testing.T) {
+	cl := newCluster(t, 2, target("t-1", platformtest.Behaviour{Limit: "0"}), target("t-2", platformtest.Behaviour{Limit: "0"}))
+	time.Sleep(3 * time.Second)
+	for n := range 4 {
+		_, err := cl.send(t.Context(), cl.hosts[n%2], fmt.Sprintf("first-%d", n), "/search/x")
+		require.NoError(t, err)
+	}
+	delays := map[string]bool{}
+	for n := range 20 {
+		started := time.Now()
+		resp, err := cl.send(t.Context(), cl.hosts[n%2], fmt.Sprintf("r-%d", n), []string{"/search/x", "/book/x"}[n%2])
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, resp.status)
+		require.Less(t, time.Since(started), 300*time.Millisecond)
+		require.Zero(t, cl.runCount(fmt.Sprintf("r-%d", n)))
+		delay, err := strconv.ParseFloat(resp.header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, delay, 1.0)
+		delays[resp.header.Get("Retry-After")] = true
+	}
+	require.Eventually(t, func() bool {
+		return strings.Contains(cl.hosts[0].log.String()+cl.hosts[1].log.String(), `"reason":"all targets limit their rate"`)
+	}, time.Second, 10*time.Millisecond)
+}
+
+func TestEndOfLimitIsNoticedWithoutRequestsAndWithoutStorm(t *testing.T) {
+	tests := []struct {
+		name   string
+		hidden bool
+		within time.Duration
+	}{
+		{name: "probes show the limit", within: 2 * time.Second},
+		{name: "only responses to requests show the limit", hidden: true, within: 9 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			b := platformtest.Behaviour{ServiceTime: 10 * time.Millisecond, Limit: "0", HideLimitFromProbes: tt.hidden}
+			only := target("t-1", b)
+			events := record(only)
+			cl := newCluster(t, 3, only)
+			ctx, cancel := context.WithTimeout(t.Context(), tt.within+9*time.Second)
+			defer cancel()
+			var lifted time.Time
+			time.AfterFunc(5*time.Second, func() {
+				b.Limit = ""
+				only.SetBehaviour(b)
+				events.mu.Lock()
+				defer events.mu.Unlock()
+				lifted = time.Now()
+			})
+			l := cl.runLoad(ctx, 12*time.Millisecond)
+			events.mu.Lock()
+			since := lifted
+			events.mu.Unlock()
+			require.Positive(t, events.mostIn(time.Hour, since, since.Add(tt.within), false), "requests within %s; statuses %v", tt.within, l.statuses)
+			require.LessOrEqual(t, events.mostIn(500*time.Millisecond, since, since.Add(2*time.Second), false), 12, "requests in half a second, soon after the end of the limit")
+			require.GreaterOrEqual(t, events.mostIn(time.Second, since, time.Now(), false), 60, "requests in a second, of 83 sent")
+		})
+	}
+}
--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -135,6 +135,9 @@
 	case entry.TargetFailed:
 		return burn.Failed, false, true
 	case entry.Refused:
+		if o.RateLimited {
+			return burn.Limited, false, true
+		}
 		return burn.Refused, false, true
 	case entry.Unknown:
 		return burn.Unknown, false, true
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -131,7 +131,7 @@
 	}, p.g)
 	p.dispatcher = dispatcher.New(dispatcher.Config{
 		Self: cfg.Name, Prober: p.links, Placement: placement.DefaultConfig(), ProbesPerSecond: cfg.Bounds.ProbesPerSecond,
-		Send: p.send, Log: p.log.For("dispatcher"), OnProbe: p.metrics.CountProbe, OnEvidence: crashes.HandleEvidence,
+		Send: p.send, Fresh: p.directory.Fresh, Log: p.log.For("dispatcher"), OnProbe: p.metrics.CountProbe, OnEvidence: crashes.HandleEvidence,
 	}, p.g)
 	p.metrics.registerLimits(p.dispatcher.Limits)
 	p.handler = entry.New(entry.Config{
--- a/internal/report/burn/meter.go
+++ b/internal/report/burn/meter.go
@@ -43,6 +43,8 @@
 	Failed  Fault = "failed"
 	Refused Fault = "refused"
 	Unknown Fault = "unknown"
+	// Limited is a refusal because of the rate limits that targets name.
+	Limited Fault = "limited"
 )
 
 // Sample describes one finished request.
--- a/internal/traffic/dispatcher/cell.go
+++ b/internal/traffic/dispatcher/cell.go
@@ -47,8 +47,14 @@
 	// probeDivisor is the number by which the probe budget is divided to get the share of
 	// this host.
 	probeDivisor float64
-	queue        *queue.Queue
-	waiters      map[*queue.Request]*waiter
+	// rank is the position of this host in the ranking since rankSince.
+	rank      int
+	rankSince time.Time
+	// sharesUsed is the time at which this host last assigned a request, while targets had
+	// limited rates.
+	sharesUsed time.Time
+	queue      *queue.Queue
+	waiters    map[*queue.Request]*waiter
 	// polling is set while a goroutine probes targets for the queued requests.
 	polling bool
 	// utilization is the share of slots in use, and waiting the number of queued requests,
@@ -59,10 +65,10 @@
 }
 
 func newCell(id cellID) *cell {
-	return &cell{id: id, queue: queue.New(), waiters: map[*queue.Request]*waiter{}}
+	return &cell{id: id, queue: queue.New(), waiters: map[*queue.Request]*waiter{}, rank: unranked}
 }
 
-func (c *cell) update(s *directory.Snapshot, part []roster.ActiveTarget, self string) {
+func (c *cell) update(now time.Time, s *directory.Snapshot, part []roster.ActiveTarget, self string) {
 	c.targets, c.slots = len(part), 0
 	for _, t := range part {
 		c.slots += t.Slots
@@ -71,6 +77,7 @@
 		// In a large fleet, most snapshots do not change the hosts.
 		c.ranked, c.rankedAt = rankHosts(c.id, s.Hosts), s.HostChanges
 	}
+	c.setRank(now, slices.IndexFunc(c.ranked, func(h directory.Host) bool { return h.Name == self }))
 	c.probeDivisor = float64(max(1, s.MaxHosts)) / (1 - dispatcherProbeShare)
 	if c.dispatchedBy(self) {
 		c.probeDivisor = 1 / dispatcherProbeShare
@@ -166,6 +173,7 @@
 		return false
 	}
 	now := time.Now()
+	d.updateShares(now, c)
 	choice, ok := d.chooser.Best(now, c.id.key, w.request.placementRequest())
 	if !ok || !choice.HasCapacity {
 		return false
@@ -186,11 +194,13 @@
 
 func (d *Dispatcher) enqueue(now time.Time, c *cell, w *waiter) {
 	w.queued = w.request.queueRequest()
-	retryAfter, ok := c.queue.Add(now, w.queued, c.slots)
+	d.updateShares(now, c)
+	capacity := d.capacity(now, c, w.request.TypicalTime)
+	retryAfter, ok := c.queue.Add(now, w.queued, capacity)
 	fields := logrus.Fields{fieldRequest: w.request.ID, "cell": c.id.key, "waiting": c.queue.Len(), "usual-ms": w.request.TypicalTime.Milliseconds(), "deadline-ms": w.request.Deadline.Sub(now).Milliseconds()}
 	if !ok {
-		d.cfg.Log.WithFields(fields).WithField("retry-after-ms", retryAfter.Milliseconds()).Info("no place in time")
-		w.reply(response{rejected: &RejectedError{Reason: "no target will have room in time", RetryAfter: retryAfter}})
+		d.cfg.Log.WithFields(fields).WithFields(limitFields(capacity)).WithField("retry-after-ms", retryAfter.Milliseconds()).Info("no place in time")
+		w.reply(response{rejected: newRejection(capacity, "no target will have room in time", retryAfter)})
 		return
 	}
 	d.cfg.Log.WithFields(fields).Debug("request queued")
@@ -228,6 +238,10 @@
 // that cannot start in time. A target that is too slow for one request may be good enough
 // for the next. The caller holds the mutex.
 func (d *Dispatcher) dispatchQueue(now time.Time, c *cell) {
+	if c.queue.Len() == 0 {
+		return
+	}
+	d.updateShares(now, c)
 	for _, r := range c.queue.Ordered(now) {
 		if !d.chooser.HasFreeSlot(now, c.id.key) {
 			break
@@ -238,13 +252,18 @@
 			d.grantQueued(now, c, w, choice)
 		}
 	}
-	for _, r := range c.queue.Unservable(now) {
+	capacity := d.capacity(now, c, 0)
+	for _, r := range c.queue.Unservable(now, capacity) {
 		w := c.waiters[r]
 		c.queue.Remove(r)
 		delete(c.waiters, r)
 		w.done = true
-		d.cfg.Log.WithFields(logrus.Fields{fieldRequest: w.request.ID, "cell": c.id.key, "waiting": c.queue.Len()}).Info("wait has become hopeless")
-		w.reply(response{rejected: &RejectedError{Reason: "no target has room in time any more", RetryAfter: unservableRetryAfter}})
+		retryAfter := unservableRetryAfter
+		if capacity.Limited {
+			retryAfter = c.queue.RetryAfter(now, capacity)
+		}
+		d.cfg.Log.WithFields(logrus.Fields{fieldRequest: w.request.ID, "cell": c.id.key, "waiting": c.queue.Len()}).WithFields(limitFields(capacity)).Info("wait has become hopeless")
+		w.reply(response{rejected: newRejection(capacity, "no target has room in time any more", retryAfter)})
 	}
 }
 
--- a/internal/traffic/dispatcher/dispatcher.go
+++ b/internal/traffic/dispatcher/dispatcher.go
@@ -54,6 +54,8 @@
 	// OnEvidence is called with the evidence of crashes that other hosts report. It must not
 	// block, and may be nil.
 	OnEvidence func(e crash.Evidence)
+	// Fresh reports whether the snapshot is up to date. If it is nil, it always is.
+	Fresh func(now time.Time) bool
 }
 
 // Dispatcher assigns targets to requests of this host and of other hosts. It is safe for
@@ -64,11 +66,12 @@
 	draining atomic.Bool
 
 	// mu guards the fields below.
-	mu       sync.Mutex
-	rng      *rand.Rand
-	chooser  *placement.Chooser
-	probes   *budget.Probes
+	mu      sync.Mutex
+	rng     *rand.Rand
+	chooser *placement.Chooser
+	// limits are those of chooser.
 	limits   *ratelimit.Limits
+	probes   *budget.Probes
 	snapshot *directory.Snapshot
 	// cells holds the cells by key, and services those of the current snapshot by service.
 	cells    map[string]*cell
@@ -94,8 +97,9 @@
 // New returns a dispatcher without targets. Its goroutines run in g.
 func New(cfg Config, g *group.Group) *Dispatcher {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	chooser := placement.NewChooser(cfg.Placement, rng)
 	return &Dispatcher{
-		cfg: cfg, g: g, rng: rng, chooser: placement.NewChooser(cfg.Placement, rng), limits: ratelimit.New(), probes: budget.NewProbes(time.Now(), cfg.ProbesPerSecond),
+		cfg: cfg, g: g, rng: rng, chooser: chooser, limits: chooser.Limits(), probes: budget.NewProbes(time.Now(), cfg.ProbesPerSecond),
 		snapshot: &directory.Snapshot{}, cells: map[string]*cell{}, services: map[string][]*cell{}, suspectedUntil: map[string]time.Time{},
 		pending: map[uint64]chan Message{}, remoteRequests: map[remoteKey]*remoteRequest{}, lastReceived: map[netip.AddrPort]time.Time{}, recentGrants: map[uint64]time.Time{}, loggedProfiles: map[string]profileSummary{}, lastID: rng.Uint64(),
 	}
@@ -113,11 +117,11 @@
 func (d *Dispatcher) SetSnapshot(s *directory.Snapshot, restarted []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.dropGoneHosts(time.Now(), d.snapshot.Hosts, s.Hosts)
+	now := time.Now()
+	d.dropGoneHosts(now, d.snapshot.Hosts, s.Hosts)
 	d.snapshot = s
 	for _, id := range restarted {
-		d.chooser.Reset(id)
-		d.limits.Forget(id)
+		d.chooser.Reset(now, id)
 	}
 	all := map[string][]placement.Spec{}
 	d.services = map[string][]*cell{}
@@ -128,17 +132,17 @@
 				c = newCell(id)
 				d.cells[id.key] = c
 			}
-			c.update(s, part, d.cfg.Self)
+			c.update(now, s, part, d.cfg.Self)
 			d.services[service] = append(d.services[service], c)
 			all[id.key] = specs(service, part)
 		}
 	}
 	d.chooser.SetTargets(all)
 	d.probes.Retain(d.chooser.Has)
-	d.limits.Retain(d.chooser.Has)
 	for key, c := range d.cells {
 		if _, ok := all[key]; !ok {
 			c.targets = 0
+			c.setRank(now, unranked)
 			d.redirectQueue(c)
 		}
 	}
--- a/internal/traffic/dispatcher/limit.go
+++ b/internal/traffic/dispatcher/limit.go
@@ -1,27 +1,167 @@
 package dispatcher
 
-// This file defines how a dispatcher learns of the rate limits of targets.
+// This file defines how dispatchers keep to the rate limits that targets name for all hosts
+// together.
+//
+// Only the first two hosts of a cell's ranking use the limits of its targets: the first one
+// in full, the second one for requests of hosts that cannot reach the first. Views of the
+// fleet differ for a moment, so a host uses limits only after it has held its rank for
+// rankSettleTime, which exceeds the age up to which a view counts as up to date: by then the
+// host that held the rank before knows of the change, or knows that its view is old and uses
+// only a part. So at most one host uses the full limit, and two together stay below the
+// tolerance of targets.
 
 import (
+	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"tamaracktiller.example/tamaracktiller/internal/traffic/queue"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
 )
 
+const (
+	// rankSettleTime is the time for which a host holds its rank in a cell before it uses
+	// the rate limits of targets.
+	rankSettleTime = 2500 * time.Millisecond
+	// standbyShare is the share of a limit that a host uses which may not be the only one:
+	// the second host of the ranking, and the first one while its view is old.
+	standbyShare = 0.4
+	// unranked is the rank of a host that is not in the ranking.
+	unranked = -1
+	// maxToldLimits bounds the rate limits in one message, so that it fits in a datagram.
+	maxToldLimits = 12
+)
+
+// setRank sets the position of this host in the ranking.
+func (c *cell) setRank(now time.Time, rank int) {
+	if c.rank != rank {
+		c.rank, c.rankSince = rank, now
+	}
+}
+
+// limitShare returns the part of the rate limits of a cell's targets that this host may use.
+// The caller holds the mutex.
+func (d *Dispatcher) limitShare(now time.Time, c *cell) float64 {
+	fresh := d.cfg.Fresh == nil || d.cfg.Fresh(now)
+	switch {
+	case now.Sub(c.rankSince) < rankSettleTime:
+		return 0
+	case c.rank == 0 && fresh:
+		return 1
+	case c.rank == 0, c.rank == 1 && fresh:
+		return standbyShare
+	}
+	return 0
+}
+
+// updateShares sets this host's shares of the rate limits of a cell's targets. The caller
+// holds the mutex.
+func (d *Dispatcher) updateShares(now time.Time, c *cell) {
+	if d.limits.Empty() {
+		return
+	}
+	share := d.limitShare(now, c)
+	c.sharesUsed = now
+	d.limits.SetShares(now, share, func(id string) bool { return d.chooser.Group(id) == c.id.key })
+}
+
+// capacity returns what the targets of a cell can run. The caller holds the mutex.
+func (d *Dispatcher) capacity(now time.Time, c *cell, typicalTime time.Duration) queue.Capacity {
+	if d.limits.Empty() {
+		return queue.Capacity{Slots: c.slots}
+	}
+	flow, limited := d.chooser.Flow(now, c.id.key)
+	return queue.Capacity{Slots: d.chooser.Slots(c.id.key, typicalTime), Limited: limited, Flow: flow}
+}
+
+// newRejection returns the rejection of a request for lack of capacity.
+func newRejection(c queue.Capacity, reason string, retryAfter time.Duration) *RejectedError {
+	if c.Limited {
+		reason = "all targets limit their rate"
+	}
+	return &RejectedError{Reason: reason, RetryAfter: retryAfter, Limited: c.Limited}
+}
+
+// limitFields returns the log fields of a rejection that are about rate limits.
+func limitFields(c queue.Capacity) logrus.Fields {
+	if !c.Limited {
+		return nil
+	}
+	return logrus.Fields{"limit-per-second": c.Flow.PerSecond, "ready": c.Flow.Ready, "next-ms": c.Flow.Next.Milliseconds()}
+}
+
 // observeLimit records what a response says about the rate limit of its target. The caller
 // holds the mutex.
 func (d *Dispatcher) observeLimit(now time.Time, id string, o ratelimit.Observation) {
-	change := d.limits.Observe(now, id, o)
+	if !d.chooser.Has(id) {
+		return
+	}
+	d.logLimit(id, d.limits.Observe(now, id, o), o.PerSecond, o.Source, now.Sub(o.SentAt))
+}
+
+// observeTold records the rate limits that another host told of.
+func (d *Dispatcher) observeTold(list []ratelimit.Told) {
+	if len(list) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, t := range list {
+		if d.chooser.Has(t.Target) {
+			d.logLimit(t.Target, d.limits.ObserveTold(now, t), t.PerSecond, ratelimit.Host, t.Age)
+		}
+	}
+}
+
+func (d *Dispatcher) logLimit(id string, change ratelimit.Change, perSecond float64, source ratelimit.Source, age time.Duration) {
 	if change == ratelimit.Unchanged {
 		return
 	}
 	d.cfg.Log.WithFields(logrus.Fields{
-		"target": id, "change": change.String(), "limit-per-second": o.PerSecond, "source": string(o.Source), "age-ms": now.Sub(o.SentAt).Milliseconds(),
+		"target": id, "change": change.String(), "limit-per-second": perSecond, "source": string(source), "age-ms": age.Milliseconds(),
 	}).Info("rate limit of a target")
 }
 
+// toldLimits returns the rate limits of targets of a cell to tell them to another host. The
+// caller holds the mutex.
+func (d *Dispatcher) toldLimits(now time.Time, c *cell) []ratelimit.Told {
+	if d.limits.Empty() {
+		return nil
+	}
+	return d.limits.Told(now, maxToldLimits, func(id string) bool { return d.chooser.Group(id) == c.id.key })
+}
+
+// checkLimits probes the limited targets whose limits were not heard again for some time:
+// those of the cells that this host dispatches, and as the second host of the ranking those
+// of cells in which it has just assigned requests. The caller holds the mutex.
+func (d *Dispatcher) checkLimits(now time.Time) {
+	d.limits.Expire(now)
+	for id := range d.limits.Named() {
+		c := d.cells[d.chooser.Group(id)]
+		if c == nil {
+			continue
+		}
+		if c.rank == 0 {
+			d.updateShares(now, c)
+		} else if now.Sub(c.sharesUsed) > standbyCheckTime {
+			continue
+		}
+		if d.limits.CheckDue(now, id) && len(d.withinProbeBudget(c, []string{id})) > 0 {
+			d.g.Go("check limit", func(ctx context.Context) error {
+				d.probe(ctx, c, []string{id}, func() bool { return true })
+				return nil
+			})
+		}
+	}
+}
+
+// standbyCheckTime is the time after a request for which the second host of the ranking
+// checks the rate limits of targets.
+const standbyCheckTime = time.Second
+
 // Limits returns the rate limits that targets name, in requests a second, by target.
 func (d *Dispatcher) Limits() map[string]float64 {
 	d.mu.Lock()
--- /dev/null
+++ b/internal/traffic/dispatcher/limit_test.go
@@ -0,0 +1,176 @@
+package dispatcher
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
+	"tamaracktiller.example/tamaracktiller/internal/fleet/packet"
+	"tamaracktiller.example/tamaracktiller/internal/fleet/roster"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
+)
+
+func namedLimit(perSecond float64) ratelimit.Report {
+	return ratelimit.Report{Kind: ratelimit.Named, PerSecond: perSecond}
+}
+
+// settleRanks makes the ranks of a dispatcher count as held for long.
+func settleRanks(d *Dispatcher) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.cells {
+		c.rankSince = time.Now().Add(-time.Hour)
+	}
+}
+
+func TestAtMostOneHostUsesFullLimit(t *testing.T) {
+	tests := []struct {
+		name  string
+		rank  int
+		held  time.Duration
+		fresh bool
+		want  float64
+	}{
+		{name: "first", rank: 0, held: time.Hour, fresh: true, want: 1},
+		{name: "first, just now", rank: 0, held: rankSettleTime / 2, fresh: true},
+		{name: "first by an old view", rank: 0, held: time.Hour, want: standbyShare},
+		{name: "second", rank: 1, held: time.Hour, fresh: true, want: standbyShare},
+		{name: "second, just now", rank: 1, held: rankSettleTime / 2, fresh: true},
+		{name: "second by an old view", rank: 1, held: time.Hour},
+		{name: "third", rank: 2, held: time.Hour, fresh: true},
+		{name: "not ranked", rank: unranked, held: time.Hour, fresh: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Now()
+			d := &Dispatcher{cfg: Config{Fresh: func(time.Time) bool { return tt.fresh }}}
+			require.Equal(t, tt.want, d.limitShare(now, &cell{rank: tt.rank, rankSince: now.Add(-tt.held)}))
+		})
+	}
+}
+
+// rankOf returns the rank of a host in a cell, and for how long it has held it.
+func rankOf(d *Dispatcher, key string) (int, time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.cells[key]
+	return c.rank, time.Since(c.rankSince)
+}
+
+func TestHostWaitsBeforeItUsesLimitsOfCellThatMovedToIt(t *testing.T) {
+	_, list := newFleet(t, 4, 2, 3)
+	dispatcher, _ := dispatcherAndOther(list)
+	var second *Dispatcher
+	for _, d := range list {
+		settleRanks(d)
+		if rank, _ := rankOf(d, "s"); rank == 1 {
+			second = d
+		}
+	}
+	s := *second.snapshot
+	s.Hosts = map[string]directory.Host{}
+	for name, h := range second.snapshot.Hosts {
+		if name != dispatcher.cfg.Self {
+			s.Hosts[name] = h
+		}
+	}
+	s.HostChanges++
+	second.SetSnapshot(&s, nil)
+	rank, held := rankOf(second, "s")
+	require.Equal(t, 0, rank)
+	require.Less(t, held, time.Second)
+
+	// A cell that loses its targets for a moment is not held in the meantime.
+	settleRanks(dispatcher)
+	s = *dispatcher.snapshot
+	before := s.Targets
+	s.Targets = map[string][]roster.ActiveTarget{}
+	dispatcher.SetSnapshot(&s, nil)
+	again := s
+	again.Targets = before
+	dispatcher.SetSnapshot(&again, nil)
+	rank, held = rankOf(dispatcher, "s")
+	require.Equal(t, 0, rank)
+	require.Less(t, held, time.Second)
+}
+
+func TestLimitHeardByOneHostBindsTheOthers(t *testing.T) {
+	f, list := newFleet(t, 3, 2, 3)
+	dispatcher, other := dispatcherAndOther(list)
+	for _, d := range list {
+		settleRanks(d)
+	}
+	grant := f.place(t, other)
+	require.Equal(t, dispatcher.cfg.Self, grant.DispatchedBy())
+	other.Done(grant, Outcome{Result: placement.Served, Limit: namedLimit(0)})
+	require.Eventually(t, func() bool { return len(dispatcher.Limits()) == 1 }, time.Second, time.Millisecond, "the outcome tells the dispatcher")
+	for _, d := range list {
+		for range 3 {
+			grant := f.place(t, d)
+			require.NotContains(t, d.Limits(), grant.ID)
+			f.finish(d, grant)
+		}
+		require.Len(t, d.Limits(), 1, "the dispatcher's responses tell the other hosts")
+	}
+
+	// A host that can reach no dispatcher does not use the target either.
+	for a := range f.hosts {
+		f.isolated[a] = true
+	}
+	for _, d := range list {
+		grant := f.place(t, d)
+		require.NotContains(t, d.Limits(), grant.ID)
+		f.finish(d, grant)
+	}
+}
+
+func TestHedgeIsNotSentToLimitedTarget(t *testing.T) {
+	_, list := newFleet(t, 1, 1, 3)
+	d := list[0]
+	settleRanks(d)
+	d.mu.Lock()
+	d.observeLimit(time.Now(), "t-0", ratelimit.Observation{Report: namedLimit(1000), SentAt: time.Now(), Source: ratelimit.Probe})
+	d.mu.Unlock()
+	req := newRequest(time.Second)
+	_, err := d.Place(t.Context(), req)
+	require.NoError(t, err)
+	req.Hedge = true
+	_, err = d.Place(t.Context(), req)
+	var rejected *RejectedError
+	require.ErrorAs(t, err, &rejected)
+}
+
+func TestMessagesWithManyLimitsFitInDatagram(t *testing.T) {
+	f, list := newFleet(t, 2, 2000, 2)
+	for _, d := range list {
+		d.ReportLoads(time.Now())
+		d.mu.Lock()
+		for n := range 2000 {
+			d.observeLimit(time.Now(), fmt.Sprintf("t-%d", n), ratelimit.Observation{Report: namedLimit(1.0 / 3), SentAt: time.Now(), Source: ratelimit.Probe})
+		}
+		d.mu.Unlock()
+		settleRanks(d)
+	}
+	for n := range 20 {
+		req := newRequest(200 * time.Millisecond)
+		req.ID, req.Avoid = "9c41d07be2a35f68", []string{"i-0d1542ed79", "i-58ec575445", "i-d5550e88e3", "i-0ce6d5164b", "i-4289377494", "i-54b502e834"}
+		_, _ = list[n%2].Place(t.Context(), req)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	require.Positive(t, f.maxMessageBytes)
+	require.Less(t, f.maxMessageBytes, packet.MaxBytes*3/4)
+}
+
+func TestInvalidLimitsOfOtherHostsHaveNoEffect(t *testing.T) {
+	_, list := newFleet(t, 1, 1, 3)
+	for _, told := range []ratelimit.Told{{Target: "t-0", PerSecond: -1}, {Target: "t-0", PerSecond: 1, Age: -time.Second}, {Target: "t-9", PerSecond: 1}, {}} {
+		list[0].Receive(netip.MustParseAddrPort("10.0.0.9:7200"), Message{Kind: kindRequest, Limits: []ratelimit.Told{told}})
+	}
+	require.Empty(t, list[0].Limits())
+}
--- a/internal/traffic/dispatcher/remote.go
+++ b/internal/traffic/dispatcher/remote.go
@@ -70,6 +70,7 @@
 		select {
 		case m := <-responses:
 			d.updateLoads(m.Loads)
+			d.observeTold(m.Limits)
 			switch m.Kind {
 			default:
 				return Grant{}, errors.Wrapf(errUnreachable, "unexpected message kind %d", m.Kind)
@@ -82,7 +83,7 @@
 				}
 				return Grant{}, errUnreachable
 			case kindRejected:
-				return Grant{}, &RejectedError{Reason: m.Reason, RetryAfter: m.RetryAfter}
+				return Grant{}, &RejectedError{Reason: m.Reason, RetryAfter: m.RetryAfter, Limited: m.RateLimited}
 			case kindUnavailable:
 				d.suspect(host, unavailableTime, "leaves")
 				return Grant{}, errUnreachable
@@ -110,7 +111,12 @@
 }
 
 func (d *Dispatcher) sendRequest(host directory.Host, c *cell, id uint64, req *Request) {
-	d.send(host.PeerAddress, req.message(time.Now(), id, c.id.key))
+	now := time.Now()
+	m := req.message(now, id, c.id.key)
+	d.mu.Lock()
+	m.Limits = d.toldLimits(now, c)
+	d.mu.Unlock()
+	d.send(host.PeerAddress, m)
 }
 
 func (d *Dispatcher) send(to netip.AddrPort, m Message) {
@@ -239,6 +245,7 @@
 func (d *Dispatcher) handleRequest(from netip.AddrPort, m *Message) {
 	now := time.Now()
 	key := remoteKey{from: from, id: m.ID}
+	d.observeTold(m.Limits)
 	d.mu.Lock()
 	c := d.cells[m.Cell]
 	if c == nil || c.targets == 0 || d.draining.Load() {
@@ -268,14 +275,14 @@
 func (d *Dispatcher) reply(to netip.AddrPort, id uint64, r *remoteRequest, res response) {
 	now := time.Now()
 	d.measure(now, r.cell)
-	m := Message{ID: id, Loads: d.leastLoaded(now, r.cell.id.service)}
+	m := Message{ID: id, Loads: d.leastLoaded(now, r.cell.id.service), Limits: d.toldLimits(now, r.cell)}
 	switch {
 	case res.redirect != nil:
 		m.Kind, m.Cell = kindRedirect, res.redirect.id.key
 	case res.queued:
 		m.Kind = kindQueued
 	case res.rejected != nil:
-		m.Kind, m.Reason, m.RetryAfter = kindRejected, res.rejected.Reason, res.rejected.RetryAfter
+		m.Kind, m.Reason, m.RetryAfter, m.RateLimited = kindRejected, res.rejected.Reason, res.rejected.RetryAfter, res.rejected.Limited
 	default:
 		grant := res.grant
 		r.grant = &grant
@@ -315,6 +322,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.logProfiles(now)
+	d.checkLimits(now)
 	for id, at := range d.recentGrants {
 		if now.Sub(at) > remoteRetention {
 			delete(d.recentGrants, id)
--- a/internal/traffic/dispatcher/request.go
+++ b/internal/traffic/dispatcher/request.go
@@ -60,7 +60,7 @@
 
 // placementRequest returns the request in the form that placement takes.
 func (r *Request) placementRequest() placement.Request {
-	return placement.Request{Domain: r.Domain, Avoid: r.Avoid, TypicalTime: r.TypicalTime, Objective: r.Objective}
+	return placement.Request{Domain: r.Domain, Avoid: r.Avoid, TypicalTime: r.TypicalTime, Objective: r.Objective, SpareLimited: r.Hedge}
 }
 
 // Grant is the assignment of a request to a target.
@@ -94,6 +94,8 @@
 type RejectedError struct {
 	Reason     string
 	RetryAfter time.Duration
+	// Limited reports whether the rate limits of the targets are the reason.
+	Limited bool
 }
 
 // Error implements error.
@@ -169,6 +171,12 @@
 	// Loads holds loads of cells of the service, in responses and in messages of kindLoad.
 	Loads []CellLoad `cbor:"25,keyasint,omitempty"`
 
+	// RateLimited is set in a rejection that is due to the rate limits of the targets.
+	RateLimited bool `cbor:"32,keyasint,omitempty"`
+	// Limits holds the rate limits of targets of the cell that the sender knows, in requests
+	// and responses.
+	Limits []ratelimit.Told `cbor:"33,keyasint,omitempty"`
+
 	// Evidence is set only in messages of kindEvidence.
 	Evidence *crash.Evidence `cbor:"26,keyasint,omitempty"`
 }
--- a/internal/traffic/entry/attempt.go
+++ b/internal/traffic/entry/attempt.go
@@ -117,12 +117,9 @@
 }
 
 // limit returns what the response says about the rate limit of the target. Only a response
-// of the target itself can say that there is none.
+// that the target certainly generated itself can say that there is none.
 func (r *attempt) limit() ratelimit.Report {
-	switch {
-	case r.info.Misdirected:
-		return ratelimit.Report{}
-	case r.info.Limit.Kind == ratelimit.Unlimited && !r.info.Signed && !r.info.NotRun:
+	if r.info.Misdirected || r.info.Limit.Kind == ratelimit.Unlimited && !r.info.Signed {
 		return ratelimit.Report{}
 	}
 	return r.info.Limit
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -88,6 +88,8 @@
 	MetObjective bool
 	// Target is the target of the last attempt; empty for none.
 	Target string
+	// RateLimited is set if the request was rejected because of the rate limits of targets.
+	RateLimited bool
 }
 
 // Handler serves client requests. It is safe for concurrent use.
--- a/internal/traffic/entry/response.go
+++ b/internal/traffic/entry/response.go
@@ -50,6 +50,8 @@
 	reason     string
 	retryAfter time.Duration
 	attempt    attempt
+	// rateLimited is set if the rate limits of the targets are the reason.
+	rateLimited bool
 }
 
 // reject returns the response to a request that has not run.
@@ -144,7 +146,7 @@
 	if h.cfg.Observer != nil {
 		h.cfg.Observer.Finished(Observation{
 			Service: req.service.Name, Route: req.route.Name, Outcome: resp.outcome, Status: resp.status,
-			Attempts: req.attempts, Latency: now.Sub(req.started), MetObjective: metObjective, Target: req.target,
+			Attempts: req.attempts, Latency: now.Sub(req.started), MetObjective: metObjective, Target: req.target, RateLimited: resp.rateLimited,
 		})
 	}
 	level := logrus.InfoLevel
--- a/internal/traffic/entry/retry.go
+++ b/internal/traffic/entry/retry.go
@@ -118,7 +118,9 @@
 	}
 	var rejection *dispatcher.RejectedError
 	if errors.As(err, &rejection) {
-		return grant, reject(http.StatusServiceUnavailable, rejection.Reason, rejection.RetryAfter)
+		resp := reject(http.StatusServiceUnavailable, rejection.Reason, rejection.RetryAfter)
+		resp.rateLimited = rejection.Limited
+		return grant, resp
 	}
 	return grant, req.assignTimeoutResponse()
 }
--- a/internal/traffic/placement/choice.go
+++ b/internal/traffic/placement/choice.go
@@ -22,6 +22,8 @@
 	// Backlogged says that many requests wait. Then targets that would miss the objective
 	// can have capacity too, and a higher concurrency may be tried.
 	Backlogged bool
+	// SpareLimited excludes targets with a limited rate, for requests that are optional.
+	SpareLimited bool
 }
 
 // meetsObjective reports whether a service time meets the objective, or waiting for a
--- a/internal/traffic/placement/chooser.go
+++ b/internal/traffic/placement/chooser.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tamaracktiller.example/tamaracktiller/internal/traffic/profile"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
 )
 
 // Chooser tracks the targets of all services, as one host knows them. Targets belong to
@@ -18,6 +19,7 @@
 	groups   map[string][]*target
 	targets  map[string]*target
 	profiles map[string]*profile.Profile
+	limits   *ratelimit.Limits
 	// lastTrial is the time of the last trial of a higher concurrency, by service.
 	lastTrial map[string]time.Time
 }
@@ -26,7 +28,7 @@
 func NewChooser(cfg Config, rng *rand.Rand) *Chooser {
 	return &Chooser{
 		cfg: cfg, rng: rng, groups: map[string][]*target{}, targets: map[string]*target{},
-		profiles: map[string]*profile.Profile{}, lastTrial: map[string]time.Time{},
+		profiles: map[string]*profile.Profile{}, limits: ratelimit.New(), lastTrial: map[string]time.Time{},
 	}
 }
 
@@ -43,12 +45,13 @@
 			if t == nil {
 				t = &target{transit: c.cfg.Transit}
 			}
-			t.spec, t.profile = spec, c.Profile(spec.Service)
+			t.spec, t.group, t.profile = spec, group, c.Profile(spec.Service)
 			c.targets[spec.ID] = t
 			list = append(list, t)
 		}
 		c.groups[group] = list
 	}
+	c.limits.Retain(c.Has)
 }
 
 // Profile returns the profile of a service's targets, and creates it if needed.
@@ -61,13 +64,25 @@
 	return p
 }
 
+// Limits returns the rate limits of the targets.
+func (c *Chooser) Limits() *ratelimit.Limits { return c.limits }
+
+// Group returns the group of a target, or "" if the target does not exist.
+func (c *Chooser) Group(id string) string {
+	if t := c.targets[id]; t != nil {
+		return t.group
+	}
+	return ""
+}
+
 // Has reports whether a target exists.
 func (c *Chooser) Has(id string) bool { return c.targets[id] != nil }
 
 // Reset resets the state of a target that restarted.
-func (c *Chooser) Reset(id string) {
+func (c *Chooser) Reset(now time.Time, id string) {
+	c.limits.Forget(now, id)
 	if t := c.targets[id]; t != nil {
-		*t = target{spec: t.spec, profile: t.profile, transit: c.cfg.Transit}
+		*t = target{spec: t.spec, group: t.group, profile: t.profile, transit: c.cfg.Transit}
 	}
 }
 
@@ -75,6 +90,14 @@
 func (c *Chooser) Utilization(now time.Time, group string) float64 {
 	slots, running := 0, 0
 	for _, t := range c.groups[group] {
+		if c.limits.Restricted(now, t.spec.ID) {
+			// It takes one request at a time, when it has a token.
+			slots++
+			if !c.limits.HasToken(now, t.spec.ID) || t.running(now, c.cfg) > 0 {
+				running++
+			}
+			continue
+		}
 		slots += t.spec.Slots
 		running += min(t.running(now, c.cfg), t.spec.Slots)
 	}
@@ -84,6 +107,34 @@
 	return float64(running) / float64(slots)
 }
 
+// Slots returns the number of requests of the typical time that the targets of a group can
+// run at a time. A target with a limited rate counts as what its rate lets run.
+func (c *Chooser) Slots(group string, typicalTime time.Duration) int {
+	slots, limited := 0, 0.0
+	for _, t := range c.groups[group] {
+		if perSecond, ok := c.limits.Limit(t.spec.ID); ok {
+			limited += min(float64(t.slots()), perSecond*typicalTime.Seconds())
+			continue
+		}
+		slots += t.slots()
+	}
+	return slots + int(limited)
+}
+
+// Flow returns the rate at which the targets of a group take requests from this host. It
+// returns false if a target has no limit.
+func (c *Chooser) Flow(now time.Time, group string) (flow ratelimit.Flow, ok bool) {
+	if c.limits.Empty() || len(c.groups[group]) == 0 {
+		return flow, false
+	}
+	for _, t := range c.groups[group] {
+		if !flow.Add(now, c.limits, t.spec.ID) {
+			return flow, false
+		}
+	}
+	return flow, true
+}
+
 // countLapsed returns the number of targets whose entries lapsed.
 func countLapsed(targets []*target) int {
 	n := 0
@@ -113,18 +164,19 @@
 // candidates returns the targets that may be sent to. Ejected targets are included when
 // many are ejected, since then the failures are not those of a few outliers. If no other
 // target is left, ejected ones and those in avoid are returned. Lapsed targets are
-// included when most are lapsed; a single one has probably shut down.
-func (c *Chooser) candidates(now time.Time, group string, avoid []string) []*target {
+// included when most are lapsed; a single one has probably shut down. A target with a
+// limited rate is included while there is a token for it.
+func (c *Chooser) candidates(now time.Time, group string, r Request) []*target {
 	var good, rest []*target
 	all := c.groups[group]
 	useLapsed := countLapsed(all)*2 > len(all)
 	ejected := countEjected(now, all)
 	useEjected := ejected > 1 && ejected*maxEjectedDivisor > len(all)
 	for _, t := range all {
-		if t.spec.Lapsed && !useLapsed {
+		if t.spec.Lapsed && !useLapsed || !c.mayUse(now, t, r) {
 			continue
 		}
-		if now.Before(t.ejectedUntil) && !useEjected || slices.Contains(avoid, t.spec.ID) {
+		if now.Before(t.ejectedUntil) && !useEjected || slices.Contains(r.Avoid, t.spec.ID) {
 			rest = append(rest, t)
 			continue
 		}
@@ -136,14 +188,30 @@
 	return rest
 }
 
+// mayUse reports whether the rate limit of a target, if there is one, leaves room for a
+// request.
+func (c *Chooser) mayUse(now time.Time, t *target, r Request) bool {
+	if c.limits.Empty() || !c.limits.Restricted(now, t.spec.ID) {
+		return true
+	}
+	return !r.SpareLimited && c.limits.HasToken(now, t.spec.ID)
+}
+
+// mayProbe reports whether load probes may be sent to a target. One that names a rate limit
+// gets none beyond those that check its limit.
+func (c *Chooser) mayProbe(t *target) bool {
+	_, limited := c.limits.Limit(t.spec.ID)
+	return t.profile.ReportsLoad() && !limited
+}
+
 // ProbeCandidates returns up to n targets to probe before an attempt, in random order. It
 // skips targets with a current load report, and services that do not report load. Targets
 // in the domain of the request come first, but up to a third of n are in other domains,
 // which a disturbance of this domain may not affect.
 func (c *Chooser) ProbeCandidates(now time.Time, group string, r Request, n int) []string {
 	var near, far []string
-	for _, t := range c.shuffled(c.candidates(now, group, r.Avoid)) {
-		if now.Sub(t.reportedAt) < c.cfg.FreshAge || !t.profile.ReportsLoad() {
+	for _, t := range c.shuffled(c.candidates(now, group, r)) {
+		if now.Sub(t.reportedAt) < c.cfg.FreshAge || !c.mayProbe(t) {
 			continue
 		}
 		if t.spec.Domain == r.Domain {
@@ -160,11 +228,11 @@
 // PollCandidates returns up to n targets to probe while requests wait: those with the
 // oldest load reports.
 func (c *Chooser) PollCandidates(now time.Time, group string, n int) []string {
-	list := slices.Clone(c.candidates(now, group, nil))
+	list := slices.DeleteFunc(c.candidates(now, group, Request{}), func(t *target) bool { return !c.mayProbe(t) })
 	slices.SortFunc(list, func(a, b *target) int { return a.reportedAt.Compare(b.reportedAt) })
 	ids := make([]string, 0, n)
 	for _, t := range list {
-		if len(ids) == n || now.Sub(t.reportedAt) < c.cfg.PollAge || !t.profile.ReportsLoad() {
+		if len(ids) == n || now.Sub(t.reportedAt) < c.cfg.PollAge {
 			break
 		}
 		ids = append(ids, t.spec.ID)
@@ -183,7 +251,7 @@
 func (c *Chooser) Best(now time.Time, group string, r Request) (Choice, bool) {
 	var best, trial *target
 	var bestEstimate, trialEstimate estimate
-	for _, t := range c.candidates(now, group, r.Avoid) {
+	for _, t := range c.candidates(now, group, r) {
 		e := t.estimate(now, c.cfg, r)
 		if best == nil || cheaper(e, bestEstimate) || e == bestEstimate && c.rng.IntN(2) == 0 {
 			best, bestEstimate = t, e
@@ -236,9 +304,12 @@
 	return a.cost < b.cost
 }
 
-// HasFreeSlot reports whether some target of a group is known to have a free slot.
+// HasFreeSlot reports whether some target of a group is known to have a free slot, and its
+// rate limit leaves room for a request.
 func (c *Chooser) HasFreeSlot(now time.Time, group string) bool {
-	return slices.ContainsFunc(c.groups[group], func(t *target) bool { return t.running(now, c.cfg) < t.slots() })
+	return slices.ContainsFunc(c.groups[group], func(t *target) bool {
+		return t.running(now, c.cfg) < t.slots() && c.mayUse(now, t, Request{})
+	})
 }
 
 // RecordLoad records a load report of a target.
@@ -290,6 +361,7 @@
 	if t == nil {
 		return
 	}
+	c.limits.Spend(now, choice.ID)
 	t.attempts = append(t.attempts, attempt{sentAt: now, expected: choice.ServiceTime + choice.QueueTime, choice: choice})
 	if choice.trial {
 		c.lastTrial[t.spec.Service] = now
--- a/internal/traffic/placement/target.go
+++ b/internal/traffic/placement/target.go
@@ -143,6 +143,7 @@
 // target is the state of one target.
 type target struct {
 	spec    Spec
+	group   string
 	profile *profile.Profile
 	transit time.Duration
 	load    Load
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -13,9 +13,9 @@
 // # Usage
 //
 //	q := queue.New()
-//	if retryAfter, ok := q.Add(now, r, slots); !ok { ... reject, retry after retryAfter ... }
+//	if retryAfter, ok := q.Add(now, r, capacity); !ok { ... reject, retry after retryAfter ... }
 //	for _, r := range q.Ordered(now) { q.Remove(r); q.RecordStart(now, r) }
-//	for _, r := range q.Unservable(now) { q.Remove(r); ... reject ... }
+//	for _, r := range q.Unservable(now, capacity) { q.Remove(r); ... reject, retry after q.RetryAfter(now, capacity) ... }
 package queue
 
 // This file defines Queue and Request.
@@ -69,6 +69,9 @@
 	starts     []time.Time
 	lateStarts []time.Time
 	lastSeq    int
+	// lastReturn is the latest time at which a rejected request may be retried, while all
+	// targets have limited rates.
+	lastReturn time.Time
 }
 
 // New returns an empty queue.
@@ -78,11 +81,13 @@
 func (q *Queue) Len() int { return len(q.waiting) }
 
 // Add adds a request, unless it would start too late for its deadline. Then it returns
-// the time after which the request may be retried. slots is the number of requests that
-// the targets can run at a time.
-func (q *Queue) Add(now time.Time, r *Request, slots int) (retryAfter time.Duration, ok bool) {
-	wait := q.expectedWait(now, r, slots)
+// the time after which the request may be retried.
+func (q *Queue) Add(now time.Time, r *Request, c Capacity) (retryAfter time.Duration, ok bool) {
+	wait := q.expectedWait(now, r, c)
 	if now.Add(wait + r.TypicalTime).After(r.Deadline) {
+		if c.Limited {
+			return q.RetryAfter(now, c), false
+		}
 		return max(minRetryAfter, time.Duration(retryShare*float64(wait))), false
 	}
 	q.lastSeq++
@@ -92,19 +97,23 @@
 }
 
 // expectedWait returns the time until all requests ahead of r have started. It assumes the
-// recent rate of starts, but at least the rate of minBusyShare of the slots.
-func (q *Queue) expectedWait(now time.Time, r *Request, slots int) time.Duration {
+// recent rate of starts, but at least the rate of minBusyShare of the slots, unless all
+// targets have limited rates.
+func (q *Queue) expectedWait(now time.Time, r *Request, c Capacity) time.Duration {
 	ahead := 0
 	for _, other := range q.waiting {
 		if precedes(now, other, r) {
 			ahead++
 		}
 	}
+	if c.Limited {
+		return c.startAfter(ahead)
+	}
 	if ahead == 0 {
 		return 0
 	}
 	q.dropOldStarts(now)
-	rate := max(1, float64(len(q.starts)), minBusyShare*float64(slots)*float64(rateWindow)/float64(max(r.TypicalTime, time.Millisecond)))
+	rate := max(1, float64(len(q.starts)), minBusyShare*float64(c.Slots)*float64(rateWindow)/float64(max(r.TypicalTime, time.Millisecond)))
 	return time.Duration(float64(rateWindow) * float64(ahead) / rate)
 }
 
@@ -172,8 +181,13 @@
 }
 
 // Unservable returns the late requests that will not start in time for their deadlines,
-// given the rate at which late requests started recently. It leaves them in the queue.
-func (q *Queue) Unservable(now time.Time) []*Request {
+// given the rate at which late requests started recently. If all targets have limited
+// rates, it returns all requests that the rates leave no room for in time. It leaves the
+// requests in the queue.
+func (q *Queue) Unservable(now time.Time, c Capacity) []*Request {
+	if c.Limited {
+		return q.beyondLimits(now, c)
+	}
 	q.dropOldStarts(now)
 	var late []*Request
 	for _, r := range q.waiting {
--- a/internal/traffic/queue/queue_test.go
+++ b/internal/traffic/queue/queue_test.go
@@ -17,7 +17,7 @@
 	later := &Request{Priority: 0, Objective: in(50), Deadline: in(1500), TypicalTime: 100 * time.Millisecond}
 	q := New()
 	for _, r := range []*Request{later, late, relaxed, early, urgent} {
-		_, ok := q.Add(now, r, 2)
+		_, ok := q.Add(now, r, Capacity{Slots: 2})
 		require.True(t, ok)
 	}
 	for _, want := range []*Request{urgent, early, relaxed, late, later} {
@@ -32,7 +32,7 @@
 	now := time.Unix(1000, 0)
 	q := New()
 	add := func() (time.Duration, bool) {
-		return q.Add(now, &Request{Objective: now.Add(300 * time.Millisecond), Deadline: now.Add(time.Second), TypicalTime: 100 * time.Millisecond}, 2)
+		return q.Add(now, &Request{Objective: now.Add(300 * time.Millisecond), Deadline: now.Add(time.Second), TypicalTime: 100 * time.Millisecond}, Capacity{Slots: 2})
 	}
 	for range 10 {
 		q.RecordStart(now, &Request{Objective: now.Add(time.Second)}) // Ten starts per second.
@@ -56,14 +56,14 @@
 	now := time.Unix(1000, 0)
 	q := New()
 	for range 5 {
-		_, ok := q.Add(now, &Request{Objective: now.Add(300 * time.Millisecond), Deadline: now.Add(1500 * time.Millisecond), TypicalTime: 100 * time.Millisecond}, 2)
+		_, ok := q.Add(now, &Request{Objective: now.Add(300 * time.Millisecond), Deadline: now.Add(1500 * time.Millisecond), TypicalTime: 100 * time.Millisecond}, Capacity{Slots: 2})
 		require.True(t, ok)
 	}
-	require.Empty(t, q.Unservable(now.Add(100*time.Millisecond)), "the requests are not late yet")
+	require.Empty(t, q.Unservable(now.Add(100*time.Millisecond), Capacity{Slots: 2}), "the requests are not late yet")
 	late := now.Add(200 * time.Millisecond)
-	require.Len(t, q.Unservable(late), 3, "at one start per second, two start within the time left")
+	require.Len(t, q.Unservable(late, Capacity{Slots: 2}), 3, "at one start per second, two start within the time left")
 	for range 10 {
 		q.RecordStart(late, &Request{Objective: now})
 	}
-	require.Empty(t, q.Unservable(late))
+	require.Empty(t, q.Unservable(late, Capacity{Slots: 2}))
 }
--- /dev/null
+++ b/internal/traffic/ratelimit/bucket.go
@@ -0,0 +1,132 @@
+package ratelimit
+
+// This file defines the tokens that a host may spend on limited targets.
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// burstTime is the time for which tokens accumulate, beyond the first one.
+	burstTime = 100 * time.Millisecond
+	// rampTime is the time after the end of a limit in which the rate is raised. It doubles
+	// every rampDoubling, from the limit or at least rampPerSecond.
+	rampTime      = 2500 * time.Millisecond
+	rampDoubling  = 500 * time.Millisecond
+	rampPerSecond = 1.0
+)
+
+// bucket holds the tokens for one target. refilledAt is zero while there is no limit.
+type bucket struct {
+	share      float64
+	tokens     float64
+	refilledAt time.Time
+}
+
+// reset drops all tokens.
+func (b *bucket) reset(now time.Time) { b.tokens, b.refilledAt = 0, now }
+
+// settle adds the tokens since the last call, at a rate of perSecond over all hosts.
+func (b *bucket) settle(now time.Time, perSecond float64) {
+	rate := b.share * perSecond
+	if gap := now.Sub(b.refilledAt); gap > 0 {
+		b.tokens = min(max(1, rate*burstTime.Seconds()), b.tokens+rate*gap.Seconds())
+		b.refilledAt = now
+	}
+}
+
+// rate returns the number of requests a second that all hosts together may send now.
+func (s *state) rate(now time.Time) float64 {
+	switch {
+	case s.limited && !s.shownByProbes && now.Sub(s.heardAt) > trialAge:
+		return max(s.perSecond, trialPerSecond)
+	case s.limited:
+		return s.perSecond
+	}
+	steps := float64(now.Sub(s.endedAt)) / float64(rampDoubling)
+	return max(s.perSecond, rampPerSecond) * math.Exp2(steps)
+}
+
+// ramping reports whether the rate is being raised after the end of a limit.
+func (s *state) ramping(now time.Time) bool {
+	return !s.limited && now.Before(s.rampUntil)
+}
+
+// restricted returns the state of a target whose rate is restricted now; nil for others.
+func (l *Limits) restricted(now time.Time, id string) *state {
+	s := l.states[id]
+	if s == nil || !s.limited && !s.ramping(now) {
+		return nil
+	}
+	return s
+}
+
+// Restricted reports whether the rate of a target is restricted: it names a limit, or one
+// ended a moment ago.
+func (l *Limits) Restricted(now time.Time, id string) bool { return l.restricted(now, id) != nil }
+
+// SetShares sets the part that this host may use of the limits of all targets that satisfy
+// include.
+func (l *Limits) SetShares(now time.Time, share float64, include func(id string) bool) {
+	for id, s := range l.states {
+		if s.bucket.share == share || !include(id) {
+			continue
+		}
+		s.bucket.settle(now, s.rate(now))
+		if s.bucket.share <= 0 {
+			s.bucket.reset(now)
+		}
+		s.bucket.share = share
+	}
+}
+
+// HasToken reports whether this host may send a request to a target now.
+func (l *Limits) HasToken(now time.Time, id string) bool {
+	s := l.restricted(now, id)
+	if s == nil {
+		return true
+	}
+	s.bucket.settle(now, s.rate(now))
+	return s.bucket.share > 0 && s.bucket.tokens >= 1
+}
+
+// Spend takes a token for a request that is sent to a target.
+func (l *Limits) Spend(now time.Time, id string) {
+	if s := l.restricted(now, id); s != nil {
+		s.bucket.settle(now, s.rate(now))
+		s.bucket.tokens--
+	}
+}
+
+// Flow is the rate at which a set of limited targets takes requests from this host.
+type Flow struct {
+	// Ready is the number of requests that the targets take now.
+	Ready int
+	// Next is the time until they take the next request after these.
+	Next time.Duration
+	// PerSecond is the number of requests a second that they take from then on.
+	PerSecond float64
+}
+
+// Add adds a target that names a limit to the flow, and reports whether it names one.
+func (f *Flow) Add(now time.Time, l *Limits, id string) bool {
+	s := l.states[id]
+	if s == nil || !s.limited {
+		return false
+	}
+	rate := s.rate(now)
+	s.bucket.settle(now, rate)
+	rate *= s.bucket.share
+	if rate <= 0 {
+		return true
+	}
+	whole, part := math.Modf(max(0, s.bucket.tokens))
+	f.Ready += int(whole)
+	next := time.Duration((1 - part) / rate * float64(time.Second))
+	if f.PerSecond == 0 || next < f.Next {
+		f.Next = next
+	}
+	f.PerSecond += rate
+	return true
+}
--- /dev/null
+++ b/internal/traffic/ratelimit/bucket_test.go
@@ -0,0 +1,203 @@
+package ratelimit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func all(string) bool { return true }
+
+func name(l *Limits, ms int, perSecond float64) {
+	l.Observe(at(ms), "t", Observation{Report: Report{Kind: Named, PerSecond: perSecond}, SentAt: at(ms), Source: Probe})
+}
+
+func lift(l *Limits, ms int) {
+	l.Observe(at(ms), "t", Observation{Report: Report{Kind: Unlimited}, SentAt: at(ms), Source: Probe})
+}
+
+// spendAll sends whenever there is a token, every 5 ms from one time to another.
+func spendAll(l *Limits, from, to int) (sent []int) {
+	for ms := from; ms < to; ms += 5 {
+		for l.HasToken(at(ms), "t") && len(sent) < 1e6 {
+			l.Spend(at(ms), "t")
+			sent = append(sent, ms)
+		}
+	}
+	return sent
+}
+
+func mostIn(sent []int, window int) int {
+	most, first := 0, 0
+	for i, ms := range sent {
+		for ms-sent[first] > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+func TestHostsTogetherStayWithinTheLimitInAnyWindow(t *testing.T) {
+	const window, tolerance, slack = 4000, 1.5, 5
+	tests := []struct {
+		name      string
+		perSecond float64
+		shares    []float64
+		// used is the minimum share of the limit that is used over ten seconds.
+		used float64
+	}{
+		{name: "zero", perSecond: 0, shares: []float64{1}},
+		{name: "below one", perSecond: 0.4, shares: []float64{1}, used: 0.7},
+		{name: "one host", perSecond: 1.9, shares: []float64{1}, used: 0.9},
+		{name: "second host of the ranking as well", perSecond: 1.9, shares: []float64{1, standby}, used: 1.2},
+		{name: "fast", perSecond: 300, shares: []float64{1, standby}, used: 1.2},
+		{name: "all others have no share", perSecond: 5, shares: []float64{0, 0, 1, 0}, used: 0.9},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			total := 0
+			most := 0
+			for _, share := range tt.shares {
+				l := New()
+				name(l, 0, tt.perSecond)
+				l.SetShares(at(0), share, all)
+				sent := spendAll(l, 0, 10_000)
+				total += len(sent)
+				most += mostIn(sent, window)
+			}
+			require.LessOrEqual(t, float64(most), tolerance*tt.perSecond*window/1000+slack)
+			require.GreaterOrEqual(t, float64(total), tt.used*tt.perSecond*10)
+		})
+	}
+}
+
+// standby is the share that the second host of a ranking uses in the dispatcher.
+const standby = 0.4
+
+func TestTokensStartFromNone(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(l *Limits)
+		// at is the time from which no request may be sent for 400 ms.
+		at int
+	}{
+		{name: "limit starts", do: func(l *Limits) { name(l, 5000, 2); l.SetShares(at(5000), 1, all) }, at: 5000},
+		{name: "share starts", do: func(l *Limits) { name(l, 0, 2); l.SetShares(at(5000), 1, all) }, at: 5000},
+		{name: "share ends", do: func(l *Limits) { name(l, 0, 2); l.SetShares(at(0), 1, all); l.SetShares(at(5000), 0, all) }, at: 5000},
+		{name: "share ends and returns", do: func(l *Limits) {
+			name(l, 0, 2)
+			l.SetShares(at(0), 1, all)
+			l.SetShares(at(5000), 0, all)
+			l.SetShares(at(6000), 1, all)
+		}, at: 6000},
+		{name: "limit is lifted", do: func(l *Limits) { name(l, 0, 1); l.SetShares(at(0), 1, all); lift(l, 5000) }, at: 5000},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := New()
+			tt.do(l)
+			require.Empty(t, spendAll(l, tt.at, tt.at+400))
+		})
+	}
+}
+
+func TestLowerLimitHasNoBurstOfTheHigherOne(t *testing.T) {
+	l := New()
+	name(l, 0, 1000)
+	l.SetShares(at(0), 1, all)
+	require.True(t, l.HasToken(at(5000), "t"))
+	name(l, 5000, 1)
+	require.LessOrEqual(t, len(spendAll(l, 5000, 9000)), 5)
+}
+
+func TestRateIsRaisedStepByStepWhenLimitIsLifted(t *testing.T) {
+	l := New()
+	name(l, 0, 2)
+	l.SetShares(at(0), 1, all)
+	lift(l, 5000)
+	previous := 0
+	for from := 5000; from < 7500; from += 500 {
+		sent := len(spendAll(l, from, from+500))
+		require.LessOrEqual(t, sent, 2*max(previous, 1)+2)
+		previous = sent
+	}
+	require.Greater(t, previous, 5)
+	require.False(t, l.Restricted(at(7500), "t"))
+}
+
+func TestLimitIsCheckedUnlessItWasHeardLately(t *testing.T) {
+	l := New()
+	name(l, 0, 2)
+	require.False(t, l.CheckDue(at(1300), "t"), "a host without a share does not check")
+	l.SetShares(at(0), 1, all)
+	checks := 0
+	for ms := 0; ms < 4000; ms += 10 {
+		if l.CheckDue(at(ms), "t") {
+			checks++
+		}
+	}
+	require.Equal(t, 3, checks)
+	name(l, 4000, 2)
+	require.False(t, l.CheckDue(at(5000), "t"))
+}
+
+// Responses to requests are the only evidence then, and a limit of zero allows none.
+func TestLimitThatProbesDoNotShowIsTriedSlowly(t *testing.T) {
+	l := New()
+	l.Observe(at(0), "t", Observation{Report: Report{Kind: Named}, SentAt: at(0), Source: Response})
+	l.SetShares(at(0), 1, all)
+	lift(l, 1300)
+	_, limited := l.Limit("t")
+	require.True(t, limited, "a probe without a limit says nothing if no probe has shown one")
+	require.Empty(t, spendAll(l, 0, 4000))
+	sent := spendAll(l, 4000, 20_000)
+	require.NotEmpty(t, sent)
+	require.LessOrEqual(t, mostIn(sent, 4000), 2)
+	l.Observe(at(20_200), "t", Observation{Report: Report{Kind: Unlimited}, SentAt: at(20_000), Source: Response})
+	_, limited = l.Limit("t")
+	require.False(t, limited)
+}
+
+func TestOldLimitsToldByOtherHostsHaveNoEffect(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(l *Limits)
+		told Told
+		at   int
+		want Change
+	}{
+		{name: "unknown before", told: Told{PerSecond: 3, Age: time.Second}, at: 5000, want: Started},
+		{name: "too old", told: Told{PerSecond: 3, Age: time.Minute}, at: 5000},
+		{name: "invalid age", told: Told{PerSecond: 3, Age: -time.Second}, at: 5000},
+		{name: "invalid limit", told: Told{PerSecond: -3}, at: 5000},
+		{name: "newer than the known one", do: func(l *Limits) { name(l, 1000, 2) }, told: Told{PerSecond: 3, Age: time.Second}, at: 5000, want: Changed},
+		{name: "older than the known one", do: func(l *Limits) { name(l, 4500, 2) }, told: Told{PerSecond: 3, Age: time.Second}, at: 5000},
+		{name: "heard before it was lifted", do: func(l *Limits) { name(l, 1000, 2); lift(l, 4500) }, told: Told{PerSecond: 2, Age: time.Second}, at: 5000},
+		{name: "heard before the target restarted", do: func(l *Limits) { l.Forget(at(4500), "t") }, told: Told{PerSecond: 2, Age: time.Second}, at: 5000},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := New()
+			if tt.do != nil {
+				tt.do(l)
+			}
+			tt.told.Target = "t"
+			require.Equal(t, tt.want, l.ObserveTold(at(tt.at), tt.told))
+		})
+	}
+}
+
+func TestExpiredStateIsDropped(t *testing.T) {
+	l := New()
+	name(l, 0, 2)
+	l.Expire(at(29_000))
+	require.False(t, l.Empty())
+	l.SetShares(at(29_000), 1, all)
+	l.Expire(at(60_000))
+	require.False(t, l.Empty(), "the host that checks a limit keeps it")
+	l.SetShares(at(60_000), 0, all)
+	l.Expire(at(60_000))
+	require.True(t, l.Empty())
+}
--- a/internal/traffic/ratelimit/limits.go
+++ b/internal/traffic/ratelimit/limits.go
@@ -1,25 +1,54 @@
-// Package ratelimit tracks the rate limits that targets name for all hosts together.
+// Package ratelimit keeps to the rate limits that targets name for all hosts together.
 //
 // A target in need names in its responses how many requests a second it takes. The limit
 // holds from then on until a response says otherwise. Responses can arrive out of order, so
 // a limit is raised or lifted only by a response to a request that was sent after the
 // current limit was heard; a lower limit holds at once.
 //
+// The sum over all hosts must hold also while hosts disagree on who dispatches. So a host
+// may use only its share of a limit: its dispatcher sets the share to one on the host that
+// certainly is the only one to use it, to a part on one that may be a second one, and to
+// zero elsewhere. Tokens accumulate at the share of the limit, up to a small burst, and
+// start from none whenever a limit starts or a host gets a share.
+//
+// The limit of a target that gets few requests is checked by probes. When a limit is lifted,
+// the rate is raised step by step, so that traffic does not return all at once.
+//
 // The package does no I/O and does not read the clock. It is not safe for concurrent use.
 //
 // # Usage
 //
 //	l := ratelimit.New()
 //	change := l.Observe(now, id, ratelimit.Observation{Report: report, SentAt: sent, Source: ratelimit.Response})
-//	limit, ok := l.Limit(id)
+//	l.SetShares(now, 1, func(id string) bool { return ... })
+//	if l.HasToken(now, id) { l.Spend(now, id) }
+//	if l.CheckDue(now, id) { ... probe the target ... }
 package ratelimit
 
-// This file defines Limits and the reports of targets.
+// This file defines Limits and how it learns of the limits of targets.
 
 import (
+	"math"
 	"time"
 )
 
+const (
+	// checkPeriod is the time after which a limit that was not heard again is checked by a
+	// probe. Four checks fit into four seconds, which even a limit of zero bears.
+	checkPeriod = 1200 * time.Millisecond
+	// trialAge is the age of a limit from which requests are sent at trialPerSecond if
+	// probes do not show the limit, since then only a response to a request can lift it.
+	trialAge       = 4 * time.Second
+	trialPerSecond = 0.25
+	// hostTolerance covers the transit time of a message that tells of a limit.
+	hostTolerance = 200 * time.Millisecond
+	// maxSharedAge is the age up to which a limit is told to other hosts, and up to which
+	// one told by another host is used.
+	maxSharedAge = 5 * time.Second
+	// forgetAge is the age at which a limit is dropped on a host that does not check it.
+	forgetAge = 30 * time.Second
+)
+
 // Kind says what a response reports about the rate limit of its target.
 type Kind uint8
 
@@ -41,6 +70,11 @@
 	PerSecond float64 `cbor:"2,keyasint,omitempty"`
 }
 
+// valid reports whether a report from another process can be used.
+func (r Report) valid() bool {
+	return r.Kind != Named || r.PerSecond >= 0 && !math.IsInf(r.PerSecond, 1)
+}
+
 // Source is where a host learned of a limit.
 type Source string
 
@@ -62,6 +96,14 @@
 	Source Source
 }
 
+// Told is a limit as hosts tell it to each other.
+type Told struct {
+	Target    string  `cbor:"1,keyasint"`
+	PerSecond float64 `cbor:"2,keyasint,omitempty"`
+	// Age is the time since the limit was heard.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
 // Change is the effect of an observation.
 type Change int
 
@@ -81,8 +123,14 @@
 type state struct {
 	limited   bool
 	perSecond float64
-	// heardAt is the last time at which the limit was heard.
-	heardAt time.Time
+	// heardAt is the last time at which the limit was heard, and endedAt the time at which
+	// it was lifted or the target restarted. The rate is raised until rampUntil.
+	heardAt, endedAt, rampUntil time.Time
+	// shownByProbes reports whether a probe has shown the limit, so that one without it
+	// shows that it was lifted.
+	shownByProbes bool
+	checkedAt     time.Time
+	bucket        bucket
 }
 
 // Limits holds the limits of all targets, as one host knows them.
@@ -93,6 +141,9 @@
 // New returns Limits without any limit.
 func New() *Limits { return &Limits{states: map[string]*state{}} }
 
+// Empty reports whether no target has, or recently had, a limit.
+func (l *Limits) Empty() bool { return len(l.states) == 0 }
+
 // Limit returns the limit that a target names, in requests a second.
 func (l *Limits) Limit(id string) (perSecond float64, ok bool) {
 	s := l.states[id]
@@ -117,29 +168,50 @@
 func (l *Limits) Observe(now time.Time, id string, o Observation) Change {
 	s := l.states[id]
 	switch {
-	case o.Kind == NoReport, s == nil && o.Kind == Unlimited:
+	case o.Kind == NoReport || !o.valid(), s == nil && o.Kind == Unlimited:
 		return Unchanged
 	case s == nil:
 		s = &state{}
 		l.states[id] = s
 	}
 	if o.Kind == Unlimited {
-		return s.lift(o.SentAt)
+		return s.lift(now, o)
+	}
+	return s.name(now, now, o)
+}
+
+// ObserveTold applies a limit that another host told of.
+func (l *Limits) ObserveTold(now time.Time, t Told) Change {
+	o := Observation{Report: Report{Kind: Named, PerSecond: t.PerSecond}, Source: Host}
+	heardAt := now.Add(-t.Age)
+	if t.Age < 0 || t.Age > maxSharedAge || !o.valid() {
+		return Unchanged
+	}
+	s := l.states[t.Target]
+	if s == nil {
+		s = &state{}
+		l.states[t.Target] = s
+	}
+	if !s.limited && heardAt.Before(s.endedAt.Add(hostTolerance)) || s.limited && heardAt.Before(s.heardAt.Add(hostTolerance)) {
+		return Unchanged
 	}
-	return s.name(now, o)
+	o.SentAt = heardAt
+	return s.name(now, heardAt, o)
 }
 
 // lift ends the limit unless the response may be older than the limit.
-func (s *state) lift(sentAt time.Time) Change {
-	if !s.limited || sentAt.Before(s.heardAt) {
+func (s *state) lift(now time.Time, o Observation) Change {
+	if !s.limited || o.SentAt.Before(s.heardAt) || o.Source == Probe && !s.shownByProbes {
 		return Unchanged
 	}
-	s.limited = false
+	s.limited, s.endedAt, s.rampUntil = false, now, now.Add(rampTime)
+	s.bucket.reset(now)
 	return Lifted
 }
 
-// name applies a named limit, unless it is higher than the current one and may be older.
-func (s *state) name(now time.Time, o Observation) Change {
+// name applies a limit that was heard at heardAt, unless it is higher than the current one
+// and may be older.
+func (s *state) name(now, heardAt time.Time, o Observation) Change {
 	change := Changed
 	switch {
 	case !s.limited:
@@ -149,12 +221,65 @@
 	case o.PerSecond > s.perSecond && o.SentAt.Before(s.heardAt):
 		return Unchanged
 	}
-	s.limited, s.perSecond, s.heardAt = true, o.PerSecond, now
+	switch change {
+	case Started:
+		s.bucket.reset(now)
+	case Changed:
+		// A lower limit must not start with a burst of the higher one.
+		s.bucket.settle(now, s.rate(now))
+		s.bucket.tokens = min(1, s.bucket.tokens)
+	default:
+	}
+	s.limited, s.perSecond, s.heardAt = true, o.PerSecond, heardAt
+	s.shownByProbes = s.shownByProbes || o.Source == Probe
 	return change
 }
 
-// Forget drops the limit of a target that restarted.
-func (l *Limits) Forget(id string) { delete(l.states, id) }
+// Told returns up to n limits that were heard recently and satisfy include, to tell them to
+// another host. Each call may return different ones.
+func (l *Limits) Told(now time.Time, n int, include func(id string) bool) []Told {
+	var list []Told
+	for id, s := range l.states {
+		if len(list) == n {
+			break
+		}
+		if age := now.Sub(s.heardAt); s.limited && age <= maxSharedAge && include(id) {
+			list = append(list, Told{Target: id, PerSecond: s.perSecond, Age: max(0, age)})
+		}
+	}
+	return list
+}
+
+// CheckDue reports whether the limit of a target should be checked by a probe now. If so,
+// the check counts as made.
+func (l *Limits) CheckDue(now time.Time, id string) bool {
+	s := l.states[id]
+	if s == nil || !s.limited || s.bucket.share <= 0 || now.Sub(s.heardAt) < checkPeriod || now.Sub(s.checkedAt) < checkPeriod {
+		return false
+	}
+	s.checkedAt = now
+	return true
+}
+
+// Forget drops the limit of a target that restarted. What other hosts heard before does not
+// bring it back.
+func (l *Limits) Forget(now time.Time, id string) {
+	l.states[id] = &state{endedAt: now}
+}
+
+// Expire drops what is known of limits that were lifted long ago, and of limits that this
+// host does not check and has not heard for long.
+func (l *Limits) Expire(now time.Time) {
+	for id, s := range l.states {
+		last := s.heardAt
+		if !s.limited {
+			last = s.endedAt
+		}
+		if now.Sub(last) > forgetAge && (!s.limited || s.bucket.share <= 0) {
+			delete(l.states, id)
+		}
+	}
+}
 
 // Retain drops the limits of targets that do not exist any more.
 func (l *Limits) Retain(exists func(id string) bool) {
--- a/internal/traffic/ratelimit/limits_test.go
+++ b/internal/traffic/ratelimit/limits_test.go
@@ -54,7 +54,7 @@
 	l := New()
 	l.Observe(at(0), "t", Observation{Report: Report{Kind: Named, PerSecond: 2}, SentAt: at(0), Source: Probe})
 	l.Observe(at(0), "u", Observation{Report: Report{Kind: Named, PerSecond: 3}, SentAt: at(0), Source: Probe})
-	l.Forget("t")
+	l.Forget(at(10), "t")
 	require.Equal(t, map[string]float64{"u": 3}, l.Named())
 	l.Retain(func(string) bool { return false })
 	require.Empty(t, l.Named())
--- a/internal/traffic/targets/targets.go
+++ b/internal/traffic/targets/targets.go
@@ -228,5 +228,8 @@
 	if info.TargetID != "" && info.TargetID != id {
 		return ProbeResult{}, errors.Wrapf(ErrGone, "%s: %s responded at its address", id, info.TargetID)
 	}
+	if info.NotRun && info.Limit.Kind == ratelimit.Unlimited {
+		info.Limit = ratelimit.Report{}
+	}
 	return ProbeResult{Healthy: res.StatusCode == http.StatusOK, Full: info.NotRun && !info.LoadKnown, Load: info.Load, LoadKnown: info.LoadKnown, Limit: info.Limit}, nil
 }
