Let targets of the soak name rate limits

The stand-in targets named none, so neither the soak nor a test could break LIMIT. A fault of the soak makes targets name limits of 0 to 12 requests a second, and the check counts the requests to them in each window of 4 s.

--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -65,7 +65,16 @@
 	Versions     []Version
 	// DrainStarts maps a target to the time at which it started draining.
 	DrainStarts map[string]time.Duration
-	Length      time.Duration
+	// Limits are the rate limits that targets named.
+	Limits []*LimitSpan
+	Length time.Duration
+}
+
+// LimitSpan is a period in which a target named a rate limit. To is 0 until it ends.
+type LimitSpan struct {
+	Target    string
+	PerSecond float64
+	From, To  time.Duration
 }
 
 // allHosts is the host of a Span that affects all hosts.
@@ -88,6 +97,10 @@
 	RetryWindow            time.Duration
 	// ProbesPerSecond bounds the load probes of a target.
 	ProbesPerSecond float64
+	// LimitNotice is the time from which the rate limit of a target must hold. In each
+	// LimitWindow it gets at most LimitRatio times the limit, plus LimitSlack requests.
+	LimitNotice, LimitWindow time.Duration
+	LimitRatio, LimitSlack   float64
 	// MinServedShare is the minimum share of requests that are served after all faults ended.
 	MinServedShare float64
 }
@@ -120,6 +133,7 @@
 	c.checkConfiguration()
 	c.checkDraining()
 	c.checkBudgets()
+	c.checkLimits()
 	c.checkRecovery()
 	return c.violations
 }
@@ -296,6 +310,47 @@
 	}
 }
 
+// checkLimits verifies that targets get no more requests than their rate limits allow. It
+// ignores requests of hosts that were killed, stopped or paused.
+func (c *checker) checkLimits() {
+	hosts := map[string]int{}
+	for _, a := range c.h.Attempts {
+		hosts[a.ID] = a.Host
+	}
+	for _, span := range c.h.Limits {
+		times := c.limitedRequests(span, hosts)
+		allowed := c.b.LimitRatio*span.PerSecond*c.b.LimitWindow.Seconds() + c.b.LimitSlack
+		for i, at := range times {
+			if n := i + 1 - countBefore(times, at-c.b.LimitWindow); float64(n) > allowed {
+				c.report("rate limit of a target", at, "", "%s got %d requests in %s at %g a second, named at %s", span.Target, n, c.b.LimitWindow, span.PerSecond, span.From)
+				break
+			}
+		}
+	}
+}
+
+// limitedRequests returns the sorted times of the requests that a target got while its rate
+// limit had to hold. hosts maps request IDs to hosts.
+func (c *checker) limitedRequests(span *LimitSpan, hosts map[string]int) []time.Duration {
+	var times []time.Duration
+	for _, e := range c.h.TargetEvents {
+		if e.Target != span.Target || e.Kind == platformtest.Probed || e.At < span.From+c.b.LimitNotice || span.To != 0 && e.At > span.To {
+			continue
+		}
+		if host, ok := hosts[e.ID]; ok && !c.excusedFromLimits(host, e.At) {
+			times = append(times, e.At)
+		}
+	}
+	slices.Sort(times)
+	return times
+}
+
+// excusedFromLimits reports whether a host was disturbed so that it may not know the limits
+// of targets.
+func (c *checker) excusedFromLimits(host int, at time.Duration) bool {
+	return c.disturbed(host, at-c.b.LimitNotice, at, HostKill, HostStop, HostPause)
+}
+
 // checkBudgets verifies that the extra attempts and the load probes of all hosts together
 // stay within their budgets.
 func (c *checker) checkBudgets() {
--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -39,6 +39,16 @@
 	return TargetEvent{Target: target, Kind: platformtest.Started, At: at, ID: "x"}
 }
 
+// addAttempts adds requests that start at target t shortly after second 10.
+func addAttempts(h *History, n int) {
+	const at = 10 * time.Second
+	for i := range n {
+		id := fmt.Sprintf("more-%d", i)
+		h.Attempts = append(h.Attempts, Attempt{ID: id, Incarnation: 1, Start: at, End: at + 20*ms, Status: 200, Signed: true, Body: "t for " + id + " ran 0 bytes"})
+		h.TargetEvents = append(h.TargetEvents, TargetEvent{Target: "t", Kind: platformtest.Started, At: at + time.Duration(i)*ms, ID: id})
+	}
+}
+
 func TestCheck(t *testing.T) {
 	probe := func(at time.Duration, status, route int) Attempt {
 		return unsafeAttempt(status, func(a *Attempt) {
@@ -116,6 +126,26 @@
 				h.TargetEvents = append(h.TargetEvents, TargetEvent{Target: "t", Kind: platformtest.Probed, At: time.Duration(n) * 10 * ms})
 			}
 		}, want: "load probe budget"},
+		{name: "requests within the rate limit", modify: func(h *History) {
+			h.Limits = append(h.Limits, &LimitSpan{Target: "t", PerSecond: 1, From: 4 * time.Second, To: 16 * time.Second})
+		}},
+		{name: "requests beyond the rate limit", modify: func(h *History) {
+			h.Limits = append(h.Limits, &LimitSpan{Target: "t", PerSecond: 1, From: 4 * time.Second})
+			addAttempts(h, 9)
+		}, want: "rate limit of a target"},
+		{name: "requests beyond the rate limit at a limit of zero", modify: func(h *History) {
+			h.Limits = append(h.Limits, &LimitSpan{Target: "t", From: 4 * time.Second, To: 16 * time.Second})
+			addAttempts(h, 3)
+		}, want: "rate limit of a target"},
+		{name: "requests before the rate limit must hold", modify: func(h *History) {
+			h.Limits = append(h.Limits, &LimitSpan{Target: "t", PerSecond: 1, From: 8 * time.Second, To: 16 * time.Second})
+			addAttempts(h, 9)
+		}},
+		{name: "requests beyond the rate limit from a restarted host", modify: func(h *History) {
+			h.Limits = append(h.Limits, &LimitSpan{Target: "t", PerSecond: 1, From: 4 * time.Second})
+			addAttempts(h, 9)
+			h.Disturbances = append(h.Disturbances, Span{Kind: HostKill, From: 7500 * ms, To: 8 * time.Second})
+		}},
 		{name: "requests are not served after the faults", modify: func(h *History) { h.Attempts[19].Status = 503; h.TargetEvents = h.TargetEvents[:19] }, want: "recovery after the faults"},
 	}
 	for _, tt := range tests {
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -216,6 +217,8 @@
 	}
 	links := map[Kind]linkState{TargetLinkSilent: linkSilent, TargetLinkOneWay: linkOneWay, TargetLinkReset: linkReset, TargetLinkSlow: linkSlow}
 	switch f.Kind {
+	case TargetLimit:
+		b.nameLimit(ctx, t, f)
 	case TargetCrash:
 		link.set(linkReset)
 		timer.Sleep(ctx, min(f.Length, entryTimeout))
@@ -233,9 +236,15 @@
 		b.replace(ctx)
 	default:
 		if behaviour, ok := behaviours[f.Kind]; ok {
-			t.SetBehaviour(behaviour)
+			replace := func(next platformtest.Behaviour) {
+				t.UpdateBehaviour(func(b *platformtest.Behaviour) {
+					next.Limit = b.Limit
+					*b = next
+				})
+			}
+			replace(behaviour)
 			timer.Sleep(ctx, f.Length)
-			t.SetBehaviour(platformtest.Behaviour{ServiceTime: typicalServiceTime})
+			replace(platformtest.Behaviour{ServiceTime: typicalServiceTime})
 			return
 		}
 		link.set(links[f.Kind])
@@ -244,6 +253,39 @@
 	}
 }
 
+// limits are the rate limits that targets name, in requests a second.
+var limits = []float64{0, 0.4, 1, 2.2, 5, 12}
+
+// nameLimit makes a target name a rate limit for the length of the fault, unless another
+// fault changes the limit before.
+func (b *backend) nameLimit(ctx context.Context, t *platformtest.Target, f Fault) {
+	span := &LimitSpan{Target: t.ID, PerSecond: limits[int(f.At/time.Millisecond)%len(limits)]}
+	setLimit := func(limit string) time.Duration {
+		t.UpdateBehaviour(func(b *platformtest.Behaviour) { b.Limit = limit })
+		return b.r.sinceStart(time.Now())
+	}
+	b.r.mu.Lock()
+	span.From = setLimit(strconv.FormatFloat(span.PerSecond, 'f', -1, 64))
+	b.r.endLimit(t.ID, span.From)
+	b.r.history.Limits = append(b.r.history.Limits, span)
+	b.r.mu.Unlock()
+	timer.Sleep(ctx, f.Length)
+	b.r.mu.Lock()
+	defer b.r.mu.Unlock()
+	if span.To == 0 {
+		span.To = setLimit("")
+	}
+}
+
+// endLimit ends the current rate limit of a target. The caller holds the mutex.
+func (r *run) endLimit(target string, at time.Duration) {
+	for _, span := range r.history.Limits {
+		if span.Target == target && span.To == 0 {
+			span.To = at
+		}
+	}
+}
+
 // replace starts a new target in place of one whose entry was deleted. The old target
 // keeps running only for the requests that it still has.
 func (b *backend) replace(ctx context.Context) {
--- a/internal/bench/soak/result.go
+++ b/internal/bench/soak/result.go
@@ -11,6 +11,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"tamaracktiller.example/tamaracktiller/platform/platformtest"
 )
 
 // Result is the outcome of a run.
@@ -20,16 +22,23 @@
 	Faults []Fault `json:"faults"`
 	// Statuses counts the callers' requests by response status; 0 means no complete
 	// response. Configuration probes are counted in Probes instead.
-	Statuses     map[int]int `json:"statuses"`
-	Probes       int         `json:"probes"`
-	Versions     int         `json:"versions"`
-	Violations   []Violation `json:"violations"`
-	attempts     []Attempt
-	disturbances []Span
+	Statuses map[int]int `json:"statuses"`
+	Probes   int         `json:"probes"`
+	Versions int         `json:"versions"`
+	// LimitedRequests counts the requests that targets got while they named rate limits.
+	LimitedRequests int         `json:"limited-requests"`
+	Violations      []Violation `json:"violations"`
+	attempts        []Attempt
+	disturbances    []Span
 }
 
 func newResult(cfg Config, faults []Fault, h *History, v []Violation) *Result {
 	r := &Result{Seed: cfg.Seed, Hosts: cfg.Hosts, Faults: faults, Statuses: map[int]int{}, Versions: len(h.Versions), Violations: v, attempts: h.Attempts, disturbances: h.Disturbances}
+	for _, e := range h.TargetEvents {
+		if e.Kind != platformtest.Probed && slices.ContainsFunc(h.Limits, func(s *LimitSpan) bool { return s.Target == e.Target && e.At >= s.From && (s.To == 0 || e.At <= s.To) }) {
+			r.LimitedRequests++
+		}
+	}
 	for _, a := range h.Attempts {
 		if a.Route > 0 {
 			r.Probes++
--- a/internal/bench/soak/schedule.go
+++ b/internal/bench/soak/schedule.go
@@ -42,6 +42,8 @@
 	TargetLinkOneWay    Kind = "target-link-one-way"
 	TargetLinkReset     Kind = "target-link-reset"
 	TargetLinkSlow      Kind = "target-link-slow"
+	// TargetLimit makes a target name a rate limit for limitFactor times Fault.Length.
+	TargetLimit Kind = "target-limit"
 
 	ConfigChange   Kind = "config-change"
 	ConfigBurst    Kind = "config-storm"
@@ -53,7 +55,7 @@
 var kinds = []Kind{
 	HostKill, HostPause, HostStop, HostReload, HostStoreSlow, HostStoreSilent, HostStoreOneWay, HostStoreReset,
 	StoreDown, StoreSlow, StoreDropResponses, StoreDelayWrites, StoreSuppressEvents, StoreCompact, StoreRestore,
-	TargetSlow, TargetFail, TargetShed, TargetDropResponses, TargetCrash, TargetDrain, TargetLinkSilent, TargetLinkOneWay, TargetLinkReset, TargetLinkSlow,
+	TargetSlow, TargetFail, TargetShed, TargetDropResponses, TargetCrash, TargetDrain, TargetLinkSilent, TargetLinkOneWay, TargetLinkReset, TargetLinkSlow, TargetLimit, TargetLimit,
 	ConfigChange, ConfigChange, ConfigBurst, MalformedEntry,
 }
 
@@ -76,6 +78,8 @@
 	maxGap      = 900 * time.Millisecond
 	minDuration = 200 * time.Millisecond
 	maxDuration = 3 * time.Second
+	// limitFactor makes rate limits last long enough for a window in which they must hold.
+	limitFactor = 4
 	// repeatProbability is the probability that a fault has the kind and index of the one
 	// before.
 	repeatProbability = 0.25
@@ -98,6 +102,9 @@
 		if at > length-recoveryTime {
 			return faults
 		}
+		if f.Kind == TargetLimit {
+			f.Length *= limitFactor
+		}
 		f.Length = min(f.Length, length-recoveryTime-at)
 		if f.isHostFault() {
 			f.Index %= hosts
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -6,7 +6,7 @@
 // to targets are delayed, blocked in one or both directions, or reset. The store is
 // unavailable or slow, sends no watch events, drops responses, delays writes, compacts
 // its history or is restored from a backup. Targets become slow, fail, shed load, drop
-// responses, crash and drain. The configuration changes, also in bursts, and malformed
+// responses, name rate limits, crash and drain. The configuration changes, also in bursts, and malformed
 // entries appear in the store.
 //
 // # Usage
@@ -57,6 +57,7 @@
 	return Bounds{
 		Timeout: requestTimeout, ResponseSlack: 500 * time.Millisecond, ConfigApply: 2500 * time.Millisecond, RollbackGrace: 250 * time.Millisecond,
 		Drain: 2500 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, ProbesPerSecond: 60, MinServedShare: 0.95,
+		LimitNotice: 3 * time.Second, LimitWindow: 4 * time.Second, LimitRatio: 1.5, LimitSlack: 5,
 	}
 }
 
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -16,11 +16,12 @@
 	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../../cmd/tamaracktiller").CombinedOutput()
 	require.NoError(t, err, "%s", out)
 	result, err := Run(t.Context(), Config{
-		Seed: 1, Length: 12 * time.Second, Hosts: 3, Targets: 4, Callers: 10, Binary: binary, Dir: filepath.Join(dir, "run"),
-		Only: []Kind{HostKill, HostPause, HostStop, HostReload, StoreSuppressEvents, StoreDown, StoreRestore, TargetCrash, TargetDrain, TargetDropResponses, ConfigChange},
+		Seed: 1, Length: 24 * time.Second, Hosts: 3, Targets: 4, Callers: 10, Binary: binary, Dir: filepath.Join(dir, "run"),
+		Only: []Kind{HostKill, HostPause, HostStop, HostReload, StoreSuppressEvents, StoreDown, StoreRestore, TargetCrash, TargetDrain, TargetDropResponses, TargetLimit, TargetLimit, ConfigChange},
 	})
 	require.NoError(t, err)
 	require.Empty(t, result.Violations, result.Timeline())
 	require.Greater(t, result.Statuses[200], 100)
 	require.Positive(t, result.Probes)
+	require.Positive(t, result.LimitedRequests, "requests to targets while their rate limits had to hold")
 }
