Bound what a round trip reads while it waits for its response

A faulty target can send bytes without end. Two loops had no bound but the deadline of the request: informational responses (40 safe requests of one client took 245 MB, all 40 attempts went to the target) and the body of a response to another request (3.5 GB, 28 attempts). Each now has a bound of its own, 16 responses and 64 KB; after it the connection is closed and the attempt has failed. Heads, chunk sizes and extensions, trailers and bytes after a response were bounded before.

--- a/internal/traffic/relay/pool.go
+++ b/internal/traffic/relay/pool.go
@@ -41,6 +41,8 @@
 	ErrHeaderTooLarge = errors.New("response header is too large")
 	// ErrMismatchedResponse reports responses that belong to other requests.
 	ErrMismatchedResponse = errors.New("response belongs to another request")
+	// ErrTooManyInformational reports too many informational responses to one request.
+	ErrTooManyInformational = errors.New("too many informational responses")
 	// ErrUnexpectedUpgrade reports a response that switches protocols although no upgrade
 	// was requested.
 	ErrUnexpectedUpgrade = errors.New("unexpected protocol switch")
--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -154,3 +154,26 @@
 	require.Error(t, err)
 	require.True(t, MayHaveRun(err))
 }
+
+func TestRoundTripGivesUpOnResponsesWithoutEnd(t *testing.T) {
+	const statusLine = "HTTP/1.1 200 OK\r\n"
+	tests := []struct {
+		name, response string
+		cause          error
+	}{
+		{name: "informational responses", response: strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 1000), cause: ErrTooManyInformational},
+		{name: "mismatched response", response: statusLine + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("400\r\n"+strings.Repeat("x", 0x400)+"\r\n", 1000), cause: ErrMismatchedResponse},
+		{name: "mismatched responses", response: strings.Repeat(statusLine+"Content-Length: 0\r\n\r\n", 1000), cause: ErrMismatchedResponse},
+		{name: "header", response: statusLine + strings.Repeat("X-More: more\r\n", 10000), cause: ErrHeaderTooLarge},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p, _ := newScriptedPool(t, tt.response)
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://target/", nil)
+			require.NoError(t, err)
+			_, err = p.RoundTrip(t.Context(), req, Options{MatchesRequest: func(http.Header) bool { return false }})
+			require.ErrorIs(t, err, tt.cause)
+			require.Zero(t, p.OpenConnections())
+		})
+	}
+}
--- a/internal/traffic/relay/roundtrip.go
+++ b/internal/traffic/relay/roundtrip.go
@@ -28,8 +28,14 @@
 	MatchesRequest func(header http.Header) bool
 }
 
-// maxMismatched bounds the mismatched responses that are discarded for one request.
-const maxMismatched = 2
+const (
+	// maxMismatched bounds the mismatched responses that are discarded for one request, and
+	// maxDiscardedBytes the body of each.
+	maxMismatched     = 2
+	maxDiscardedBytes = 64 << 10
+	// maxInformational bounds the informational responses to one request.
+	maxInformational = 16
+)
 
 // discardResponse reads a mismatched response to its end. It returns
 // ErrMismatchedResponse if there were too many or the connection closes after this one.
@@ -38,7 +44,10 @@
 	if x.mismatched > maxMismatched || res.Close {
 		return ErrMismatchedResponse
 	}
-	_, err := io.Copy(io.Discard, res.Body)
+	n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxDiscardedBytes))
+	if n == maxDiscardedBytes {
+		return ErrMismatchedResponse
+	}
 	return err
 }
 
@@ -137,7 +146,7 @@
 
 // receive returns the final response to the request.
 func (x *exchange) receive(o Options) (*http.Response, error) {
-	for {
+	for informational := 0; ; {
 		if err := x.c.checkHeader(); err != nil {
 			return nil, err
 		}
@@ -149,6 +158,9 @@
 		case res.StatusCode == http.StatusSwitchingProtocols:
 			return nil, ErrUnexpectedUpgrade
 		case res.StatusCode < http.StatusOK:
+			if informational++; informational > maxInformational {
+				return nil, ErrTooManyInformational
+			}
 			if o.Informational != nil && res.StatusCode != http.StatusContinue {
 				o.Informational(res.StatusCode, res.Header)
 			}
