Count a streamed response as ended when its body has ended

Callers of idempotent requests got no response of more than 1 MB whole: the connection closed in the middle of the body. And a target whose body has no end was sent further requests, although each was cut off at the deadline: of 40 safe requests 25 (chunks), 27 (body up to the close) and 28 (enormous length) were served next to a sound target.

Cause of both: the attempt of a response that is streamed counted as ended when the buffered part had arrived. Then the race of attempts cancelled its context, and the dispatcher was told of a success.

Change: a race cancels only the attempts that are not used, and the outcome is reported when the body has ended, as a failure if the target is why it did not. A streamed body is at most 256 MB; one with a larger length fails at once. Responses that are not used are closed.

--- a/internal/traffic/entry/attempt.go
+++ b/internal/traffic/entry/attempt.go
@@ -22,6 +22,10 @@
 // longer body is streamed to the client.
 const maxBufferedResponse = 1 << 20
 
+// maxStreamedResponse bounds a response body that is streamed, since that of a faulty target
+// may have no end.
+const maxStreamedResponse = 256 << 20
+
 // attemptOutcome is how an attempt ended.
 type attemptOutcome int
 
@@ -44,12 +48,14 @@
 
 // attempt is the result of sending a request to a target.
 type attempt struct {
+	req     *clientRequest
 	outcome attemptOutcome
 	grant   dispatcher.Grant
 	status  int
 	header  http.Header
 	body    []byte
-	// unread is the part of a long response body that is not buffered.
+	// unread is the part of a long response body that is not buffered. While it is set, the
+	// outcome has not been reported yet.
 	unread io.ReadCloser
 	// info holds the protocol headers of the response.
 	info    targets.ResponseInfo
@@ -57,6 +63,9 @@
 	elapsed time.Duration
 }
 
+// errResponseTooLarge reports a response body that exceeds maxStreamedResponse.
+var errResponseTooLarge = errors.New("response body is too large")
+
 // errNotFromTarget reports a response that the target did not generate itself.
 var errNotFromTarget = errors.New("response has no target signature, or its body is encoded")
 
@@ -67,11 +76,27 @@
 	if l, ok := req.h.cfg.Links.Find(grant.ID); ok {
 		out = req.roundTrip(ctx, l.Pool, grant)
 	}
-	out.elapsed = time.Since(started)
-	req.h.reportDone(ctx, req, &out)
+	out.req, out.elapsed = req, time.Since(started)
+	if out.unread == nil {
+		req.h.reportDone(&out, out.result(ctx))
+	}
 	return out
 }
 
+// discard closes the rest of a response that is not used, and reports the outcome.
+func (r *attempt) discard() {
+	if r.unread == nil {
+		return
+	}
+	_ = r.unread.Close()
+	r.unread = nil
+	result := placement.Cancelled
+	if r.outcome != succeeded {
+		result = r.result(context.Background())
+	}
+	r.req.h.reportDone(r, result)
+}
+
 func (req *clientRequest) roundTrip(ctx context.Context, pool *relay.Pool, grant dispatcher.Grant) attempt {
 	res, err := pool.RoundTrip(ctx, req.targetRequest(grant.ID, time.Until(req.deadline)), relay.Options{
 		Idempotent: req.route.Idempotent, AllowCloseDelimited: true,
@@ -95,12 +120,15 @@
 	}
 	out := attempt{grant: grant, status: res.StatusCode, header: res.Header, info: info}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedResponse+1))
-	if len(body) > maxBufferedResponse {
+	out.body = body
+	if res.ContentLength > maxStreamedResponse {
+		err = errResponseTooLarge
+	}
+	if err == nil && len(body) > maxBufferedResponse {
 		out.unread = res.Body
 	} else {
 		defer res.Body.Close()
 	}
-	out.body = body
 	switch {
 	case info.NotRun:
 		out.outcome = rejected
@@ -128,26 +156,30 @@
 // typicalTimeGain is the weight of a new sample in the typical service time of a route.
 const typicalTimeGain = 0.05
 
-// reportDone reports the end of an attempt to the dispatcher and the crash tracker.
-func (h *Handler) reportDone(ctx context.Context, req *clientRequest, r *attempt) {
-	o := dispatcher.Outcome{Gone: r.info.Misdirected, Load: r.info.Load, LoadKnown: r.info.LoadKnown, Limit: r.limit()}
+// result returns the outcome of the attempt with regard to its target.
+func (r *attempt) result(ctx context.Context) placement.Result {
 	switch r.outcome {
 	case succeeded:
-		o.Result = placement.Served
-		h.updateTypicalTime(req, r)
-	case targetError:
-		o.Result = placement.Failed
+		return placement.Served
 	case rejected:
-		o.Result = placement.Rejected
+		return placement.Rejected
 	case notSent, outcomeUnknown:
-		o.Result = placement.Failed
-		if req.isDone(ctx) {
-			o.Result = placement.Cancelled
+		if r.req.isDone(ctx) {
+			return placement.Cancelled
 		}
+	case targetError:
+	}
+	return placement.Failed
+}
+
+// reportDone reports the end of an attempt to the dispatcher and the crash tracker.
+func (h *Handler) reportDone(r *attempt, result placement.Result) {
+	h.cfg.Placer.Done(r.grant, dispatcher.Outcome{Result: result, Gone: r.info.Misdirected, Load: r.info.Load, LoadKnown: r.info.LoadKnown, Limit: r.limit()})
+	if result == placement.Served {
+		h.updateTypicalTime(r.req, r)
 	}
-	h.cfg.Placer.Done(r.grant, o)
-	if r.outcome == succeeded || o.Result == placement.Failed {
-		h.cfg.CrashTracker.attemptEnded(req, r)
+	if r.outcome == succeeded || result == placement.Failed {
+		h.cfg.CrashTracker.attemptEnded(r.req, r)
 	}
 }
 
--- a/internal/traffic/entry/response.go
+++ b/internal/traffic/entry/response.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -100,13 +99,8 @@
 		req.logWriteError(err)
 		return
 	}
-	defer r.unread.Close()
 	w.WriteHeader(r.status)
-	if _, err := w.Write(r.body); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	if _, err := io.Copy(w, r.unread); err != nil {
-		req.logWriteError(err)
+	if !req.streamResponse(w, r) {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/traffic/entry/retry.go
+++ b/internal/traffic/entry/retry.go
@@ -48,11 +48,13 @@
 		}
 		req.avoid = append(req.avoid, last.grant.ID)
 		if req.isDone(ctx) {
+			last.discard()
 			return req.finalize(req.timeoutResponse())
 		}
 		if !req.mayRetry(last, retries) {
 			return req.finalize(req.failureResponse(last, ""))
 		}
+		last.discard()
 	}
 }
 
@@ -83,8 +85,10 @@
 	case targetError:
 		return finalResponse{outcome: TargetFailed, attempt: last, status: last.status, reason: reason}
 	case rejected, notSent:
+		last.discard()
 		return *reject(http.StatusServiceUnavailable, reason, req.retryAfter(last))
 	default:
+		last.discard()
 		return finalResponse{outcome: Unknown, status: http.StatusBadGateway, reason: reason}
 	}
 }
@@ -164,43 +168,35 @@
 		req.countAttempt(out)
 		return out
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan attempt, 2)
-	req.start(ctx, grant, results)
-	running := 1
+	r := &race{req: req, results: make(chan attempt, maxRacing), cancels: map[string]context.CancelFunc{}}
+	r.start(ctx, grant)
 	hedger := req.newHedger(grant)
 	defer hedger.stop()
 	var worst attempt
-	for running > 0 {
+	for r.running > 0 {
 		select {
-		case out := <-results:
-			running--
+		case out := <-r.results:
+			r.running--
 			req.countAttempt(out)
-			if out.outcome == succeeded || running == 0 && worst.grant.ID == "" {
+			if out.outcome == succeeded || r.running == 0 && worst.grant.ID == "" {
+				r.end(out)
 				return out
 			}
+			req.avoid = append(req.avoid, out.grant.ID)
 			if worst.grant.ID == "" || out.outcome == targetError {
-				worst = out
+				worst, out = out, worst
 			}
-			req.avoid = append(req.avoid, out.grant.ID)
+			out.discard()
 		case <-hedger.C():
 			if hedge, ok := hedger.tryHedge(ctx); ok {
-				running++
-				req.start(ctx, hedge, results)
+				r.start(ctx, hedge)
 			}
 		}
 	}
+	r.end(worst)
 	return worst
 }
 
-func (req *clientRequest) start(ctx context.Context, grant dispatcher.Grant, results chan<- attempt) {
-	req.h.g.Go("send", func(context.Context) error {
-		results <- req.send(ctx, grant)
-		return nil
-	})
-}
-
 // countAttempt records what the end of an attempt implies for the request.
 func (req *clientRequest) countAttempt(out attempt) {
 	switch out.outcome {
--- /dev/null
+++ b/internal/traffic/entry/stream.go
@@ -0,0 +1,76 @@
+package entry
+
+// This file defines how the rest of a long response body is passed on.
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
+)
+
+// stream is the rest of a response body on its way to the client. It remembers on which
+// side the time was spent, and which side failed.
+type stream struct {
+	from io.Reader
+	to   io.Writer
+	// reading and writing are the times spent waiting for the target and for the client.
+	reading, writing time.Duration
+	readErr          error
+}
+
+// Read implements io.Reader.
+func (s *stream) Read(p []byte) (int, error) {
+	started := time.Now()
+	n, err := s.from.Read(p)
+	s.reading += time.Since(started)
+	if !errors.Is(err, io.EOF) {
+		s.readErr = err
+	}
+	return n, err
+}
+
+// Write implements io.Writer.
+func (s *stream) Write(p []byte) (int, error) {
+	started := time.Now()
+	n, err := s.to.Write(p)
+	s.writing += time.Since(started)
+	return n, err
+}
+
+// streamResponse passes on the buffered part of a response body and then the rest, reports
+// the outcome of the attempt, and returns whether the body was passed on to its end.
+func (req *clientRequest) streamResponse(w http.ResponseWriter, r attempt) bool {
+	s := &stream{from: io.LimitReader(r.unread, maxStreamedResponse), to: w}
+	_, err := s.Write(r.body)
+	if err == nil {
+		_, err = io.Copy(s, s)
+	}
+	if err == nil && !atEnd(r.unread) {
+		err, s.readErr = errResponseTooLarge, errResponseTooLarge
+	}
+	_ = r.unread.Close()
+	r.unread = nil
+	result := r.result(req.incoming.Context())
+	if err != nil {
+		r.outcome, r.cause, result = outcomeUnknown, err, placement.Cancelled
+		if s.readErr != nil && req.incoming.Context().Err() == nil && s.reading >= s.writing {
+			result = placement.Failed
+		}
+		req.h.cfg.Log.WithError(err).WithFields(logrus.Fields{
+			fieldRequest: req.id, fieldTarget: r.grant.ID, "target-ms": s.reading.Milliseconds(), "client-ms": s.writing.Milliseconds(), "target-failed": result == placement.Failed,
+		}).Info("response was cut off")
+	}
+	req.h.reportDone(&r, result)
+	return err == nil
+}
+
+// atEnd reports whether a body has no more bytes.
+func atEnd(body io.Reader) bool {
+	n, err := body.Read(make([]byte, 1))
+	return n == 0 && errors.Is(err, io.EOF)
+}
