--- a/internal/traffic/placement/chooser.go
+++ b/internal/traffic/placement/chooser.go
@@ -375,6 +375,10 @@
 	if t == nil {
 		return
 	}
+	if choice.Slots != t.slots() {
+		// The choice of another host, by an older or a malformed entry of the target.
+		return
+	}
 	if run, ok := choice.ProfileRun(took, result); ok {
 		t.profile.RecordRun(now, run)
 	}
