Survive failed reads of messages, and end with the error of a failed goroutine

One failed read of a datagram ended the receiver, and with it all goroutines of the host: the watch of the store, the follower, renewal and the log.

A failed read is now logged and repeated. If another goroutine fails, the process logs it and ends with the error, so that it is started again. The log has a group of its own.

--- a/internal/fleet/packet/packet.go
+++ b/internal/fleet/packet/packet.go
@@ -8,7 +8,7 @@
 // # Usage
 //
 //	c, err := packet.Listen(ctx, address, secrets)
-//	g.Go("packets", func(ctx context.Context) error { return c.Run(ctx, handle) })
+//	g.Go("packets", func(ctx context.Context) error { return c.Run(ctx, handle, failed) })
 //	err = c.Send(to, message)
 package packet
 
@@ -22,9 +22,12 @@
 	"net/netip"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
 )
 
 const (
@@ -88,18 +91,27 @@
 	return h.Sum(nil)[:macBytes]
 }
 
-// Run passes received messages to handle until ctx is done. handle must not block.
-func (c *Conn[M]) Run(ctx context.Context, handle func(from netip.AddrPort, m M)) error {
+// readRetryDelay is the pause after a failed read.
+const readRetryDelay = 10 * time.Millisecond
+
+// Run passes received messages to handle until ctx is done or the socket is closed. handle
+// must not block. Errors of single reads are passed to failed.
+func (c *Conn[M]) Run(ctx context.Context, handle func(from netip.AddrPort, m M), failed func(err error)) error {
 	stop := context.AfterFunc(ctx, func() { _ = c.udp.Close() })
 	defer stop()
 	buf := make([]byte, MaxBytes)
 	for {
 		n, from, err := c.udp.ReadFromUDPAddrPort(buf)
 		if err != nil {
-			if ctx.Err() != nil {
+			switch {
+			case ctx.Err() != nil:
 				return nil
+			case errors.Is(err, net.ErrClosed):
+				return errors.Wrap(err, "packet")
 			}
-			return errors.Wrap(err, "packet")
+			failed(err)
+			timer.Sleep(ctx, readRetryDelay)
+			continue
 		}
 		m, ok := c.decode(buf[:n])
 		if !ok {
--- a/internal/fleet/packet/packet_test.go
+++ b/internal/fleet/packet/packet_test.go
@@ -27,7 +27,7 @@
 	require.NoError(t, err)
 	received := make(chan message, 8)
 	g.Go("receive", func(ctx context.Context) error {
-		return c.Run(ctx, func(_ netip.AddrPort, m message) { received <- m })
+		return c.Run(ctx, func(_ netip.AddrPort, m message) { received <- m }, func(error) {})
 	})
 	return c, received
 }
@@ -69,3 +69,20 @@
 		t.Fatal("no message was received")
 	}
 }
+
+func TestFailedReadDoesNotEndTheReceiver(t *testing.T) {
+	g := group.New(t.Context())
+	defer func() { _ = g.Stop() }()
+	receiver, received := listen(t, g, "fleet")
+	sender, _ := listen(t, g, "fleet")
+	require.NoError(t, receiver.udp.SetReadDeadline(time.Now().Add(-time.Second)))
+	time.Sleep(5 * readRetryDelay)
+	require.NoError(t, receiver.udp.SetReadDeadline(time.Time{}))
+	require.NoError(t, sender.Send(netip.MustParseAddrPort(receiver.udp.LocalAddr().String()), message{Text: "hello"}))
+	select {
+	case m := <-received:
+		require.Equal(t, "hello", m.Text)
+	case <-time.After(5 * time.Second):
+		t.Fatal("no message was received")
+	}
+}
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -110,7 +110,8 @@
 func New(cfg *settings.Entry, platform Platform, reload Reload, w io.Writer) (*Process, error) {
 	p := &Process{cfg: cfg, platform: platform, reload: reload, gracePeriod: cfg.Bounds.Grace, services: registry.New(), metrics: newMetrics(), draining: make(chan struct{})}
 	p.g = group.New(context.Background())
-	p.logWriter = logs.NewAsync(w, p.g)
+	// The log has its own group, so that a failure of another goroutine can be logged.
+	p.logWriter = logs.NewAsync(w, group.New(context.Background()))
 	var err error
 	if p.log, err = logs.New(p.logWriter, cfg.LogLevel, cfg.Name); err != nil {
 		return nil, err
@@ -206,7 +207,15 @@
 		p.watchSettings(ctx, log)
 		return nil
 	})
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-p.g.Context().Done():
+		// Without its goroutines the host would serve with a view that never changes.
+		err := context.Cause(p.g.Context())
+		log.WithError(err).Error("a goroutine of the host has failed")
+		p.logWriter.Flush()
+		return errors.Wrap(err, "entry")
+	}
 	p.shutdown(log)
 	return nil
 }
@@ -271,7 +280,11 @@
 	if err := p.serve(ctx, p.cfg.Peers, p.peerServer); err != nil {
 		return err
 	}
-	p.g.Go("packets", func(ctx context.Context) error { return p.packets.Run(ctx, p.dispatcher.Receive) })
+	p.g.Go("packets", func(ctx context.Context) error {
+		return p.packets.Run(ctx, p.dispatcher.Receive, func(err error) {
+			p.log.For("process").WithError(err).Warn("failed to read a message of another host")
+		})
+	})
 	return nil
 }
 
