Do not take a late copy of a rejection for the response to another request

A booking could run twice. And a late copy of the rejection of a first attempt has the ID of the retry, if the only target is tried again on the same connection (2 runs as well).

--- a/internal/traffic/entry/attempt.go
+++ b/internal/traffic/entry/attempt.go
@@ -7,6 +7,8 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
+
 	"time"
 
 	"github.com/pkg/errors"
@@ -100,6 +102,8 @@
 func (req *clientRequest) roundTrip(ctx context.Context, pool *relay.Pool, grant dispatcher.Grant) attempt {
 	res, err := pool.RoundTrip(ctx, req.targetRequest(grant.ID, time.Until(req.deadline)), relay.Options{
 		Idempotent: req.route.Idempotent, AllowCloseDelimited: true,
+		// A late copy of the response to the first attempt has the same ID.
+		NewConnection:  slices.Contains(req.avoid, grant.ID),
 		MatchesRequest: func(header http.Header) bool { return req.h.cfg.Dialect.MatchesRequest(header, req.id) },
 	})
 	switch {
--- a/internal/traffic/relay/pool.go
+++ b/internal/traffic/relay/pool.go
@@ -144,12 +144,12 @@
 	}
 }
 
-// get returns an idle connection or opens one. With recentOnly, an idle connection must
-// have carried a response within MaxNonIdempotentIdle, because an older one may be dead
-// without an error.
-func (p *Pool) get(ctx context.Context, recentOnly bool) (*conn, error) {
+// get returns an idle connection or opens one. For a request that is not idempotent, an idle
+// connection must have carried a response within MaxNonIdempotentIdle, because an older one
+// may be dead without an error.
+func (p *Pool) get(ctx context.Context, o Options) (*conn, error) {
 	for {
-		c, mayDial := p.takeIdle(recentOnly)
+		c, mayDial := p.takeIdle(o)
 		if c != nil {
 			if c.isIdle() {
 				return c, nil
@@ -166,12 +166,12 @@
 
 // takeIdle returns the connection used last, or reports whether a new one may be opened.
 // At the limit of connections, it closes the oldest idle one to make room.
-func (p *Pool) takeIdle(recentOnly bool) (c *conn, mayDial bool) {
+func (p *Pool) takeIdle(o Options) (c *conn, mayDial bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n := len(p.idle); n > 0 {
+	if n := len(p.idle); n > 0 && !o.NewConnection {
 		last := p.idle[n-1]
-		if !recentOnly || time.Since(last.lastResponse) <= p.cfg.MaxNonIdempotentIdle {
+		if o.Idempotent || time.Since(last.lastResponse) <= p.cfg.MaxNonIdempotentIdle {
 			p.idle = p.idle[:n-1]
 			return last, false
 		}
--- a/internal/traffic/relay/roundtrip.go
+++ b/internal/traffic/relay/roundtrip.go
@@ -20,6 +20,8 @@
 	Idempotent bool
 	// Informational is called for each 1xx response except 100 Continue. It may be nil.
 	Informational func(status int, header http.Header)
+	// NewConnection requires a connection that has carried no request before.
+	NewConnection bool
 	// AllowCloseDelimited accepts a close-delimited response: one without a length, whose
 	// body ends with the connection.
 	AllowCloseDelimited bool
@@ -71,7 +73,7 @@
 // body of the response must be closed; if it was not read to its end, the connection is
 // closed too. The error is an *Error.
 func (p *Pool) RoundTrip(ctx context.Context, req *http.Request, o Options) (*http.Response, error) {
-	c, err := p.get(ctx, !o.Idempotent)
+	c, err := p.get(ctx, o)
 	if err != nil {
 		return nil, &Error{Address: p.address, Cause: err}
 	}
