--- a/internal/traffic/dispatcher/limit_test.go
+++ b/internal/traffic/dispatcher/limit_test.go
@@ -1,9 +1,13 @@
 package dispatcher
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
+	"slices"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -11,6 +15,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/packet"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/roster"
+	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
 )
@@ -54,11 +59,12 @@
 	}
 }
 
-// rankOf returns the rank of a host in a cell, and for how long it has held it.
-func rankOf(d *Dispatcher, key string) (int, time.Duration) {
+// rankOf returns the rank of a host in the cell of the service, and for how long it has held
+// it.
+func rankOf(d *Dispatcher) (int, time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c := d.cells[key]
+	c := d.cells["s"]
 	return c.rank, time.Since(c.rankSince)
 }
 
@@ -68,7 +74,7 @@
 	var second *Dispatcher
 	for _, d := range list {
 		settleRanks(d)
-		if rank, _ := rankOf(d, "s"); rank == 1 {
+		if rank, _ := rankOf(d); rank == 1 {
 			second = d
 		}
 	}
@@ -81,7 +87,7 @@
 	}
 	s.HostChanges++
 	second.SetSnapshot(&s, nil)
-	rank, held := rankOf(second, "s")
+	rank, held := rankOf(second)
 	require.Equal(t, 0, rank)
 	require.Less(t, held, time.Second)
 
@@ -94,7 +100,7 @@
 	again := s
 	again.Targets = before
 	dispatcher.SetSnapshot(&again, nil)
-	rank, held = rankOf(dispatcher, "s")
+	rank, held = rankOf(dispatcher)
 	require.Equal(t, 0, rank)
 	require.Less(t, held, time.Second)
 }
@@ -174,3 +180,95 @@
 	}
 	require.Empty(t, list[0].Limits())
 }
+
+func TestHandOverBetweenDispatchersKeepsTheLimit(t *testing.T) {
+	const perSecond, length = 3.0, 14 * time.Second
+	tests := []struct {
+		name string
+		// learned is the time at which the former dispatcher learns of the change; it never
+		// does if the time exceeds the length of the test.
+		learned time.Duration
+	}{
+		{name: "at once", learned: 0},
+		{name: "before its view is old", learned: 1800 * time.Millisecond},
+		{name: "never", learned: time.Hour},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, list := newFleet(t, 4, 1, 3)
+				former, _ := dispatcherAndOther(list)
+				var next *Dispatcher
+				for _, d := range list {
+					settleRanks(d)
+					if rank, _ := rankOf(d); rank == 1 {
+						next = d
+					}
+				}
+				changed := time.Now().Add(4 * time.Second)
+				former.cfg.Fresh = func(now time.Time) bool { return now.Before(changed.Add(2*time.Second)) || tt.learned < length }
+				after := *former.snapshot
+				after.Hosts = map[string]directory.Host{}
+				for name, h := range former.snapshot.Hosts {
+					if name != former.cfg.Self {
+						after.Hosts[name] = h
+					}
+				}
+				after.HostChanges++
+				var mu sync.Mutex
+				var times []time.Time
+				g := group.New(t.Context())
+				for _, d := range list {
+					g.Go("caller", func(context.Context) error {
+						for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+							grant, err := d.Place(t.Context(), newRequest(300*time.Millisecond))
+							if err != nil {
+								continue
+							}
+							mu.Lock()
+							times = append(times, time.Now())
+							mu.Unlock()
+							d.Done(grant, Outcome{Result: placement.Served, Limit: namedLimit(perSecond)})
+						}
+						return nil
+					})
+				}
+				g.Go("tick", func(context.Context) error {
+					for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+						for _, d := range list {
+							d.Tick(time.Now())
+						}
+					}
+					return nil
+				})
+				g.Go("change", func(context.Context) error {
+					time.Sleep(time.Until(changed))
+					for _, d := range list {
+						if d != former {
+							d.SetSnapshot(&after, nil)
+						}
+					}
+					time.Sleep(min(length, tt.learned))
+					if tt.learned < length {
+						former.SetSnapshot(&after, nil)
+					}
+					return nil
+				})
+				require.NoError(t, g.Wait())
+				require.Equal(t, 0, next.cells["s"].rank)
+				slices.SortFunc(times, time.Time.Compare)
+				began := times[0].Add(3 * time.Second)
+				for i, at := range times {
+					n := 0
+					for _, other := range times[:i+1] {
+						if other.After(began) && at.Sub(other) <= 4*time.Second {
+							n++
+						}
+					}
+					require.LessOrEqual(t, float64(n), 1.5*perSecond*4+5)
+				}
+				require.Greater(t, float64(len(times)), 0.5*perSecond*length.Seconds())
+			})
+		})
+	}
+}
