--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -85,6 +85,8 @@
 	// Timeout is the timeout of a request. ResponseSlack is the time by which a response may
 	// exceed it.
 	Timeout, ResponseSlack time.Duration
+	// DropSlack is the time for which a request may cross the end of its connection.
+	DropSlack time.Duration
 	// ConfigApply is the time within which a version is active on hosts that are connected
 	// to the store. RollbackGrace is the time after which a host that used a version must not
 	// use an older one.
@@ -194,15 +196,17 @@
 	}
 }
 
-// checkDropped verifies that a request that started to run gets a response, even if its
-// host is stopped or reloaded. It ignores signed responses, since those were interrupted
-// by the target.
+// checkDropped verifies that a request that started to run, or that its host had for longer
+// than DropSlack, gets a response, even if its host is stopped or reloaded. It ignores signed
+// responses, since those were interrupted by the target.
 func (c *checker) checkDropped(a Attempt) {
 	if a.Status != 0 || a.Signed || c.disturbed(a.Host, a.Start, a.End, HostKill, HostPause) {
 		return
 	}
 	if runs := c.runs(a); len(runs) > 0 {
 		c.report("response to every started request", a.End, a.ID, "%s; started at %s on %s", a.Error, runs[0].At, runs[0].Target)
+	} else if a.End-a.Start > c.b.DropSlack {
+		c.report("response to every accepted request", a.End, a.ID, "%s after %s", a.Error, a.End-a.Start)
 	}
 }
 
--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -87,6 +87,14 @@
 			h.TargetEvents = append(h.TargetEvents, started("t", 5010*ms))
 			h.Disturbances = append(h.Disturbances, Span{Kind: HostKill, From: 5 * time.Second, To: 6 * time.Second})
 		}},
+		{name: "connection closed before the request runs", modify: func(h *History) {
+			h.Attempts = append(h.Attempts, unsafeAttempt(0, func(a *Attempt) { a.Error, a.End = "EOF", a.Start+300*ms }))
+			h.Disturbances = append(h.Disturbances, Span{Kind: HostStop, From: 5 * time.Second, To: 6 * time.Second})
+		}, want: "response to every accepted request"},
+		{name: "connection closed as the request arrives", modify: func(h *History) {
+			h.Attempts = append(h.Attempts, unsafeAttempt(0, func(a *Attempt) { a.Error = "EOF" }))
+			h.Disturbances = append(h.Disturbances, Span{Kind: HostStop, From: 5 * time.Second, To: 6 * time.Second})
+		}},
 		{name: "response after the timeout", modify: func(h *History) {
 			h.Attempts = append(h.Attempts, unsafeAttempt(504, func(a *Attempt) { a.End = a.Start + 2100*ms }))
 		}, want: "response within the timeout"},
