Adjust the share of a target's connections when the fleet grows

A host divided the connections that a target accepts by the number of hosts that it knew when it first heard of the target, and kept that share.

The share is now adjusted with each view; connections beyond it are closed when idle.

--- a/internal/traffic/relay/pool.go
+++ b/internal/traffic/relay/pool.go
@@ -112,6 +112,32 @@
 // Address returns the address of the pool.
 func (p *Pool) Address() netip.AddrPort { return p.address }
 
+// MaxConnections returns the limit of connections.
+func (p *Pool) MaxConnections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cfg.MaxConnections
+}
+
+// SetMaxConnections changes the limit of connections. Connections beyond it are closed when
+// they are idle.
+func (p *Pool) SetMaxConnections(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cfg.MaxConnections = n
+	p.closeExcess()
+}
+
+// closeExcess closes the oldest idle connections beyond the limit. The caller holds the
+// mutex.
+func (p *Pool) closeExcess() {
+	for p.open > p.cfg.MaxConnections && len(p.idle) > 0 {
+		_ = p.idle[0].nc.Close()
+		p.idle = p.idle[1:]
+		p.open--
+	}
+}
+
 // Close closes the idle connections. Those in use are closed at the end of their response.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -209,6 +235,7 @@
 	p.mu.Lock()
 	if !p.closed {
 		p.idle = append(p.idle, c)
+		p.closeExcess()
 		p.mu.Unlock()
 		return
 	}
--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -177,3 +177,25 @@
 		})
 	}
 }
+
+func TestLowerLimitOfConnectionsClosesIdleOnes(t *testing.T) {
+	p, _ := newScriptedPool(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	conns := make([]*conn, 0, 3)
+	for range 3 {
+		c, err := p.dial(t.Context())
+		require.NoError(t, err)
+		p.mu.Lock()
+		p.open++
+		p.mu.Unlock()
+		conns = append(conns, c)
+	}
+	p.put(conns[0])
+	p.SetMaxConnections(2)
+	require.Equal(t, 2, p.OpenConnections(), "the idle one is closed")
+	p.SetMaxConnections(1)
+	require.Equal(t, 2, p.OpenConnections(), "both are in use")
+	p.put(conns[1])
+	require.Equal(t, 1, p.OpenConnections())
+	_, err := p.get(t.Context(), Options{})
+	require.ErrorIs(t, err, ErrPoolExhausted)
+}
--- a/internal/traffic/targets/targets.go
+++ b/internal/traffic/targets/targets.go
@@ -142,14 +142,15 @@
 }
 
 func (l *Links) update(s *directory.Snapshot, t roster.Target) {
-	if old := l.links[t.ID]; old != nil && old.Target.Address == t.Address {
-		return
-	}
-	l.remove(t.ID)
 	limit := minConnections
 	if s.Table != nil {
 		limit = max(limit, int(connectionShare*float64(s.Table.Config.Services[t.Service].MaxConnections))/max(1, s.MaxHosts))
 	}
+	if old := l.links[t.ID]; old != nil && old.Target.Address == t.Address {
+		old.Pool.SetMaxConnections(limit)
+		return
+	}
+	l.remove(t.ID)
 	l.links[t.ID] = &Link{Target: t, Pool: relay.NewPool(t.Address, relay.Config{
 		MaxConnections: limit, Dial: dialTarget, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxNonIdempotentIdle: maxNonIdempotentIdle,
 	}, l.g)}
