Respect the idle timeout that targets name for their connections

A connection was used for up to 8 s and could meet its end: a safe request is then sent again, from the retry budget. It is now not used in the last quarter of the stated time.

--- a/internal/traffic/relay/conn.go
+++ b/internal/traffic/relay/conn.go
@@ -8,6 +8,8 @@
 	"bytes"
 	"crypto/tls"
 	"net"
+	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -30,7 +32,42 @@
 	bw           *bufio.Writer
 	written      *countingWriter
 	lastResponse time.Time
-	reused       bool
+	// idleTimeout is the time after which the peer closes the connection when it is idle, as
+	// its last response says; zero if it does not.
+	idleTimeout time.Duration
+	reused      bool
+}
+
+const (
+	// idleMarginDivisor gives the part of the peer's idle timeout that is left unused, since
+	// a request may arrive after the peer has closed the connection.
+	idleMarginDivisor = 4
+	// keepAliveTimeout is the parameter of the Keep-Alive header that holds the timeout in
+	// seconds.
+	keepAliveTimeout = "timeout="
+)
+
+// readIdleTimeout takes over the idle timeout that a response names.
+func (c *conn) readIdleTimeout(h http.Header) {
+	c.idleTimeout = 0
+	for _, value := range h.Values("Keep-Alive") {
+		for parameter := range strings.SplitSeq(value, ",") {
+			text, ok := strings.CutPrefix(strings.ToLower(strings.TrimSpace(parameter)), keepAliveTimeout)
+			if !ok {
+				continue
+			}
+			if seconds, err := strconv.ParseUint(text, 10, 16); err == nil {
+				c.idleTimeout = time.Duration(seconds) * time.Second
+			}
+		}
+	}
+}
+
+// expired reports whether a connection has been idle for longer than limit, unless limit is
+// zero, or the peer may be about to close it.
+func (c *conn) expired(now time.Time, limit time.Duration) bool {
+	idle := now.Sub(c.lastResponse)
+	return limit > 0 && idle > limit || c.idleTimeout > 0 && idle > c.idleTimeout-c.idleTimeout/idleMarginDivisor
 }
 
 // countingWriter counts the bytes handed to the kernel.
--- a/internal/traffic/relay/pool.go
+++ b/internal/traffic/relay/pool.go
@@ -85,7 +85,7 @@
 	Dial           DialFunc
 	// DialTimeout bounds the time to open a connection.
 	DialTimeout time.Duration
-	// IdleTimeout is the time after which unused connections are closed.
+	// IdleTimeout is the time after which unused connections are closed; zero for none.
 	IdleTimeout time.Duration
 	// MaxNonIdempotentIdle is the maximum time since the last response on a connection
 	// that may be reused for a request that is not idempotent.
@@ -156,7 +156,7 @@
 	var expired []*conn
 	keep := p.idle[:0]
 	for _, c := range p.idle {
-		if now.Sub(c.lastResponse) > p.cfg.IdleTimeout {
+		if c.expired(now, p.cfg.IdleTimeout) {
 			expired = append(expired, c)
 		} else {
 			keep = append(keep, c)
@@ -177,7 +177,7 @@
 	for {
 		c, mayDial := p.takeIdle(o)
 		if c != nil {
-			if c.isIdle() {
+			if !c.expired(time.Now(), p.cfg.IdleTimeout) && c.isIdle() {
 				return c, nil
 			}
 			p.discard(c)
--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -199,3 +199,32 @@
 	_, err := p.get(t.Context(), Options{})
 	require.ErrorIs(t, err, ErrPoolExhausted)
 }
+
+func TestConnectionIsNotUsedUpToTheIdleTimeoutThatItsPeerNames(t *testing.T) {
+	now := time.Now()
+	tests := []struct {
+		name, header string
+		idle         time.Duration
+		expired      bool
+	}{
+		{name: "none", idle: 7 * time.Second},
+		{name: "well before", header: "timeout=5", idle: 3 * time.Second},
+		{name: "shortly before", header: "timeout=5", idle: 4 * time.Second, expired: true},
+		{name: "with other parameters", header: "max=100, Timeout=2", idle: 1900 * time.Millisecond, expired: true},
+		{name: "longer than ours", header: "timeout=60", idle: 9 * time.Second, expired: true},
+		{name: "invalid", header: "timeout=soon", idle: 7 * time.Second},
+		{name: "huge", header: "timeout=99999999999999999999", idle: 7 * time.Second},
+		{name: "zero", header: "timeout=0", idle: 7 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := &conn{lastResponse: now.Add(-tt.idle)}
+			h := http.Header{}
+			if tt.header != "" {
+				h.Set("Keep-Alive", tt.header)
+			}
+			c.readIdleTimeout(h)
+			require.Equal(t, tt.expired, c.expired(now, 8*time.Second))
+		})
+	}
+}
--- a/internal/traffic/relay/roundtrip.go
+++ b/internal/traffic/relay/roundtrip.go
@@ -179,6 +179,7 @@
 // attachBody checks that the end of the response can be recognized and ties the
 // connection to the body.
 func (x *exchange) attachBody(res *http.Response) (*http.Response, error) {
+	x.c.readIdleTimeout(res.Header)
 	if res.Body == http.NoBody {
 		x.release(!res.Close)
 		return res, nil
