Refuse late requests early while all targets have limited rates

At twice the load that the limits of nine targets allow, refused callers waited 2.2 s at the median (16 hosts, 160 ms of work, 3 s until the deadline): late requests were kept as if no further ones in time would come and go first, until their deadline had passed.

Late requests now count on the rate at which late ones started lately, as they do without limits. TestCallersGetWhatTheLimitsOfAllTargetsAllow plays the load; the limits are used to 97%.

--- a/internal/process/entry/limit_test.go
+++ b/internal/process/entry/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -13,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"tamaracktiller.example/tamaracktiller/internal/process/entry"
 	"tamaracktiller.example/tamaracktiller/platform/platformtest"
 )
 
@@ -72,12 +74,21 @@
 type load struct {
 	mu       sync.Mutex
 	statuses map[int]int
-	// slowest is the longest time to a refusal.
-	slowest time.Duration
+	// latencies holds the times to the responses by status.
+	latencies map[int][]time.Duration
+}
+
+// percentile returns the time within which a share of the responses with a status arrived.
+func (l *load) percentile(status int, share float64) time.Duration {
+	list := slices.Sorted(slices.Values(l.latencies[status]))
+	if len(list) == 0 {
+		return 0
+	}
+	return list[int(share*float64(len(list)-1))]
 }
 
 func (cl *cluster) runLoad(ctx context.Context, interval time.Duration) *load {
-	l := &load{statuses: map[int]int{}}
+	l := &load{statuses: map[int]int{}, latencies: map[int][]time.Duration{}}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	defer client.CloseIdleConnections()
 	ticker := time.NewTicker(interval)
@@ -107,9 +118,7 @@
 				return
 			}
 			l.statuses[resp.Status]++
-			if resp.Status == http.StatusServiceUnavailable {
-				l.slowest = max(l.slowest, time.Since(started))
-			}
+			l.latencies[resp.Status] = append(l.latencies[resp.Status], time.Since(started))
 		})
 	}
 }
@@ -179,6 +188,39 @@
 	}
 }
 
+// Plays twice the load that the limits of all targets allow.
+func TestCallersGetWhatTheLimitsOfAllTargetsAllow(t *testing.T) {
+	t.Parallel()
+	const (
+		objective = 400 * time.Millisecond
+		length    = 14 * time.Second
+		settled   = 4 * time.Second
+	)
+	limits := []float64{1, 2.2, 1.9, 1.5, 2, 1.2, 1.7, 2.1, 1.4}
+	list := make([]*platformtest.Target, 0, len(limits))
+	logs := make([]*eventLog, 0, len(limits))
+	allowed := 0.0
+	for n, limit := range limits {
+		list = append(list, platformtest.NewTarget(fmt.Sprintf("t-%d", n), "svc", "d", 3, platformtest.Behaviour{ServiceTime: 160 * time.Millisecond, Limit: strconv.FormatFloat(limit, 'f', -1, 64)}))
+		logs = append(logs, record(list[n]))
+		allowed += limit
+	}
+	cl := newCluster(t, 16, list...)
+	ctx, cancel := context.WithTimeout(t.Context(), length)
+	defer cancel()
+	began := time.Now()
+	l := cl.runLoad(ctx, 30*time.Millisecond)
+	got := 0
+	for _, log := range logs {
+		got += log.mostIn(length, began.Add(settled), began.Add(length), false)
+	}
+	seconds := (length - settled).Seconds()
+	require.GreaterOrEqual(t, float64(got), 0.8*allowed*seconds, "requests; statuses %v", l.statuses)
+	require.LessOrEqual(t, float64(got), 1.1*allowed*seconds, "requests; statuses %v", l.statuses)
+	require.LessOrEqual(t, l.percentile(http.StatusOK, 0.9), objective, "time to a response")
+	require.LessOrEqual(t, l.percentile(http.StatusServiceUnavailable, 0.9), objective, "time to a refusal")
+}
+
 func TestRequestsBeyondTheLimitsOfAllTargetsAreRefusedAtOnce(t *testing.T) {
 	cl := newCluster(t, 2, target("t-1", platformtest.Behaviour{Limit: "0"}), target("t-2", platformtest.Behaviour{Limit: "0"}))
 	time.Sleep(3 * time.Second)
@@ -202,6 +244,16 @@
 	require.Eventually(t, func() bool {
 		return strings.Contains(cl.hosts[0].log.String()+cl.hosts[1].log.String(), `"reason":"all targets limit their rate"`)
 	}, time.Second, 10*time.Millisecond)
+	get := func(path string) string {
+		res, err := http.Get("http://" + cl.hosts[0].cfg.Metrics.String() + path)
+		require.NoError(t, err)
+		defer res.Body.Close()
+		data, err := io.ReadAll(res.Body)
+		require.NoError(t, err)
+		return string(data)
+	}
+	require.Contains(t, get("/metrics"), `tamarack_target_limit_per_second{target="t-1"} 0`)
+	require.Contains(t, get(entry.BurnPath), `"fault":"limited"`)
 }
 
 func TestEndOfLimitIsNoticedWithoutRequestsAndWithoutStorm(t *testing.T) {
--- a/internal/traffic/queue/capacity.go
+++ b/internal/traffic/queue/capacity.go
@@ -46,14 +46,23 @@
 // beyondLimits returns the waiting requests that the rates of the targets leave no room for
 // before their deadlines. The most urgent ones get the room.
 func (q *Queue) beyondLimits(now time.Time, c Capacity) []*Request {
+	q.dropOldStarts(now)
 	var rejected []*Request
-	kept := 0
+	kept, keptLate := 0, 0
 	for _, r := range q.Ordered(now) {
-		if now.Add(c.startAfter(kept) + r.TypicalTime).After(r.Deadline) {
+		wait, late := c.startAfter(kept), r.late(now)
+		if late {
+			// Requests that arrive later but in time go first.
+			wait = max(wait, q.lateWait(keptLate))
+		}
+		if now.Add(wait + r.TypicalTime).After(r.Deadline) {
 			rejected = append(rejected, r)
 			continue
 		}
 		kept++
+		if late {
+			keptLate++
+		}
 	}
 	return rejected
 }
--- a/internal/traffic/queue/limited_test.go
+++ b/internal/traffic/queue/limited_test.go
@@ -90,3 +90,13 @@
 		})
 	}
 }
+
+func TestLateRequestsAreNotKeptBehindOnesInTime(t *testing.T) {
+	now := time.Now()
+	q, capacity := New(), limited(0, 50*time.Millisecond, 20)
+	for range 8 {
+		_, ok := q.Add(now, &Request{Objective: now.Add(100 * time.Millisecond), Deadline: now.Add(3 * time.Second), TypicalTime: 100 * time.Millisecond}, capacity)
+		require.True(t, ok, "twenty a second start well before the deadline")
+	}
+	require.Len(t, q.Unservable(now, capacity), 5, "no late request has started lately, so one a second is assumed")
+}
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -198,8 +198,7 @@
 	var unservable []*Request
 	kept := 0
 	for _, r := range sorted(now, late) {
-		wait := rateWindow * time.Duration(kept) / time.Duration(max(1, len(q.lateStarts)))
-		if now.Add(wait + r.TypicalTime).After(r.Deadline) {
+		if now.Add(q.lateWait(kept) + r.TypicalTime).After(r.Deadline) {
 			unservable = append(unservable, r)
 			continue
 		}
@@ -208,6 +207,12 @@
 	return unservable
 }
 
+// lateWait returns the time until a late request starts that has n other late ones ahead of
+// it, at the recent rate.
+func (q *Queue) lateWait(n int) time.Duration {
+	return rateWindow * time.Duration(n) / time.Duration(max(1, len(q.lateStarts)))
+}
+
 func (q *Queue) dropOldStarts(now time.Time) {
 	q.starts = dropOld(now, q.starts)
 	q.lateStarts = dropOld(now, q.lateStarts)
