Bound the log lines and the work for limited targets

A target that names another limit in each response logged a line for each. Lines about one target are now a second apart, and the last change is always logged.

--- a/internal/traffic/dispatcher/dispatcher.go
+++ b/internal/traffic/dispatcher/dispatcher.go
@@ -91,7 +91,9 @@
 	// profilesChecked the time of the last check for changes.
 	loggedProfiles  map[string]profileSummary
 	profilesChecked time.Time
-	lastID          uint64
+	// loggedLimits holds the targets about whose rate limits a line was logged a moment ago.
+	loggedLimits map[string]*loggedLimit
+	lastID       uint64
 }
 
 // New returns a dispatcher without targets. Its goroutines run in g.
@@ -101,7 +103,7 @@
 	return &Dispatcher{
 		cfg: cfg, g: g, rng: rng, chooser: chooser, limits: chooser.Limits(), probes: budget.NewProbes(time.Now(), cfg.ProbesPerSecond),
 		snapshot: &directory.Snapshot{}, cells: map[string]*cell{}, services: map[string][]*cell{}, suspectedUntil: map[string]time.Time{},
-		pending: map[uint64]chan Message{}, remoteRequests: map[remoteKey]*remoteRequest{}, lastReceived: map[netip.AddrPort]time.Time{}, recentGrants: map[uint64]time.Time{}, loggedProfiles: map[string]profileSummary{}, lastID: rng.Uint64(),
+		pending: map[uint64]chan Message{}, remoteRequests: map[remoteKey]*remoteRequest{}, lastReceived: map[netip.AddrPort]time.Time{}, recentGrants: map[uint64]time.Time{}, loggedProfiles: map[string]profileSummary{}, loggedLimits: map[string]*loggedLimit{}, lastID: rng.Uint64(),
 	}
 }
 
--- a/internal/traffic/dispatcher/limit.go
+++ b/internal/traffic/dispatcher/limit.go
@@ -30,6 +30,8 @@
 	standbyShare = 0.4
 	// unranked is the rank of a host that is not in the ranking.
 	unranked = -1
+	// fieldLimit is the log field of a rate limit, in requests a second.
+	fieldLimit = "limit-per-second"
 	// maxToldLimits bounds the rate limits in one message, so that it fits in a datagram.
 	maxToldLimits = 12
 )
@@ -62,9 +64,8 @@
 	if d.limits.Empty() {
 		return
 	}
-	share := d.limitShare(now, c)
 	c.sharesUsed = now
-	d.limits.SetShares(now, share, func(id string) bool { return d.chooser.Group(id) == c.id.key })
+	d.chooser.SetLimitShare(now, c.id.key, d.limitShare(now, c))
 }
 
 // capacity returns what the targets of a cell can run. The caller holds the mutex.
@@ -89,7 +90,7 @@
 	if !c.Limited {
 		return nil
 	}
-	return logrus.Fields{"limit-per-second": c.Flow.PerSecond, "ready": c.Flow.Ready, "next-ms": c.Flow.Next.Milliseconds()}
+	return logrus.Fields{fieldLimit: c.Flow.PerSecond, "ready": c.Flow.Ready, "next-ms": c.Flow.Next.Milliseconds()}
 }
 
 // observeLimit records what a response says about the rate limit of its target. The caller
@@ -98,7 +99,8 @@
 	if !d.chooser.Has(id) {
 		return
 	}
-	d.logLimit(id, d.limits.Observe(now, id, o), o.PerSecond, o.Source, now.Sub(o.SentAt))
+	change := d.limits.Observe(now, id, o)
+	d.logLimit(now, id, change, logrus.Fields{fieldLimit: o.PerSecond, "source": string(o.Source), "age-ms": now.Sub(o.SentAt).Milliseconds()})
 }
 
 // observeTold records the rate limits that another host told of.
@@ -111,18 +113,54 @@
 	now := time.Now()
 	for _, t := range list {
 		if d.chooser.Has(t.Target) {
-			d.logLimit(t.Target, d.limits.ObserveTold(now, t), t.PerSecond, ratelimit.Host, t.Age)
+			change := d.limits.ObserveTold(now, t)
+			d.logLimit(now, t.Target, change, logrus.Fields{fieldLimit: t.PerSecond, "source": string(ratelimit.Host), "age-ms": t.Age.Milliseconds()})
 		}
 	}
 }
 
-func (d *Dispatcher) logLimit(id string, change ratelimit.Change, perSecond float64, source ratelimit.Source, age time.Duration) {
+// limitLogPeriod is the minimum time between two log lines about the rate limit of a target,
+// which may name another limit in each response.
+const limitLogPeriod = time.Second
+
+// loggedLimit is what was last logged of a target's rate limit. pending holds the fields of
+// a later change; nil if there was none.
+type loggedLimit struct {
+	at      time.Time
+	pending logrus.Fields
+}
+
+// logLimit logs a change of the rate limit of a target, at once or when limitLogPeriod has
+// passed since the last line about the target. The caller holds the mutex.
+func (d *Dispatcher) logLimit(now time.Time, id string, change ratelimit.Change, fields logrus.Fields) {
 	if change == ratelimit.Unchanged {
 		return
 	}
-	d.cfg.Log.WithFields(logrus.Fields{
-		"target": id, "change": change.String(), "limit-per-second": perSecond, "source": string(source), "age-ms": age.Milliseconds(),
-	}).Info("rate limit of a target")
+	logged := d.loggedLimits[id]
+	if logged == nil {
+		logged = &loggedLimit{}
+		d.loggedLimits[id] = logged
+	}
+	fields["target"], fields["change"] = id, change.String()
+	logged.pending = fields
+	d.logPendingLimit(now, logged)
+}
+
+func (d *Dispatcher) logPendingLimit(now time.Time, logged *loggedLimit) {
+	if logged.pending != nil && now.Sub(logged.at) >= limitLogPeriod {
+		d.cfg.Log.WithFields(logged.pending).Info("rate limit of a target")
+		logged.at, logged.pending = now, nil
+	}
+}
+
+// logPendingLimits logs the changes that were held back.
+func (d *Dispatcher) logPendingLimits(now time.Time) {
+	for id, logged := range d.loggedLimits {
+		d.logPendingLimit(now, logged)
+		if now.Sub(logged.at) > limitLogPeriod {
+			delete(d.loggedLimits, id)
+		}
+	}
 }
 
 // toldLimits returns the rate limits of targets of a cell to tell them to another host. The
@@ -131,7 +169,7 @@
 	if d.limits.Empty() {
 		return nil
 	}
-	return d.limits.Told(now, maxToldLimits, func(id string) bool { return d.chooser.Group(id) == c.id.key })
+	return d.chooser.ToldLimits(now, c.id.key, maxToldLimits)
 }
 
 // checkLimits probes the limited targets whose limits were not heard again for some time:
@@ -139,6 +177,7 @@
 // of cells in which it has just assigned requests. The caller holds the mutex.
 func (d *Dispatcher) checkLimits(now time.Time) {
 	d.limits.Expire(now)
+	d.logPendingLimits(now)
 	for id := range d.limits.Named() {
 		c := d.cells[d.chooser.Group(id)]
 		if c == nil {
--- a/internal/traffic/dispatcher/limit_test.go
+++ b/internal/traffic/dispatcher/limit_test.go
@@ -1,15 +1,18 @@
 package dispatcher
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
@@ -135,6 +138,18 @@
 	}
 }
 
+func TestNewDispatcherLearnsLimitsFromRequests(t *testing.T) {
+	f, list := newFleet(t, 2, 2, 3)
+	dispatcher, other := dispatcherAndOther(list)
+	other.mu.Lock()
+	other.observeLimit(time.Now(), "t-0", ratelimit.Observation{Report: namedLimit(2), SentAt: time.Now(), Source: ratelimit.Response})
+	other.mu.Unlock()
+	require.Empty(t, dispatcher.Limits())
+	grant := f.place(t, other)
+	require.Equal(t, "t-1", grant.ID, "the dispatcher has not held its rank for long")
+	require.Equal(t, map[string]float64{"t-0": 2}, dispatcher.Limits())
+}
+
 func TestHedgeIsNotSentToLimitedTarget(t *testing.T) {
 	_, list := newFleet(t, 1, 1, 3)
 	d := list[0]
@@ -272,3 +287,26 @@
 		})
 	}
 }
+
+func TestChangingLimitDoesNotFloodTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, list := newFleet(t, 1, 1, 3)
+		var buf bytes.Buffer
+		logger := logrus.New()
+		logger.SetOutput(&buf)
+		d := list[0]
+		d.cfg.Log = logrus.NewEntry(logger)
+		for n := range 500 {
+			d.mu.Lock()
+			d.observeLimit(time.Now(), "t-0", ratelimit.Observation{Report: namedLimit(float64(500 - n)), SentAt: time.Now(), Source: ratelimit.Response})
+			d.mu.Unlock()
+			time.Sleep(10 * time.Millisecond)
+			d.Tick(time.Now())
+		}
+		time.Sleep(2 * limitLogPeriod)
+		d.Tick(time.Now())
+		lines := strings.Count(buf.String(), "rate limit of a target")
+		require.LessOrEqual(t, lines, 7)
+		require.Contains(t, buf.String(), "limit-per-second=1 ", "the last change is logged")
+	})
+}
--- a/internal/traffic/dispatcher/request.go
+++ b/internal/traffic/dispatcher/request.go
@@ -6,7 +6,8 @@
 // entry host requests a target from the dispatcher, sends the request to the target itself,
 // and reports the outcome. So no request is lost when a dispatcher crashes; while it does
 // not respond, a host dispatches its own requests. Two dispatchers of one cell reduce
-// efficiency, but never safety.
+// efficiency. They do not break the rate limits that targets name for all hosts together:
+// only the first two hosts of the ranking use targets with limits, each its share (limit.go).
 //
 // # Usage
 //
--- a/internal/traffic/placement/chooser.go
+++ b/internal/traffic/placement/chooser.go
@@ -135,6 +135,29 @@
 	return flow, true
 }
 
+// SetLimitShare sets the part of the rate limits of a group's targets that this host may use.
+func (c *Chooser) SetLimitShare(now time.Time, group string, share float64) {
+	for _, t := range c.groups[group] {
+		c.limits.SetShare(now, t.spec.ID, share)
+	}
+}
+
+// ToldLimits returns up to n rate limits of a group's targets to tell them to another host.
+// If there are more, it returns different ones each time.
+func (c *Chooser) ToldLimits(now time.Time, group string, n int) []ratelimit.Told {
+	var list []ratelimit.Told
+	for _, t := range c.groups[group] {
+		if told, ok := c.limits.Told(now, t.spec.ID); ok {
+			list = append(list, told)
+		}
+	}
+	if len(list) > n {
+		c.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		list = list[:n]
+	}
+	return list
+}
+
 // countLapsed returns the number of targets whose entries lapsed.
 func countLapsed(targets []*target) int {
 	n := 0
--- a/internal/traffic/ratelimit/bucket.go
+++ b/internal/traffic/ratelimit/bucket.go
@@ -66,19 +66,17 @@
 // ended a moment ago.
 func (l *Limits) Restricted(now time.Time, id string) bool { return l.restricted(now, id) != nil }
 
-// SetShares sets the part that this host may use of the limits of all targets that satisfy
-// include.
-func (l *Limits) SetShares(now time.Time, share float64, include func(id string) bool) {
-	for id, s := range l.states {
-		if s.bucket.share == share || !include(id) {
-			continue
-		}
-		s.bucket.settle(now, s.rate(now))
-		if s.bucket.share <= 0 {
-			s.bucket.reset(now)
-		}
-		s.bucket.share = share
+// SetShare sets the part of a target's limit that this host may use.
+func (l *Limits) SetShare(now time.Time, id string, share float64) {
+	s := l.states[id]
+	if s == nil || s.bucket.share == share {
+		return
+	}
+	s.bucket.settle(now, s.rate(now))
+	if s.bucket.share <= 0 {
+		s.bucket.reset(now)
 	}
+	s.bucket.share = share
 }
 
 // HasToken reports whether this host may send a request to a target now.
--- a/internal/traffic/ratelimit/bucket_test.go
+++ b/internal/traffic/ratelimit/bucket_test.go
@@ -7,8 +7,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-func all(string) bool { return true }
-
 func name(l *Limits, ms int, perSecond float64) {
 	l.Observe(at(ms), "t", Observation{Report: Report{Kind: Named, PerSecond: perSecond}, SentAt: at(ms), Source: Probe})
 }
@@ -62,7 +60,7 @@
 			for _, share := range tt.shares {
 				l := New()
 				name(l, 0, tt.perSecond)
-				l.SetShares(at(0), share, all)
+				l.SetShare(at(0), "t", share)
 				sent := spendAll(l, 0, 10_000)
 				total += len(sent)
 				most += mostIn(sent, window)
@@ -83,16 +81,16 @@
 		// at is the time from which no request may be sent for 400 ms.
 		at int
 	}{
-		{name: "limit starts", do: func(l *Limits) { name(l, 5000, 2); l.SetShares(at(5000), 1, all) }, at: 5000},
-		{name: "share starts", do: func(l *Limits) { name(l, 0, 2); l.SetShares(at(5000), 1, all) }, at: 5000},
-		{name: "share ends", do: func(l *Limits) { name(l, 0, 2); l.SetShares(at(0), 1, all); l.SetShares(at(5000), 0, all) }, at: 5000},
+		{name: "limit starts", do: func(l *Limits) { name(l, 5000, 2); l.SetShare(at(5000), "t", 1) }, at: 5000},
+		{name: "share starts", do: func(l *Limits) { name(l, 0, 2); l.SetShare(at(5000), "t", 1) }, at: 5000},
+		{name: "share ends", do: func(l *Limits) { name(l, 0, 2); l.SetShare(at(0), "t", 1); l.SetShare(at(5000), "t", 0) }, at: 5000},
 		{name: "share ends and returns", do: func(l *Limits) {
 			name(l, 0, 2)
-			l.SetShares(at(0), 1, all)
-			l.SetShares(at(5000), 0, all)
-			l.SetShares(at(6000), 1, all)
+			l.SetShare(at(0), "t", 1)
+			l.SetShare(at(5000), "t", 0)
+			l.SetShare(at(6000), "t", 1)
 		}, at: 6000},
-		{name: "limit is lifted", do: func(l *Limits) { name(l, 0, 1); l.SetShares(at(0), 1, all); lift(l, 5000) }, at: 5000},
+		{name: "limit is lifted", do: func(l *Limits) { name(l, 0, 1); l.SetShare(at(0), "t", 1); lift(l, 5000) }, at: 5000},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -106,7 +104,7 @@
 func TestLowerLimitHasNoBurstOfTheHigherOne(t *testing.T) {
 	l := New()
 	name(l, 0, 1000)
-	l.SetShares(at(0), 1, all)
+	l.SetShare(at(0), "t", 1)
 	require.True(t, l.HasToken(at(5000), "t"))
 	name(l, 5000, 1)
 	require.LessOrEqual(t, len(spendAll(l, 5000, 9000)), 5)
@@ -115,7 +113,7 @@
 func TestRateIsRaisedStepByStepWhenLimitIsLifted(t *testing.T) {
 	l := New()
 	name(l, 0, 2)
-	l.SetShares(at(0), 1, all)
+	l.SetShare(at(0), "t", 1)
 	lift(l, 5000)
 	previous := 0
 	for from := 5000; from < 7500; from += 500 {
@@ -131,7 +129,7 @@
 	l := New()
 	name(l, 0, 2)
 	require.False(t, l.CheckDue(at(1300), "t"), "a host without a share does not check")
-	l.SetShares(at(0), 1, all)
+	l.SetShare(at(0), "t", 1)
 	checks := 0
 	for ms := 0; ms < 4000; ms += 10 {
 		if l.CheckDue(at(ms), "t") {
@@ -147,7 +145,7 @@
 func TestLimitThatProbesDoNotShowIsTriedSlowly(t *testing.T) {
 	l := New()
 	l.Observe(at(0), "t", Observation{Report: Report{Kind: Named}, SentAt: at(0), Source: Response})
-	l.SetShares(at(0), 1, all)
+	l.SetShare(at(0), "t", 1)
 	lift(l, 1300)
 	_, limited := l.Limit("t")
 	require.True(t, limited, "a probe without a limit says nothing if no probe has shown one")
@@ -194,10 +192,10 @@
 	name(l, 0, 2)
 	l.Expire(at(29_000))
 	require.False(t, l.Empty())
-	l.SetShares(at(29_000), 1, all)
+	l.SetShare(at(29_000), "t", 1)
 	l.Expire(at(60_000))
 	require.False(t, l.Empty(), "the host that checks a limit keeps it")
-	l.SetShares(at(60_000), 0, all)
+	l.SetShare(at(60_000), "t", 0)
 	l.Expire(at(60_000))
 	require.True(t, l.Empty())
 }
--- a/internal/traffic/ratelimit/limits.go
+++ b/internal/traffic/ratelimit/limits.go
@@ -20,7 +20,7 @@
 //
 //	l := ratelimit.New()
 //	change := l.Observe(now, id, ratelimit.Observation{Report: report, SentAt: sent, Source: ratelimit.Response})
-//	l.SetShares(now, 1, func(id string) bool { return ... })
+//	l.SetShare(now, id, 1)
 //	if l.HasToken(now, id) { l.Spend(now, id) }
 //	if l.CheckDue(now, id) { ... probe the target ... }
 package ratelimit
@@ -235,19 +235,14 @@
 	return change
 }
 
-// Told returns up to n limits that were heard recently and satisfy include, to tell them to
-// another host. Each call may return different ones.
-func (l *Limits) Told(now time.Time, n int, include func(id string) bool) []Told {
-	var list []Told
-	for id, s := range l.states {
-		if len(list) == n {
-			break
-		}
-		if age := now.Sub(s.heardAt); s.limited && age <= maxSharedAge && include(id) {
-			list = append(list, Told{Target: id, PerSecond: s.perSecond, Age: max(0, age)})
-		}
+// Told returns the limit of a target to tell it to another host, unless it was not heard
+// recently.
+func (l *Limits) Told(now time.Time, id string) (t Told, ok bool) {
+	s := l.states[id]
+	if s == nil || !s.limited || now.Sub(s.heardAt) > maxSharedAge {
+		return t, false
 	}
-	return list
+	return Told{Target: id, PerSecond: s.perSecond, Age: max(0, now.Sub(s.heardAt))}, true
 }
 
 // CheckDue reports whether the limit of a target should be checked by a probe now. If so,
