Expire limits that a second host neither hears nor checks

The second host of a ranking kept its share of a limit, so that its knowledge of the limit never expired and its metric showed limits that had ended.

--- a/internal/traffic/dispatcher/limit.go
+++ b/internal/traffic/dispatcher/limit.go
@@ -183,9 +183,8 @@
 		if c == nil {
 			continue
 		}
-		if c.rank == 0 {
-			d.updateShares(now, c)
-		} else if now.Sub(c.sharesUsed) > standbyCheckTime {
+		d.limits.SetShare(now, id, d.limitShare(now, c))
+		if c.rank != 0 && now.Sub(c.sharesUsed) > standbyCheckTime {
 			continue
 		}
 		if d.limits.CheckDue(now, id) && len(d.withinProbeBudget(c, []string{id})) > 0 {
--- a/internal/traffic/queue/capacity.go
+++ b/internal/traffic/queue/capacity.go
@@ -69,7 +69,7 @@
 
 // RetryAfter returns the time after which a rejected request may be retried while all
 // targets have limited rates. Requests rejected one after the other return at the rate that
-// the targets take, behind those that wait now.
+// the targets take, or minReturnRate, behind those that wait now.
 func (q *Queue) RetryAfter(now time.Time, c Capacity) time.Duration {
 	earliest := now.Add(max(minRetryAfter, min(limitedRetryAfter, c.startAfter(len(q.waiting)))))
 	at := q.lastReturn.Add(time.Duration(float64(time.Second) / max(minReturnRate, c.Flow.PerSecond)))
--- a/internal/traffic/ratelimit/limits.go
+++ b/internal/traffic/ratelimit/limits.go
@@ -262,15 +262,15 @@
 	l.states[id] = &state{endedAt: now}
 }
 
-// Expire drops what is known of limits that were lifted long ago, and of limits that this
-// host does not check and has not heard for long.
+// Expire drops what is known of limits that were lifted long ago, and of limits that were not
+// heard for long, unless this host is the one that uses and checks them.
 func (l *Limits) Expire(now time.Time) {
 	for id, s := range l.states {
 		last := s.heardAt
 		if !s.limited {
 			last = s.endedAt
 		}
-		if now.Sub(last) > forgetAge && (!s.limited || s.bucket.share <= 0) {
+		if now.Sub(last) > forgetAge && (!s.limited || s.bucket.share < 1) {
 			delete(l.states, id)
 		}
 	}
