Read the health path of a cell under the lock

A probe read the path while a new view of the fleet replaced it (found by the race detector in TestTargetGetsNoMoreRequests..., 8 of 8 cases; none after the change). A torn read of a string can end the process.

--- a/internal/traffic/dispatcher/cell.go
+++ b/internal/traffic/dispatcher/cell.go
@@ -333,11 +333,14 @@
 	if len(ids) == 0 {
 		return false
 	}
+	d.mu.Lock()
+	healthPath := c.healthPath
+	d.mu.Unlock()
 	responded := make(chan struct{}, len(ids))
 	for _, id := range ids {
 		d.g.Go("ask", func(ctx context.Context) error {
 			sent := time.Now()
-			report, err := d.cfg.Prober.Probe(ctx, id, c.healthPath)
+			report, err := d.cfg.Prober.Probe(ctx, id, healthPath)
 			d.recordProbe(id, sent, report, err)
 			responded <- struct{}{}
 			return nil
