Probe limited targets where the probe decides

A limited target was probed only to check its limit when nothing else had been heard, so requests went to it by reports that were up to a second old. The same number of probes, one in 1.2 s by the host that uses the limit in full, is now sent where a request is about to be placed.

--- a/internal/traffic/dispatcher/cell.go
+++ b/internal/traffic/dispatcher/cell.go
@@ -321,6 +321,7 @@
 		if !d.probes.Spend(now, id, c.probeDivisor) {
 			return true
 		}
+		d.limits.RecordProbe(now, id)
 		d.cfg.OnProbe(c.id.service)
 		return false
 	})
--- a/internal/traffic/placement/chooser.go
+++ b/internal/traffic/placement/chooser.go
@@ -220,11 +220,9 @@
 	return !r.SpareLimited && c.limits.HasToken(now, t.spec.ID)
 }
 
-// mayProbe reports whether load probes may be sent to a target. One that names a rate limit
-// gets none beyond those that check its limit.
-func (c *Chooser) mayProbe(t *target) bool {
-	_, limited := c.limits.Limit(t.spec.ID)
-	return t.profile.ReportsLoad() && !limited
+// mayProbe reports whether a load probe may be sent to a target.
+func (c *Chooser) mayProbe(now time.Time, t *target) bool {
+	return t.profile.ReportsLoad() && c.limits.MayProbe(now, t.spec.ID)
 }
 
 // ProbeCandidates returns up to n targets to probe before an attempt, in random order. It
@@ -234,7 +232,7 @@
 func (c *Chooser) ProbeCandidates(now time.Time, group string, r Request, n int) []string {
 	var near, far []string
 	for _, t := range c.shuffled(c.candidates(now, group, r)) {
-		if now.Sub(t.reportedAt) < c.cfg.FreshAge || !c.mayProbe(t) {
+		if now.Sub(t.reportedAt) < c.cfg.FreshAge || !c.mayProbe(now, t) {
 			continue
 		}
 		if t.spec.Domain == r.Domain {
@@ -251,7 +249,7 @@
 // PollCandidates returns up to n targets to probe while requests wait: those with the
 // oldest load reports.
 func (c *Chooser) PollCandidates(now time.Time, group string, n int) []string {
-	list := slices.DeleteFunc(c.candidates(now, group, Request{}), func(t *target) bool { return !c.mayProbe(t) })
+	list := slices.DeleteFunc(c.candidates(now, group, Request{}), func(t *target) bool { return !c.mayProbe(now, t) })
 	slices.SortFunc(list, func(a, b *target) int { return a.reportedAt.Compare(b.reportedAt) })
 	ids := make([]string, 0, n)
 	for _, t := range list {
--- a/internal/traffic/ratelimit/bucket_test.go
+++ b/internal/traffic/ratelimit/bucket_test.go
@@ -133,6 +133,7 @@
 	checks := 0
 	for ms := 0; ms < 4000; ms += 10 {
 		if l.CheckDue(at(ms), "t") {
+			l.RecordProbe(at(ms), "t")
 			checks++
 		}
 	}
@@ -141,6 +142,35 @@
 	require.False(t, l.CheckDue(at(5000), "t"))
 }
 
+func TestLimitedTargetIsProbedRarelyAndByOneHost(t *testing.T) {
+	tests := []struct {
+		name  string
+		share float64
+		want  int
+	}{
+		{name: "host that uses the limit in full", share: 1, want: 4},
+		{name: "second host of the ranking", share: standby},
+		{name: "other hosts"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := New()
+			require.True(t, l.MayProbe(at(0), "t"))
+			name(l, 0, 100)
+			l.SetShare(at(0), "t", tt.share)
+			probes := 0
+			for ms := 0; ms < 4000; ms += 10 {
+				name(l, ms, 100)
+				if l.MayProbe(at(ms), "t") {
+					l.RecordProbe(at(ms), "t")
+					probes++
+				}
+			}
+			require.Equal(t, tt.want, probes)
+		})
+	}
+}
+
 // Responses to requests are the only evidence then, and a limit of zero allows none.
 func TestLimitThatProbesDoNotShowIsTriedSlowly(t *testing.T) {
 	l := New()
--- a/internal/traffic/ratelimit/limits.go
+++ b/internal/traffic/ratelimit/limits.go
@@ -22,7 +22,7 @@
 //	change := l.Observe(now, id, ratelimit.Observation{Report: report, SentAt: sent, Source: ratelimit.Response})
 //	l.SetShare(now, id, 1)
 //	if l.HasToken(now, id) { l.Spend(now, id) }
-//	if l.CheckDue(now, id) { ... probe the target ... }
+//	if l.CheckDue(now, id) { l.RecordProbe(now, id); ... probe the target ... }
 package ratelimit
 
 // This file defines Limits and how it learns of the limits of targets.
@@ -34,7 +34,8 @@
 
 const (
 	// checkPeriod is the time after which a limit that was not heard again is checked by a
-	// probe. Four checks fit into four seconds, which even a limit of zero bears.
+	// probe, and the minimum time between two probes of a limited target. Four probes fit
+	// into four seconds, which even a limit of zero bears.
 	checkPeriod = 1200 * time.Millisecond
 	// trialAge is the age of a limit from which requests are sent at trialPerSecond if
 	// probes do not show the limit, since then only a response to a request can lift it.
@@ -129,8 +130,9 @@
 	// shownByProbes reports whether a probe has shown the limit, so that one without it
 	// shows that it was lifted.
 	shownByProbes bool
-	checkedAt     time.Time
-	bucket        bucket
+	// probedAt is the time of the last probe that this host sent.
+	probedAt time.Time
+	bucket   bucket
 }
 
 // Limits holds the limits of all targets, as one host knows them.
@@ -245,15 +247,25 @@
 	return Told{Target: id, PerSecond: s.perSecond, Age: max(0, now.Sub(s.heardAt))}, true
 }
 
-// CheckDue reports whether the limit of a target should be checked by a probe now. If so,
-// the check counts as made.
+// CheckDue reports whether the limit of a target should be checked by a probe now.
 func (l *Limits) CheckDue(now time.Time, id string) bool {
 	s := l.states[id]
-	if s == nil || !s.limited || s.bucket.share <= 0 || now.Sub(s.heardAt) < checkPeriod || now.Sub(s.checkedAt) < checkPeriod {
-		return false
+	return s != nil && s.limited && s.bucket.share > 0 && now.Sub(s.heardAt) >= checkPeriod && now.Sub(s.probedAt) >= checkPeriod
+}
+
+// MayProbe reports whether a target may be probed for its load now. One that names a limit
+// is probed only by the host that uses it in full, and only as often as its limit is
+// checked.
+func (l *Limits) MayProbe(now time.Time, id string) bool {
+	s := l.states[id]
+	return s == nil || !s.limited || s.bucket.share >= 1 && now.Sub(s.probedAt) >= checkPeriod
+}
+
+// RecordProbe records that a target is probed.
+func (l *Limits) RecordProbe(now time.Time, id string) {
+	if s := l.states[id]; s != nil {
+		s.probedAt = now
 	}
-	s.checkedAt = now
-	return true
 }
 
 // Forget drops the limit of a target that restarted. What other hosts heard before does not
