--- a/internal/process/entry/limit_test.go
+++ b/internal/process/entry/limit_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -244,16 +243,8 @@
 	require.Eventually(t, func() bool {
 		return strings.Contains(cl.hosts[0].log.String()+cl.hosts[1].log.String(), `"reason":"all targets limit their rate"`)
 	}, time.Second, 10*time.Millisecond)
-	get := func(path string) string {
-		res, err := http.Get("http://" + cl.hosts[0].cfg.Metrics.String() + path)
-		require.NoError(t, err)
-		defer res.Body.Close()
-		data, err := io.ReadAll(res.Body)
-		require.NoError(t, err)
-		return string(data)
-	}
-	require.Contains(t, get("/metrics"), `tamarack_target_limit_per_second{target="t-1"} 0`)
-	require.Contains(t, get(entry.BurnPath), `"fault":"limited"`)
+	require.Contains(t, string(cl.metrics(cl.hosts[0], "/metrics")), `tamarack_target_limit_per_second{target="t-1"} 0`)
+	require.Contains(t, string(cl.metrics(cl.hosts[0], entry.BurnPath)), `"fault":"limited"`)
 }
 
 func TestEndOfLimitIsNoticedWithoutRequestsAndWithoutStorm(t *testing.T) {
--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -183,6 +183,17 @@
 	return response{status: res.StatusCode, body: string(data), header: res.Header}, err
 }
 
+// metrics returns what a host serves on its metrics address.
+func (cl *cluster) metrics(h *host, path string) []byte {
+	cl.t.Helper()
+	res, err := http.Get("http://" + h.cfg.Metrics.String() + path)
+	require.NoError(cl.t, err)
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	require.NoError(cl.t, err)
+	return data
+}
+
 func (cl *cluster) runCount(id string) int {
 	n := 0
 	for _, target := range cl.targets {
@@ -260,6 +271,11 @@
 // One target serves, fails, drops responses and sheds load in turn. The log, the metrics
 // and the burn rate report must agree on the outcomes.
 func TestReportMetricsAndLogAgree(t *testing.T) {
+	// The weights of causes decay at each full minute of the wall clock.
+	const needed = 10 * time.Second
+	if left := time.Minute - time.Duration(time.Now().Second())*time.Second; left < needed {
+		time.Sleep(left)
+	}
 	cl := newCluster(t, 1, target("t-1", platformtest.Behaviour{}))
 	h := cl.hosts[0]
 	for round, b := range []platformtest.Behaviour{{}, {Fail: true}, {DropResponses: true}, {Shed: true}, {}} {
@@ -269,16 +285,8 @@
 			require.NoError(t, err)
 		}
 	}
-	get := func(path string) []byte {
-		res, err := http.Get("http://" + h.cfg.Metrics.String() + path)
-		require.NoError(t, err)
-		defer res.Body.Close()
-		data, err := io.ReadAll(res.Body)
-		require.NoError(t, err)
-		return data
-	}
 	counted := map[string]int{}
-	for _, m := range regexp.MustCompile(`tamarack_entry_requests_total\{outcome="([a-z-]+)".*\} (\d+)`).FindAllStringSubmatch(string(get("/metrics")), -1) {
+	for _, m := range regexp.MustCompile(`tamarack_entry_requests_total\{outcome="([a-z-]+)".*\} (\d+)`).FindAllStringSubmatch(string(cl.metrics(h, "/metrics")), -1) {
 		n, err := strconv.Atoi(m[2])
 		require.NoError(t, err)
 		counted[m[1]] += n
@@ -295,7 +303,7 @@
 	require.Equal(t, 5, counted["denied"])
 
 	var r burn.Report
-	require.NoError(t, json.Unmarshal(get(entry.BurnPath), &r))
+	require.NoError(t, json.Unmarshal(cl.metrics(h, entry.BurnPath), &r))
 	require.Len(t, r.Services, 1)
 	w := r.Services[0].Windows[0]
 	require.EqualValues(t, counted["served"], w.Good)
