Let the tests of crash tracking wait for other goroutines

The race detector reported two tests of traffic/entry: they read counters and maps after sleeps in virtual time, which order nothing. They now wait for the other goroutines, and count messages atomically; what they check is unchanged.

--- a/internal/traffic/entry/crash_test.go
+++ b/internal/traffic/entry/crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,13 +19,13 @@
 )
 
 // newHosts returns the crash trackers of n hosts that send each other evidence.
-func newHosts(t *testing.T, n int) (hosts []*CrashTracker, sent *int) {
+func newHosts(t *testing.T, n int) (hosts []*CrashTracker, sent *atomic.Int64) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	g := group.New(context.Background())
 	t.Cleanup(func() { _ = g.Stop() })
 	fleet, byAddress := map[string]directory.Host{}, map[netip.AddrPort]*CrashTracker{}
-	sent = new(int)
+	sent = new(atomic.Int64)
 	for i := range n {
 		name := fmt.Sprintf("host-%d", i)
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 256), byte(i)}), 80)
@@ -32,7 +33,7 @@
 		c := NewCrashTracker(CrashTrackerConfig{
 			Self: name, Hosts: func() map[string]directory.Host { return fleet }, Log: logrus.NewEntry(log),
 			Send: func(to netip.AddrPort, e crash.Evidence) {
-				*sent++
+				sent.Add(1)
 				byAddress[to].HandleEvidence(e)
 			},
 		}, g)
@@ -50,6 +51,7 @@
 			hosts[i].report(crash.Evidence{Kind: crash.TargetCrashed, Fingerprint: 7, Target: target})
 		}
 		time.Sleep(2 * blockDelay)
+		synctest.Wait()
 		coordinator, _ := hosts[0].coordinator(7)
 		for _, c := range hosts {
 			if c.cfg.Self == coordinator.Name {
@@ -58,6 +60,7 @@
 			clear(c.blocked)
 			c.report(crash.Evidence{Kind: crash.TargetCrashed, Fingerprint: 7, Target: "d"})
 			time.Sleep(time.Millisecond)
+			synctest.Wait()
 			require.Contains(t, c.blocked, uint64(7))
 		}
 	})
@@ -87,12 +90,14 @@
 					hosts[i].watchForSuccess(poison)
 					hosts[i].report(crash.Evidence{Kind: crash.TargetCrashed, Fingerprint: poison, Target: target})
 				}
-				require.LessOrEqual(t, *sent, len(tt.crashes), "a crash costs one message")
+				require.LessOrEqual(t, int(sent.Load()), len(tt.crashes), "a crash costs one message")
 				time.Sleep(blockDelay / 2)
+				synctest.Wait()
 				if tt.clearedBy >= 0 {
 					hosts[tt.clearedBy].recordSuccess(poison)
 				}
 				time.Sleep(blockDelay)
+				synctest.Wait()
 				for _, c := range hosts {
 					require.Equal(t, tt.blocks, c.numBlocked.Load() == 1)
 				}
