Use a part of the limits while a cell moves to another host

For 2.5 s after a cell had moved, nobody sent to limited targets: the new first host had not held its rank for long, nor had the former one as the second. If all targets of a service have limits, all callers are refused for that time.

A host that has been one of the first two of the ranking for that long now uses 0.4 of the limits, whichever of the two it is. At most two hosts are among the first two at one time, so the bound of 1.4 times the limit holds as before.

--- a/internal/traffic/dispatcher/cell.go
+++ b/internal/traffic/dispatcher/cell.go
@@ -47,9 +47,10 @@
 	// probeDivisor is the number by which the probe budget is divided to get the share of
 	// this host.
 	probeDivisor float64
-	// rank is the position of this host in the ranking since rankSince.
-	rank      int
-	rankSince time.Time
+	// rank is the position of this host in the ranking since rankSince. It is one of the first
+	// two since topSince.
+	rank                int
+	rankSince, topSince time.Time
 	// sharesUsed is the time at which this host last assigned a request, while targets had
 	// limited rates.
 	sharesUsed time.Time
--- a/internal/traffic/dispatcher/limit.go
+++ b/internal/traffic/dispatcher/limit.go
@@ -4,12 +4,13 @@
 // together.
 //
 // Only the first two hosts of a cell's ranking use the limits of its targets: the first one
-// in full, the second one for requests of hosts that cannot reach the first. Views of the
-// fleet differ for a moment, so a host uses limits only after it has held its rank for
-// rankSettleTime, which exceeds the age up to which a view counts as up to date: by then the
-// host that held the rank before knows of the change, or knows that its view is old and uses
-// only a part. So at most one host uses the full limit, and two together stay below the
-// tolerance of targets.
+// in full, the second one in part, for requests of hosts that cannot reach the first. Views of
+// the fleet differ for a moment, so a host uses limits in full only after it has been the
+// first for rankSettleTime, and in part after it has been one of the first two for so long.
+// That time exceeds the age up to which a view counts as up to date: by then the host that
+// held the rank before knows of the change, or knows that its view is old and uses only a
+// part. So at most one host uses the full limit, and two together stay below the tolerance
+// of targets.
 
 import (
 	"context"
@@ -23,10 +24,10 @@
 
 const (
 	// rankSettleTime is the time for which a host holds its rank in a cell before it uses
-	// the rate limits of targets.
+	// the rate limits of targets accordingly.
 	rankSettleTime = 2500 * time.Millisecond
 	// standbyShare is the share of a limit that a host uses which may not be the only one:
-	// the second host of the ranking, and the first one while its view is old.
+	// the second host of the ranking, and the first one at first and while its view is old.
 	standbyShare = 0.4
 	// unranked is the rank of a host that is not in the ranking.
 	unranked = -1
@@ -38,21 +39,28 @@
 
 // setRank sets the position of this host in the ranking.
 func (c *cell) setRank(now time.Time, rank int) {
-	if c.rank != rank {
-		c.rank, c.rankSince = rank, now
+	if c.rank == rank {
+		return
+	}
+	if !c.isTop() {
+		c.topSince = now
 	}
+	c.rank, c.rankSince = rank, now
 }
 
+// isTop reports whether this host is one of the first two of the ranking.
+func (c *cell) isTop() bool { return c.rank == 0 || c.rank == 1 }
+
 // limitShare returns the part of the rate limits of a cell's targets that this host may use.
 // The caller holds the mutex.
 func (d *Dispatcher) limitShare(now time.Time, c *cell) float64 {
 	fresh := d.cfg.Fresh == nil || d.cfg.Fresh(now)
+	settledFirst := c.rank == 0 && now.Sub(c.rankSince) >= rankSettleTime
+	settledTop := c.isTop() && now.Sub(c.topSince) >= rankSettleTime
 	switch {
-	case now.Sub(c.rankSince) < rankSettleTime:
-		return 0
-	case c.rank == 0 && fresh:
+	case settledFirst && fresh:
 		return 1
-	case c.rank == 0, c.rank == 1 && fresh:
+	case settledFirst, settledTop && fresh:
 		return standbyShare
 	}
 	return 0
--- a/internal/traffic/dispatcher/limit_test.go
+++ b/internal/traffic/dispatcher/limit_test.go
@@ -33,19 +33,25 @@
 	defer d.mu.Unlock()
 	for _, c := range d.cells {
 		c.rankSince = time.Now().Add(-time.Hour)
+		c.topSince = c.rankSince
 	}
 }
 
 func TestAtMostOneHostUsesFullLimit(t *testing.T) {
 	tests := []struct {
-		name  string
-		rank  int
-		held  time.Duration
-		fresh bool
-		want  float64
+		name string
+		rank int
+		// held is the time for which the host has held its rank, and top that for which it
+		// has been one of the first two; zero if it is the same.
+		held, top time.Duration
+		fresh     bool
+		want      float64
 	}{
 		{name: "first", rank: 0, held: time.Hour, fresh: true, want: 1},
 		{name: "first, just now", rank: 0, held: rankSettleTime / 2, fresh: true},
+		{name: "first, second before", rank: 0, held: rankSettleTime / 2, top: time.Hour, fresh: true, want: standbyShare},
+		{name: "first, second before, by an old view", rank: 0, held: rankSettleTime / 2, top: time.Hour},
+		{name: "second, first before", rank: 1, held: rankSettleTime / 2, top: time.Hour, fresh: true, want: standbyShare},
 		{name: "first by an old view", rank: 0, held: time.Hour, want: standbyShare},
 		{name: "second", rank: 1, held: time.Hour, fresh: true, want: standbyShare},
 		{name: "second, just now", rank: 1, held: rankSettleTime / 2, fresh: true},
@@ -57,7 +63,8 @@
 		t.Run(tt.name, func(t *testing.T) {
 			now := time.Now()
 			d := &Dispatcher{cfg: Config{Fresh: func(time.Time) bool { return tt.fresh }}}
-			require.Equal(t, tt.want, d.limitShare(now, &cell{rank: tt.rank, rankSince: now.Add(-tt.held)}))
+			c := &cell{rank: tt.rank, rankSince: now.Add(-tt.held), topSince: now.Add(-max(tt.held, tt.top))}
+			require.Equal(t, tt.want, d.limitShare(now, c))
 		})
 	}
 }
