--- a/internal/traffic/dispatcher/limit.go
+++ b/internal/traffic/dispatcher/limit.go
@@ -33,8 +33,8 @@
 	unranked = -1
 	// fieldLimit is the log field of a rate limit, in requests a second.
 	fieldLimit = "limit-per-second"
-	// maxToldLimits bounds the rate limits in one message, so that it fits in a datagram.
-	maxToldLimits = 12
+	// maxAnnouncedLimits bounds the rate limits in one message, so that it fits in a datagram.
+	maxAnnouncedLimits = 12
 )
 
 // setRank sets the position of this host in the ranking.
@@ -111,18 +111,18 @@
 	d.logLimit(now, id, change, logrus.Fields{fieldLimit: o.PerSecond, "source": string(o.Source), "age-ms": now.Sub(o.SentAt).Milliseconds()})
 }
 
-// observeTold records the rate limits that another host told of.
-func (d *Dispatcher) observeTold(list []ratelimit.Told) {
+// observeAnnouncements records the rate limits that another host announced.
+func (d *Dispatcher) observeAnnouncements(list []ratelimit.Announcement) {
 	if len(list) == 0 {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	for _, t := range list {
-		if d.chooser.Has(t.Target) {
-			change := d.limits.ObserveTold(now, t)
-			d.logLimit(now, t.Target, change, logrus.Fields{fieldLimit: t.PerSecond, "source": string(ratelimit.Host), "age-ms": t.Age.Milliseconds()})
+	for _, a := range list {
+		if d.chooser.Has(a.Target) {
+			change := d.limits.ObserveAnnouncement(now, a)
+			d.logLimit(now, a.Target, change, logrus.Fields{fieldLimit: a.PerSecond, "source": string(ratelimit.Host), "age-ms": a.Age.Milliseconds()})
 		}
 	}
 }
@@ -171,13 +171,13 @@
 	}
 }
 
-// toldLimits returns the rate limits of targets of a cell to tell them to another host. The
-// caller holds the mutex.
-func (d *Dispatcher) toldLimits(now time.Time, c *cell) []ratelimit.Told {
+// announcedLimits returns the rate limits of targets of a cell to announce them to another
+// host. The caller holds the mutex.
+func (d *Dispatcher) announcedLimits(now time.Time, c *cell) []ratelimit.Announcement {
 	if d.limits.Empty() {
 		return nil
 	}
-	return d.chooser.ToldLimits(now, c.id.key, maxToldLimits)
+	return d.chooser.AnnouncedLimits(now, c.id.key, maxAnnouncedLimits)
 }
 
 // checkLimits probes the limited targets whose limits were not heard again for some time:
--- a/internal/traffic/dispatcher/limit_test.go
+++ b/internal/traffic/dispatcher/limit_test.go
@@ -197,8 +197,8 @@
 
 func TestInvalidLimitsOfOtherHostsHaveNoEffect(t *testing.T) {
 	_, list := newFleet(t, 1, 1, 3)
-	for _, told := range []ratelimit.Told{{Target: "t-0", PerSecond: -1}, {Target: "t-0", PerSecond: 1, Age: -time.Second}, {Target: "t-9", PerSecond: 1}, {}} {
-		list[0].Receive(netip.MustParseAddrPort("10.0.0.9:7200"), Message{Kind: kindRequest, Limits: []ratelimit.Told{told}})
+	for _, announced := range []ratelimit.Announcement{{Target: "t-0", PerSecond: -1}, {Target: "t-0", PerSecond: 1, Age: -time.Second}, {Target: "t-9", PerSecond: 1}, {}} {
+		list[0].Receive(netip.MustParseAddrPort("10.0.0.9:7200"), Message{Kind: kindRequest, Limits: []ratelimit.Announcement{announced}})
 	}
 	require.Empty(t, list[0].Limits())
 }
--- a/internal/traffic/dispatcher/receive_test.go
+++ b/internal/traffic/dispatcher/receive_test.go
@@ -31,7 +31,7 @@
 		Target: text(), ServiceTime: duration(), QueueTime: duration(), Load: load, LoadKnown: rng.IntN(2) == 0, Age: duration(), RetryAfter: duration(),
 		Concurrency: number(), Slots: number(), UncontendedTime: duration(), Result: placement.Result(number()), Gone: rng.IntN(2) == 0, Redirected: rng.IntN(2) == 0,
 		Loads:  []CellLoad{{Cell: text(), Utilization: number(), Waiting: number(), Age: duration()}},
-		Limits: []ratelimit.Told{{Target: text(), PerSecond: fraction(), Age: duration()}},
+		Limits: []ratelimit.Announcement{{Target: text(), PerSecond: fraction(), Age: duration()}},
 		Limit:  ratelimit.Report{Kind: ratelimit.Kind(rng.IntN(4)), PerSecond: fraction()},
 	}
 	if rng.IntN(2) == 0 {
--- a/internal/traffic/dispatcher/remote.go
+++ b/internal/traffic/dispatcher/remote.go
@@ -70,7 +70,7 @@
 		select {
 		case m := <-responses:
 			d.updateLoads(m.Loads)
-			d.observeTold(m.Limits)
+			d.observeAnnouncements(m.Limits)
 			switch m.Kind {
 			default:
 				return Grant{}, errors.Wrapf(errUnreachable, "unexpected message kind %d", m.Kind)
@@ -114,7 +114,7 @@
 	now := time.Now()
 	m := req.message(now, id, c.id.key)
 	d.mu.Lock()
-	m.Limits = d.toldLimits(now, c)
+	m.Limits = d.announcedLimits(now, c)
 	d.mu.Unlock()
 	d.send(host.PeerAddress, m)
 }
@@ -245,7 +245,7 @@
 func (d *Dispatcher) handleRequest(from netip.AddrPort, m *Message) {
 	now := time.Now()
 	key := remoteKey{from: from, id: m.ID}
-	d.observeTold(m.Limits)
+	d.observeAnnouncements(m.Limits)
 	d.mu.Lock()
 	c := d.cells[m.Cell]
 	if c == nil || c.targets == 0 || d.draining.Load() {
@@ -275,7 +275,7 @@
 func (d *Dispatcher) reply(to netip.AddrPort, id uint64, r *remoteRequest, res response) {
 	now := time.Now()
 	d.measure(now, r.cell)
-	m := Message{ID: id, Loads: d.leastLoaded(now, r.cell.id.service), Limits: d.toldLimits(now, r.cell)}
+	m := Message{ID: id, Loads: d.leastLoaded(now, r.cell.id.service), Limits: d.announcedLimits(now, r.cell)}
 	switch {
 	case res.redirect != nil:
 		m.Kind, m.Cell = kindRedirect, res.redirect.id.key
--- a/internal/traffic/dispatcher/request.go
+++ b/internal/traffic/dispatcher/request.go
@@ -176,7 +176,7 @@
 	RateLimited bool `cbor:"32,keyasint,omitempty"`
 	// Limits holds the rate limits of targets of the cell that the sender knows, in requests
 	// and responses.
-	Limits []ratelimit.Told `cbor:"33,keyasint,omitempty"`
+	Limits []ratelimit.Announcement `cbor:"33,keyasint,omitempty"`
 
 	// Evidence is set only in messages of kindEvidence.
 	Evidence *crash.Evidence `cbor:"26,keyasint,omitempty"`
--- a/internal/traffic/placement/chooser.go
+++ b/internal/traffic/placement/chooser.go
@@ -142,13 +142,13 @@
 	}
 }
 
-// ToldLimits returns up to n rate limits of a group's targets to tell them to another host.
-// If there are more, it returns different ones each time.
-func (c *Chooser) ToldLimits(now time.Time, group string, n int) []ratelimit.Told {
-	var list []ratelimit.Told
+// AnnouncedLimits returns up to n rate limits of a group's targets to announce them to another
+// host. If there are more, it returns different ones each time.
+func (c *Chooser) AnnouncedLimits(now time.Time, group string, n int) []ratelimit.Announcement {
+	var list []ratelimit.Announcement
 	for _, t := range c.groups[group] {
-		if told, ok := c.limits.Told(now, t.spec.ID); ok {
-			list = append(list, told)
+		if a, ok := c.limits.Announcement(now, t.spec.ID); ok {
+			list = append(list, a)
 		}
 	}
 	if len(list) > n {
--- a/internal/traffic/ratelimit/bucket_test.go
+++ b/internal/traffic/ratelimit/bucket_test.go
@@ -188,22 +188,22 @@
 	require.False(t, limited)
 }
 
-func TestOldLimitsToldByOtherHostsHaveNoEffect(t *testing.T) {
+func TestOldAnnouncementsHaveNoEffect(t *testing.T) {
 	tests := []struct {
-		name string
-		do   func(l *Limits)
-		told Told
-		at   int
-		want Change
+		name      string
+		do        func(l *Limits)
+		announced Announcement
+		at        int
+		want      Change
 	}{
-		{name: "unknown before", told: Told{PerSecond: 3, Age: time.Second}, at: 5000, want: Started},
-		{name: "too old", told: Told{PerSecond: 3, Age: time.Minute}, at: 5000},
-		{name: "invalid age", told: Told{PerSecond: 3, Age: -time.Second}, at: 5000},
-		{name: "invalid limit", told: Told{PerSecond: -3}, at: 5000},
-		{name: "newer than the known one", do: func(l *Limits) { name(l, 1000, 2) }, told: Told{PerSecond: 3, Age: time.Second}, at: 5000, want: Changed},
-		{name: "older than the known one", do: func(l *Limits) { name(l, 4500, 2) }, told: Told{PerSecond: 3, Age: time.Second}, at: 5000},
-		{name: "heard before it was lifted", do: func(l *Limits) { name(l, 1000, 2); lift(l, 4500) }, told: Told{PerSecond: 2, Age: time.Second}, at: 5000},
-		{name: "heard before the target restarted", do: func(l *Limits) { l.Forget(at(4500), "t") }, told: Told{PerSecond: 2, Age: time.Second}, at: 5000},
+		{name: "unknown before", announced: Announcement{PerSecond: 3, Age: time.Second}, at: 5000, want: Started},
+		{name: "too old", announced: Announcement{PerSecond: 3, Age: time.Minute}, at: 5000},
+		{name: "invalid age", announced: Announcement{PerSecond: 3, Age: -time.Second}, at: 5000},
+		{name: "invalid limit", announced: Announcement{PerSecond: -3}, at: 5000},
+		{name: "newer than the known one", do: func(l *Limits) { name(l, 1000, 2) }, announced: Announcement{PerSecond: 3, Age: time.Second}, at: 5000, want: Changed},
+		{name: "older than the known one", do: func(l *Limits) { name(l, 4500, 2) }, announced: Announcement{PerSecond: 3, Age: time.Second}, at: 5000},
+		{name: "heard before it was lifted", do: func(l *Limits) { name(l, 1000, 2); lift(l, 4500) }, announced: Announcement{PerSecond: 2, Age: time.Second}, at: 5000},
+		{name: "heard before the target restarted", do: func(l *Limits) { l.Forget(at(4500), "t") }, announced: Announcement{PerSecond: 2, Age: time.Second}, at: 5000},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -211,8 +211,8 @@
 			if tt.do != nil {
 				tt.do(l)
 			}
-			tt.told.Target = "t"
-			require.Equal(t, tt.want, l.ObserveTold(at(tt.at), tt.told))
+			tt.announced.Target = "t"
+			require.Equal(t, tt.want, l.ObserveAnnouncement(at(tt.at), tt.announced))
 		})
 	}
 }
--- a/internal/traffic/ratelimit/limits.go
+++ b/internal/traffic/ratelimit/limits.go
@@ -41,11 +41,11 @@
 	// probes do not show the limit, since then only a response to a request can lift it.
 	trialAge       = 4 * time.Second
 	trialPerSecond = 0.25
-	// hostTolerance covers the transit time of a message that tells of a limit.
+	// hostTolerance covers the transit time of an announcement.
 	hostTolerance = 200 * time.Millisecond
-	// maxSharedAge is the age up to which a limit is told to other hosts, and up to which
-	// one told by another host is used.
-	maxSharedAge = 5 * time.Second
+	// maxAnnouncedAge is the age up to which a limit is announced to other hosts, and up to
+	// which an announcement is used.
+	maxAnnouncedAge = 5 * time.Second
 	// forgetAge is the age at which a limit is dropped on a host that does not check it.
 	forgetAge = 30 * time.Second
 )
@@ -97,8 +97,8 @@
 	Source Source
 }
 
-// Told is a limit as hosts tell it to each other.
-type Told struct {
+// Announcement is a limit as hosts announce it to each other.
+type Announcement struct {
 	Target    string  `cbor:"1,keyasint"`
 	PerSecond float64 `cbor:"2,keyasint,omitempty"`
 	// Age is the time since the limit was heard.
@@ -182,17 +182,17 @@
 	return s.name(now, now, o)
 }
 
-// ObserveTold applies a limit that another host told of.
-func (l *Limits) ObserveTold(now time.Time, t Told) Change {
-	o := Observation{Report: Report{Kind: Named, PerSecond: t.PerSecond}, Source: Host}
-	heardAt := now.Add(-t.Age)
-	if t.Age < 0 || t.Age > maxSharedAge || !o.valid() {
+// ObserveAnnouncement applies a limit that another host announced.
+func (l *Limits) ObserveAnnouncement(now time.Time, a Announcement) Change {
+	o := Observation{Report: Report{Kind: Named, PerSecond: a.PerSecond}, Source: Host}
+	heardAt := now.Add(-a.Age)
+	if a.Age < 0 || a.Age > maxAnnouncedAge || !o.valid() {
 		return Unchanged
 	}
-	s := l.states[t.Target]
+	s := l.states[a.Target]
 	if s == nil {
 		s = &state{}
-		l.states[t.Target] = s
+		l.states[a.Target] = s
 	}
 	if !s.limited && heardAt.Before(s.endedAt.Add(hostTolerance)) || s.limited && heardAt.Before(s.heardAt.Add(hostTolerance)) {
 		return Unchanged
@@ -237,14 +237,14 @@
 	return change
 }
 
-// Told returns the limit of a target to tell it to another host, unless it was not heard
-// recently.
-func (l *Limits) Told(now time.Time, id string) (t Told, ok bool) {
+// Announcement returns the limit of a target to announce it to another host, unless it was not
+// heard recently.
+func (l *Limits) Announcement(now time.Time, id string) (a Announcement, ok bool) {
 	s := l.states[id]
-	if s == nil || !s.limited || now.Sub(s.heardAt) > maxSharedAge {
-		return t, false
+	if s == nil || !s.limited || now.Sub(s.heardAt) > maxAnnouncedAge {
+		return a, false
 	}
-	return Told{Target: id, PerSecond: s.perSecond, Age: max(0, now.Sub(s.heardAt))}, true
+	return Announcement{Target: id, PerSecond: s.perSecond, Age: max(0, now.Sub(s.heardAt))}, true
 }
 
 // CheckDue reports whether the limit of a target should be checked by a probe now.
