--- a/internal/traffic/queue/capacity.go
+++ b/internal/traffic/queue/capacity.go
@@ -39,7 +39,7 @@
 	case c.Flow.PerSecond <= 0:
 		return never
 	default:
-		return min(never, c.Flow.Next+time.Duration(float64(n)/c.Flow.PerSecond*float64(time.Second)))
+		return c.Flow.Next + ratelimit.Wait(float64(n), c.Flow.PerSecond)
 	}
 }
 
--- a/internal/traffic/queue/limited_test.go
+++ b/internal/traffic/queue/limited_test.go
@@ -23,6 +23,7 @@
 		accepted int
 	}{
 		{name: "none at all", capacity: limited(0, 0, 0), deadline: time.Hour / 2},
+		{name: "hardly any", capacity: limited(0, time.Second, 1e-300), deadline: time.Hour / 2, accepted: 1},
 		{name: "one every 2.5 seconds", capacity: limited(0, 2500*time.Millisecond, 0.4), deadline: time.Second},
 		{name: "the first in time", capacity: limited(0, 500*time.Millisecond, 0.4), deadline: time.Second, accepted: 1},
 		{name: "four a second for a second", capacity: limited(0, 250*time.Millisecond, 4), deadline: time.Second, accepted: 3},
--- a/internal/traffic/ratelimit/bucket.go
+++ b/internal/traffic/ratelimit/bucket.go
@@ -107,6 +107,14 @@
 	PerSecond float64
 }
 
+// maxWait bounds a wait, so that a tiny rate does not exceed the range of a duration.
+const maxWait = time.Hour
+
+// Wait returns the time until n requests are allowed at a rate, or maxWait if it is longer.
+func Wait(n, perSecond float64) time.Duration {
+	return time.Duration(min(maxWait.Seconds(), n/perSecond) * float64(time.Second))
+}
+
 // Add adds a target that names a limit to the flow, and reports whether it names one.
 func (f *Flow) Add(now time.Time, l *Limits, id string) bool {
 	s := l.states[id]
@@ -121,7 +129,7 @@
 	}
 	whole, part := math.Modf(max(0, s.bucket.tokens))
 	f.Ready += int(whole)
-	next := time.Duration((1 - part) / rate * float64(time.Second))
+	next := Wait(1-part, rate)
 	if f.PerSecond == 0 || next < f.Next {
 		f.Next = next
 	}
--- a/internal/traffic/ratelimit/bucket_test.go
+++ b/internal/traffic/ratelimit/bucket_test.go
@@ -101,6 +101,20 @@
 	}
 }
 
+func TestExtremeLimitsAreKept(t *testing.T) {
+	for _, perSecond := range []float64{1e-300, 1e-12, 1e12, 1e300} {
+		l := New()
+		name(l, 0, perSecond)
+		l.SetShare(at(0), "t", 1)
+		var f Flow
+		require.True(t, f.Add(at(3_600_000), l, "t"))
+		require.GreaterOrEqual(t, f.Ready, 0)
+		require.Positive(t, f.Next)
+		require.LessOrEqual(t, f.Next, maxWait)
+		require.Equal(t, perSecond > 1, l.HasToken(at(3_600_000), "t"))
+	}
+}
+
 func TestLowerLimitHasNoBurstOfTheHigherOne(t *testing.T) {
 	l := New()
 	name(l, 0, 1000)
--- a/internal/traffic/ratelimit/limits.go
+++ b/internal/traffic/ratelimit/limits.go
@@ -46,6 +46,8 @@
 	// maxAnnouncedAge is the age up to which a limit is announced to other hosts, and up to
 	// which an announcement is used.
 	maxAnnouncedAge = 5 * time.Second
+	// maxPerSecond is the highest limit that is distinguished from higher ones.
+	maxPerSecond = 1e6
 	// forgetAge is the age at which a limit is dropped on a host that does not check it.
 	forgetAge = 30 * time.Second
 )
@@ -214,6 +216,7 @@
 // name applies a limit that was heard at heardAt, unless it is higher than the current one
 // and may be older.
 func (s *state) name(now, heardAt time.Time, o Observation) Change {
+	o.PerSecond = min(o.PerSecond, maxPerSecond)
 	change := Changed
 	switch {
 	case !s.limited:
