Write the last log line before a process ends

Flush waited until the queue was empty, not until the line that had been taken from it was written, so that the last lines of a process could be missing: "closed down", or the error that ended it.

--- a/internal/process/logs/async.go
+++ b/internal/process/logs/async.go
@@ -26,14 +26,15 @@
 	w       io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
-	done    chan struct{}
+	// unwritten counts the lines that were accepted and not written yet.
+	unwritten atomic.Int64
 }
 
 var _ io.Writer = (*Async)(nil)
 
 // NewAsync returns an Async that writes to w from a goroutine in g.
 func NewAsync(w io.Writer, g *group.Group) *Async {
-	a := &Async{w: w, lines: make(chan []byte, queueLength), done: make(chan struct{})}
+	a := &Async{w: w, lines: make(chan []byte, queueLength)}
 	g.Go("log", a.run)
 	return a
 }
@@ -41,9 +42,11 @@
 // Write implements io.Writer. It neither blocks nor fails.
 func (a *Async) Write(p []byte) (int, error) {
 	line := append([]byte(nil), p...)
+	a.unwritten.Add(1)
 	select {
 	case a.lines <- line:
 	default:
+		a.unwritten.Add(-1)
 		a.dropped.Add(1)
 	}
 	return len(p), nil
@@ -52,10 +55,10 @@
 // Dropped returns the number of lines dropped so far.
 func (a *Async) Dropped() int64 { return a.dropped.Load() }
 
-// Flush waits for a limited time until the queue is empty.
+// Flush waits for a limited time until all lines are written.
 func (a *Async) Flush() {
 	deadline := time.Now().Add(flushTimeout)
-	for len(a.lines) > 0 && time.Now().Before(deadline) {
+	for a.unwritten.Load() > 0 && time.Now().Before(deadline) {
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -73,6 +76,7 @@
 				// The error cannot be logged, because the log itself is not writable.
 				a.dropped.Add(1)
 			}
+			a.unwritten.Add(-1)
 		}
 		if n := a.dropped.Load(); n > reported && len(a.lines) == 0 {
 			fmt.Fprintf(a.w, "{\"level\":\"warning\",\"part\":\"logs\",\"msg\":\"lines were dropped\",\"dropped\":%d}\n", n-reported)
--- a/internal/process/logs/async_test.go
+++ b/internal/process/logs/async_test.go
@@ -46,3 +46,17 @@
 	}, 5*time.Second, 10*time.Millisecond)
 	require.Contains(t, w.text.String(), `"part":"entry"`)
 }
+
+func TestFlushWaitsForTheLineThatIsBeingWritten(t *testing.T) {
+	g := group.New(t.Context())
+	defer func() { _ = g.Stop() }()
+	w := &blockedWriter{unblock: make(chan struct{})}
+	a := NewAsync(w, g)
+	_, err := a.Write([]byte("closed down\n"))
+	require.NoError(t, err)
+	time.AfterFunc(flushTimeout/4, func() { close(w.unblock) })
+	a.Flush()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	require.Equal(t, "closed down\n", w.text.String())
+}
