Give each process of a test its own address

The process that ends by a failed goroutine keeps its sockets until the test binary ends, so that the test failed when it was repeated (-count=20).

--- a/internal/process/entry/failure_test.go
+++ b/internal/process/entry/failure_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"net/netip"
+	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,13 +35,16 @@
 	return b.buf.String()
 }
 
+// failedProcesses counts the processes that the test has started.
+var failedProcesses atomic.Uint32
+
 // Guards against a host that goes on serving with a view that never changes again.
 func TestProcessEndsWithTheErrorOfAFailedGoroutine(t *testing.T) {
 	store := platformtest.NewStore()
 	defer store.Close()
-	loopback := func(port uint16) netip.AddrPort {
-		return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.253"), port)
-	}
+	// The sockets of the process stay open until the test binary ends.
+	ip := netip.AddrFrom4([4]byte{127, 253, byte(os.Getpid()), byte(failedProcesses.Add(1))})
+	loopback := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(ip, port) }
 	cfg := &settings.Entry{
 		Name: "host", Domain: "d", Callers: loopback(8481), Observe: loopback(8488), Peers: loopback(7300), Metrics: loopback(7301), Store: store.Address(), LogLevel: "info",
 		Bounds: settings.Bounds{RetryWindow: 10 * time.Second, Grace: 2 * time.Second, ReregisterTimeout: time.Second},
