--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -20,6 +20,7 @@
 	registry    *prometheus.Registry
 	requests    *prometheus.CounterVec
 	attempts    prometheus.Counter
+	extra       *prometheus.CounterVec
 	latency     *prometheus.HistogramVec
 	probes      *prometheus.CounterVec
 	storeCalls  *prometheus.CounterVec
@@ -40,12 +41,13 @@
 		registry: prometheus.NewRegistry(), burnRate: burn.NewMeter(),
 		requests:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_entry_requests_total", Help: "Client requests by outcome and status."}, []string{labelService, "outcome", "status"}),
 		attempts:    prometheus.NewCounter(prometheus.CounterOpts{Name: "tamarack_entry_sends_total", Help: "Attempts to send a request to a target."}),
+		extra:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_entry_extra_attempts_total", Help: "Retries and hedges that the retry budget permitted or not."}, []string{labelService, "kind", "permitted"}),
 		latency:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "tamarack_entry_latency_seconds", Help: "Time to the final response.", Buckets: latencyBuckets}, []string{labelService}),
 		probes:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_entry_questions_total", Help: "Load probes sent to targets."}, []string{labelService}),
 		updateDelay: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "tamarack_view_wait_seconds", Help: "Time that updates from the store waited to be applied.", Buckets: latencyBuckets}),
 		storeCalls:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_store_calls_total", Help: "Calls to the metadata store by operation."}, []string{"operation"}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.latency, m.probes, m.storeCalls, m.updateDelay)
+	m.registry.MustRegister(m.requests, m.attempts, m.extra, m.latency, m.probes, m.storeCalls, m.updateDelay)
 	return m
 }
 
@@ -118,6 +120,11 @@
 	}
 }
 
+// ExtraAttempt implements entry.Observer.
+func (m *metrics) ExtraAttempt(service string, kind entry.ExtraAttempt, permitted bool) {
+	m.extra.WithLabelValues(service, string(kind), strconv.FormatBool(permitted)).Inc()
+}
+
 // goodPerThousand is the objective of a service: the share of good requests. The
 // platform's configuration has no such objective; this is the share that most
 // operators' intents set.
--- a/internal/traffic/budget/budget.go
+++ b/internal/traffic/budget/budget.go
@@ -120,6 +120,21 @@
 	return usableShare * (r.ratio*float64(u.requests.sum(now)) + r.slack/float64(max(1, hosts)))
 }
 
+// Usage describes how much of a host's part of a budget is used in the window that ends now.
+type Usage struct {
+	// Requests and Spent count the requests and the extra attempts; Allowed is the highest
+	// permitted number of extra attempts.
+	Requests, Spent int
+	Allowed         float64
+}
+
+// Usage returns how much of this host's part of the budget of a service is used, given the
+// maximum number of hosts.
+func (r *Retries) Usage(now time.Time, service string, hosts int) Usage {
+	u := r.usage(now, service)
+	return Usage{Requests: u.requests.sum(now), Spent: u.spent.sum(now), Allowed: r.allowed(now, u, hosts)}
+}
+
 // Spend takes one extra attempt from the budget of a service, and reports whether there
 // was one left.
 func (r *Retries) Spend(now time.Time, service string, hosts int) bool {
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -71,11 +71,23 @@
 	CrashTracker *CrashTracker
 }
 
-// Observer is notified of each finished request.
+// Observer is notified of finished requests and extra attempts.
 type Observer interface {
 	Finished(o Observation)
+	// ExtraAttempt is called for each extra attempt that the retry budget of a service
+	// permits or not.
+	ExtraAttempt(service string, kind ExtraAttempt, permitted bool)
 }
 
+// ExtraAttempt is the kind of an attempt beyond the first one of a request.
+type ExtraAttempt string
+
+// Kinds of extra attempts.
+const (
+	Retry ExtraAttempt = "retry"
+	Hedge ExtraAttempt = "hedge"
+)
+
 // Observation describes a finished request.
 type Observation struct {
 	Service  string
@@ -96,6 +108,7 @@
 type Handler struct {
 	cfg      Config
 	g        *group.Group
+	started  time.Time
 	draining atomic.Bool
 	inFlight atomic.Int64
 
@@ -109,7 +122,7 @@
 // New returns a handler. Its goroutines run in g.
 func New(cfg Config, g *group.Group) *Handler {
 	return &Handler{
-		cfg: cfg, g: g, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		cfg: cfg, g: g, started: time.Now(), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		retries:      budget.NewRetries(cfg.Bounds.RetryRatio, cfg.Bounds.RetrySlack, cfg.Bounds.RetryWindow),
 		typicalTimes: map[string]time.Duration{},
 	}
--- a/internal/traffic/entry/hedge.go
+++ b/internal/traffic/entry/hedge.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return grant, false
 	}
-	if grant.ID == hg.grant.ID || !h.spendRetry(req.service.Name) {
+	if grant.ID == hg.grant.ID || !req.spendRetry(Hedge) {
 		h.cfg.Placer.Done(grant, dispatcher.Outcome{Result: placement.Cancelled})
 		return grant, false
 	}
--- a/internal/traffic/entry/retry.go
+++ b/internal/traffic/entry/retry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"tamaracktiller.example/tamaracktiller/internal/traffic/dispatcher"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
@@ -37,7 +38,7 @@
 			return req.finalize(*rejection)
 		}
 		first := req.attempts == 0
-		if !first && !req.h.spendRetry(req.service.Name) {
+		if !first && !req.spendRetry(Retry) {
 			req.h.cfg.Placer.Done(grant, dispatcher.Outcome{Result: placement.Cancelled})
 			return req.finalize(req.failureResponse(last, "retry budget is exhausted"))
 		}
@@ -215,11 +216,27 @@
 	h.retries.RecordRequest(time.Now(), service)
 }
 
-func (h *Handler) spendRetry(service string) bool {
-	hosts := h.cfg.Snapshot().MaxHosts
+// spendRetry takes an extra attempt from the retry budget, and reports whether there was one
+// left.
+func (req *clientRequest) spendRetry(kind ExtraAttempt) bool {
+	h, service, hosts := req.h, req.service.Name, req.h.cfg.Snapshot().MaxHosts
+	now := time.Now()
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.retries.Spend(time.Now(), service, hosts)
+	ok := h.retries.Spend(now, service, hosts)
+	usage := h.retries.Usage(now, service, hosts)
+	h.mu.Unlock()
+	if h.cfg.Observer != nil {
+		h.cfg.Observer.ExtraAttempt(service, kind, ok)
+	}
+	text := "extra attempt is within the retry budget"
+	if !ok {
+		text = "extra attempt exceeds the retry budget"
+	}
+	h.cfg.Log.WithFields(logrus.Fields{
+		fieldRequest: req.id, "service": service, "kind": kind, "requests": usage.Requests, "spent": usage.Spent, "allowed": usage.Allowed,
+		"hosts": hosts, "uptime-ms": now.Sub(h.started).Milliseconds(),
+	}).Info(text)
+	return ok
 }
 
 func (h *Handler) remainingRetries(service string) float64 {
