--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -33,6 +33,8 @@
 	store   *platformtest.Store
 	targets []*platformtest.Target
 	version int
+	// firstStart is set while the fleet starts for the first time.
+	firstStart bool
 
 	// mu guards hosts, to which tests add while others send requests.
 	mu    sync.Mutex
@@ -40,10 +42,11 @@
 }
 
 type host struct {
-	cfg    *settings.Entry
-	log    *lockedBuffer
-	cancel context.CancelFunc
-	done   chan error
+	cfg     *settings.Entry
+	process *entry.Process
+	log     *lockedBuffer
+	cancel  context.CancelFunc
+	done    chan error
 }
 
 type lockedBuffer struct {
@@ -75,7 +78,18 @@
 
 func newCluster(t *testing.T, hosts int, targets ...*platformtest.Target) *cluster {
 	t.Helper()
-	cl := &cluster{t: t, store: platformtest.NewStore(), targets: targets}
+	return newFleet(t, false, hosts, targets...)
+}
+
+// newFirstCluster returns a deployment that starts for the first time.
+func newFirstCluster(t *testing.T, hosts int, targets ...*platformtest.Target) *cluster {
+	t.Helper()
+	return newFleet(t, true, hosts, targets...)
+}
+
+func newFleet(t *testing.T, firstStart bool, hosts int, targets ...*platformtest.Target) *cluster {
+	t.Helper()
+	cl := &cluster{t: t, store: platformtest.NewStore(), targets: targets, firstStart: firstStart}
 	t.Cleanup(cl.store.Close)
 	for _, target := range targets {
 		t.Cleanup(target.Close)
@@ -88,6 +102,7 @@
 	for _, h := range cl.hosts {
 		cl.waitReady(h)
 	}
+	cl.firstStart = false
 	return cl
 }
 
@@ -103,10 +118,29 @@
 }
 
 func (cl *cluster) start(name string) *host {
+	cl.t.Helper()
+	h := cl.run(name)
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.hosts = append(cl.hosts, h)
+	return h
+}
+
+// restart starts a new process in place of a host.
+func (cl *cluster) restart(index int) {
+	cl.t.Helper()
+	h := cl.run(fmt.Sprintf("host-%d", index))
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.hosts[index] = h
+}
+
+// run runs the process of a host.
+func (cl *cluster) run(name string) *host {
 	cl.t.Helper()
 	ip := freeAddress()
 	cfg := &settings.Entry{
-		Name: name, Domain: "d", Callers: netip.AddrPortFrom(ip, 8381), Observe: netip.AddrPortFrom(ip, 8388),
+		Name: name, Domain: "d", FirstStart: cl.firstStart, Callers: netip.AddrPortFrom(ip, 8381), Observe: netip.AddrPortFrom(ip, 8388),
 		Peers: netip.AddrPortFrom(ip, 7200), Metrics: netip.AddrPortFrom(ip, 7201),
 		Store: cl.store.Address(), LogLevel: "debug",
 		Bounds: settings.Bounds{
@@ -120,12 +154,9 @@
 	}, func() (*settings.Entry, error) { return cfg, nil }, h.log)
 	require.NoError(cl.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	h.cancel = cancel
+	h.cancel, h.process = cancel, p
 	go func() { h.done <- p.Run(ctx) }()
 	cl.t.Cleanup(cancel)
-	cl.mu.Lock()
-	defer cl.mu.Unlock()
-	cl.hosts = append(cl.hosts, h)
 	return h
 }
 
