Give a process its part of the retry slack only after a full window

Cause: the part of the slack that a host may spend is bounded for one process. A process that starts had an empty window and spent the part again, whatever its predecessor had spent a moment ago; with all hosts restarting in series the sum is a multiple of the slack.

A process now uses its part of the slack once a full window has passed since its start; what its own requests earn it spends at once. So no window holds the slack of two processes of a host, in whatever order hosts restart. Only processes of a fleet that starts for the first time, without an earlier entry of their host in the store, use it from the start.

With the unit test TestSuccessiveProcessesStayWithinTheBudget.

Ruled out for this: hedges and attempts that were not sent (the same path, counted at the targets in the case without restarts: within the budget).

TestOutcomesReportWhetherTheRequestRan now starts its fleet for the first time, since it expects a retry right after the start; its checks are the same.

--- a/internal/fleet/directory/age_test.go
+++ b/internal/fleet/directory/age_test.go
@@ -29,7 +29,7 @@
 func delayStoreResponses(f *fleet) {
 	f.store.mu.Lock()
 	defer f.store.mu.Unlock()
-	f.store.responseDelays[f.hosts[f.ranked()[0]].cfg.Self] = 2 * time.Second
+	f.store.responseDelays[f.hosts[f.ranked()[0]].cfg.Self.Name] = 2 * time.Second
 }
 
 // writeTimes holds the time at which each revision was written to the store.
@@ -52,7 +52,7 @@
 	for _, h := range f.hosts {
 		age, revision := h.Age(now), h.Snapshot().Revision
 		expected := w.latestBefore(now.Add(-age))
-		require.False(f.t, expected.After(revision), "%s reports an age of %s, but has revision %s instead of %s", h.cfg.Self, age, revision, expected)
+		require.False(f.t, expected.After(revision), "%s reports an age of %s, but has revision %s instead of %s", h.cfg.Self.Name, age, revision, expected)
 	}
 }
 
--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -26,10 +26,8 @@
 
 // Config holds the settings and dependencies of a Directory.
 type Config struct {
-	// Self is the name of this host.
-	Self string
-	// Domain is the failure domain of this host.
-	Domain string
+	// Self is the entry of this host.
+	Self Host
 	// FirstStart reports whether the whole fleet is starting for the first time.
 	FirstStart bool
 	Source     store.Source
@@ -113,7 +111,7 @@
 		cfg: cfg, g: g, cache: newWatchCache(), largeResponses: make(semaphore, maxLargeResponses), codec: newItemCodec(),
 		baseTime: time.Now().Add(-unknownAge), watchJitter: rand.N(othersWatchJitter),
 	}
-	d.state = NewState(Host{Name: cfg.Self, Domain: cfg.Domain}, cfg.Decoder, cfg.ReregisterTimeout, d.cache.add)
+	d.state = NewState(cfg.Self, cfg.Decoder, cfg.ReregisterTimeout, d.cache.add)
 	if cfg.PeerTransport == nil {
 		cfg.PeerTransport = &http.Transport{DialContext: dialPeer, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, DisableCompression: true}
 	}
--- a/internal/fleet/directory/fleet_test.go
+++ b/internal/fleet/directory/fleet_test.go
@@ -322,7 +322,7 @@
 		f.store.put(HostPrefix+name, fmt.Sprintf(`{"name":%q,"domain":"d-%d","peers":%q}`, name, i%4, address))
 		h := &fleetHost{}
 		h.Directory = New(Config{
-			Self: name, Domain: fmt.Sprintf("d-%d", i%4), Source: storeClient{f.store, name, &h.link}, Decoder: plainDecoder{}, Timer: timer.New(),
+			Self: Host{Name: name, Domain: fmt.Sprintf("d-%d", i%4)}, Source: storeClient{f.store, name, &h.link}, Decoder: plainDecoder{}, Timer: timer.New(),
 			Log: logrus.NewEntry(log), ReregisterTimeout: time.Second, PeerTransport: peerTransport{f, &h.link},
 			OnChange: func(*Snapshot, []string) { time.Sleep(time.Duration(h.applyTime.Load())) },
 		}, f.g)
@@ -430,7 +430,7 @@
 		{name: "the first host is rejected by the store", hosts: 100, fault: func(f *fleet) {
 			f.store.mu.Lock()
 			defer f.store.mu.Unlock()
-			f.store.rejected[f.hosts[f.ranked()[0]].cfg.Self] = true
+			f.store.rejected[f.hosts[f.ranked()[0]].cfg.Self.Name] = true
 		}},
 		{name: "ten of the first forty hosts are dead", hosts: 100, fault: func(f *fleet) {
 			for i, address := range f.ranked()[:40] {
--- a/internal/fleet/directory/hosts.go
+++ b/internal/fleet/directory/hosts.go
@@ -42,6 +42,7 @@
 	}
 	if name == s.self.Name {
 		s.entry = h
+		s.hasPredecessor = s.hasPredecessor || h.Incarnation != s.self.Incarnation
 	}
 	delete(s.missing, name)
 	if s.hosts[name] == h {
--- a/internal/fleet/directory/registration_test.go
+++ b/internal/fleet/directory/registration_test.go
@@ -160,7 +160,7 @@
 		ranked := f.ranked()
 		root, follower := f.hosts[ranked[0]], f.hosts[ranked[1]]
 		f.store.mu.Lock()
-		f.store.rejected[follower.cfg.Self] = true
+		f.store.rejected[follower.cfg.Self.Name] = true
 		f.store.mu.Unlock()
 		f.store.put(SecretKey, "another")
 		time.Sleep(100 * time.Millisecond)
--- a/internal/fleet/directory/state.go
+++ b/internal/fleet/directory/state.go
@@ -62,6 +62,9 @@
 	// entry of this host in the store.
 	SecretStored bool
 	Entry        Host
+	// HasPredecessor reports whether the store has held the entry of an earlier process of
+	// this host.
+	HasPredecessor bool
 	// MaxHosts is the largest number of hosts seen so far. Limits that the hosts share
 	// are divided by it.
 	MaxHosts int
@@ -124,6 +127,7 @@
 	secretStored bool
 	// entry is the entry of this host in the store.
 	entry             Host
+	hasPredecessor    bool
 	revision          store.Revision
 	reregisterTimeout time.Duration
 	// missing maps the hosts whose entries a backup of the store lacks to the time at
@@ -310,6 +314,7 @@
 	next := *s.last
 	next.Table, next.MaxHosts, next.Revision, next.TargetChanges = s.table, s.maxHosts, s.revision, s.changes
 	next.Secrets, next.SecretStored, next.Entry = s.secrets, s.secretStored, s.entry
+	next.HasPredecessor = s.hasPredecessor
 	if s.hostsChanged {
 		next.Hosts = maps.Clone(s.hosts)
 		next.HostChanges++
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -104,11 +104,12 @@
 	// gracePeriod is the time from SIGTERM to the end of the process.
 	gracePeriod time.Duration
 	reload      Reload
+	incarnation string
 }
 
 // New returns a process with validated settings. It logs to w.
 func New(cfg *settings.Entry, platform Platform, reload Reload, w io.Writer) (*Process, error) {
-	p := &Process{cfg: cfg, platform: platform, reload: reload, gracePeriod: cfg.Bounds.Grace, services: registry.New(), metrics: newMetrics(), draining: make(chan struct{})}
+	p := &Process{cfg: cfg, platform: platform, reload: reload, gracePeriod: cfg.Bounds.Grace, services: registry.New(), metrics: newMetrics(), draining: make(chan struct{}), incarnation: uuid.NewString()}
 	p.g = group.New(context.Background())
 	// The log has its own group, so that a failure of another goroutine can be logged.
 	p.logWriter = logs.NewAsync(w, group.New(context.Background()))
@@ -122,7 +123,7 @@
 	timers := timer.New()
 	p.services.Provide("timer", timers)
 	p.directory = directory.New(directory.Config{
-		Self: cfg.Name, Domain: cfg.Domain, FirstStart: cfg.FirstStart, Source: p.store, Decoder: platform.Decoder, Timer: timers, Log: p.log.For("directory"),
+		Self: p.self(), FirstStart: cfg.FirstStart, Source: p.store, Decoder: platform.Decoder, Timer: timers, Log: p.log.For("directory"),
 		ReregisterTimeout: cfg.Bounds.ReregisterTimeout, OnChange: p.applySnapshot, OnQueueWait: p.metrics.ObserveUpdateDelay,
 	}, p.g)
 	p.links = targets.NewLinks(platform.Dialect, p.g)
@@ -136,7 +137,7 @@
 	}, p.g)
 	p.metrics.registerLimits(p.dispatcher.Limits)
 	p.handler = entry.New(entry.Config{
-		Domain: cfg.Domain, Dialect: platform.Dialect, Placer: p.dispatcher, Links: p.links,
+		Domain: cfg.Domain, FirstStart: cfg.FirstStart, Dialect: platform.Dialect, Placer: p.dispatcher, Links: p.links,
 		Snapshot: p.directory.Snapshot, Fresh: p.directory.Fresh, Bounds: cfg.Bounds, Log: p.log.For("entry"), Observer: p.metrics, CrashTracker: crashes,
 	}, p.g)
 	p.services.Provide("directory", p.directory)
@@ -163,6 +164,11 @@
 	p.readinessServer = &http.Server{Handler: mux, ErrorLog: errorLog, ReadHeaderTimeout: headerTimeout}
 }
 
+// self returns the entry of this host.
+func (p *Process) self() directory.Host {
+	return directory.Host{Name: p.cfg.Name, Domain: p.cfg.Domain, PeerAddress: p.cfg.Peers, Incarnation: p.incarnation}
+}
+
 // serveReadiness responds to readiness checks: a host is ready when it has a configuration
 // and is not draining.
 func (p *Process) serveReadiness(w http.ResponseWriter, _ *http.Request) {
@@ -186,8 +192,7 @@
 		return err
 	}
 	registration := &directory.Registration{
-		Self:  directory.Host{Name: p.cfg.Name, Domain: p.cfg.Domain, PeerAddress: p.cfg.Peers, Incarnation: uuid.NewString()},
-		Store: p.store, State: p.directory.RegistrationState, Log: p.log.For("directory"),
+		Self: p.self(), Store: p.store, State: p.directory.RegistrationState, Log: p.log.For("directory"),
 	}
 	p.g.Go("registration", registration.Run)
 	if err := p.servePeers(ctx); err != nil {
@@ -202,7 +207,7 @@
 	if err := p.serve(ctx, p.cfg.Metrics, p.metricsServer()); err != nil {
 		return err
 	}
-	log.WithFields(logrus.Fields{"callers": p.cfg.Callers.String(), "domain": p.cfg.Domain, "incarnation": registration.Self.Incarnation}).Info("started")
+	log.WithFields(logrus.Fields{"callers": p.cfg.Callers.String(), "domain": p.cfg.Domain, "incarnation": p.incarnation}).Info("started")
 	p.g.Go("reload", func(ctx context.Context) error {
 		p.watchSettings(ctx, log)
 		return nil
--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -285,7 +285,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			cl := newCluster(t, 1, target("t-1", tt.b), target("t-2", tt.b))
+			cl := newFirstCluster(t, 1, target("t-1", tt.b), target("t-2", tt.b))
 			started := time.Now()
 			resp, err := cl.send(t.Context(), cl.hosts[0], "r-1", tt.path)
 			require.NoError(t, err)
--- a/internal/traffic/budget/budget.go
+++ b/internal/traffic/budget/budget.go
@@ -6,13 +6,16 @@
 // which is divided by the maximum number of hosts. Even if hosts disagree about the
 // fleet, the sum of the parts does not exceed the whole.
 //
+// The sum also covers the successive processes of a host: one that starts does not know what
+// its predecessor spent, so it uses its part of the allowance only after a full window.
+//
 // The package does not read the clock. It is not safe for concurrent use.
 //
 // # Usage
 //
 //	r := budget.NewRetries(0.2, 56, 10*time.Second)
 //	r.RecordRequest(now, service)
-//	if r.Spend(now, service, hosts) { ... }
+//	if r.Spend(now, service, budget.Share{Hosts: hosts, SlackFrom: started.Add(10 * time.Second)}) { ... }
 package budget
 
 // This file defines Retries and Probes.
@@ -77,6 +80,15 @@
 	spent    window
 }
 
+// Share is one process's part of the slack of a budget.
+type Share struct {
+	// Hosts is the maximum number of hosts among which the slack is divided.
+	Hosts int
+	// SlackFrom is the time from which the process may use its part. An earlier process of
+	// the host may have spent it in the window before.
+	SlackFrom time.Time
+}
+
 // Retries is one host's part of the budget for retries and hedges.
 type Retries struct {
 	ratio  float64
@@ -110,14 +122,18 @@
 }
 
 // Remaining returns the number of extra attempts that this host may still spend on a
-// service, given the maximum number of hosts.
-func (r *Retries) Remaining(now time.Time, service string, hosts int) float64 {
+// service.
+func (r *Retries) Remaining(now time.Time, service string, share Share) float64 {
 	u := r.usage(now, service)
-	return r.allowed(now, u, hosts) - float64(u.spent.sum(now))
+	return r.allowed(now, u, share) - float64(u.spent.sum(now))
 }
 
-func (r *Retries) allowed(now time.Time, u *usage, hosts int) float64 {
-	return usableShare * (r.ratio*float64(u.requests.sum(now)) + r.slack/float64(max(1, hosts)))
+func (r *Retries) allowed(now time.Time, u *usage, share Share) float64 {
+	earned := r.ratio * float64(u.requests.sum(now))
+	if !now.Before(share.SlackFrom) {
+		earned += r.slack / float64(max(1, share.Hosts))
+	}
+	return usableShare * earned
 }
 
 // Usage describes how much of a host's part of a budget is used in the window that ends now.
@@ -128,23 +144,22 @@
 	Allowed         float64
 }
 
-// Usage returns how much of this host's part of the budget of a service is used, given the
-// maximum number of hosts.
-func (r *Retries) Usage(now time.Time, service string, hosts int) Usage {
+// Usage returns how much of this host's part of the budget of a service is used.
+func (r *Retries) Usage(now time.Time, service string, share Share) Usage {
 	u := r.usage(now, service)
-	return Usage{Requests: u.requests.sum(now), Spent: u.spent.sum(now), Allowed: r.allowed(now, u, hosts)}
+	return Usage{Requests: u.requests.sum(now), Spent: u.spent.sum(now), Allowed: r.allowed(now, u, share)}
 }
 
 // Spend takes one extra attempt from the budget of a service, and reports whether there
 // was one left.
-func (r *Retries) Spend(now time.Time, service string, hosts int) bool {
-	if r.Remaining(now, service, hosts) < 1 {
+func (r *Retries) Spend(now time.Time, service string, share Share) bool {
+	if r.Remaining(now, service, share) < 1 {
 		return false
 	}
 	u := r.usage(now, service)
 	u.spent.add(now)
-	if spent := u.spent.sum(now); float64(spent) > r.allowed(now, u, hosts) {
-		panic(fmt.Sprintf("budget: %d extra attempts spent, %.1f allowed", spent, r.allowed(now, u, hosts)))
+	if spent := u.spent.sum(now); float64(spent) > r.allowed(now, u, share) {
+		panic(fmt.Sprintf("budget: %d extra attempts spent, %.1f allowed", spent, r.allowed(now, u, share)))
 	}
 	return true
 }
--- a/internal/traffic/budget/budget_test.go
+++ b/internal/traffic/budget/budget_test.go
@@ -33,7 +33,7 @@
 				b.RecordRequest(now, "s")
 				requests = append(requests, now)
 			}
-			if b.Spend(now, "s", hosts) {
+			if b.Spend(now, "s", Share{Hosts: hosts}) {
 				spent = append(spent, now)
 			}
 			if rng.IntN(50) == 0 {
@@ -45,6 +45,59 @@
 	}
 }
 
+// Hosts that restart at any moment, one by one or together, spend as much as they may. In every
+// window the sum over their processes stays within the budget of the fleet.
+func TestSuccessiveProcessesStayWithinTheBudget(t *testing.T) {
+	const (
+		hosts  = 13
+		ratio  = 0.2
+		slack  = 56
+		length = 10 * time.Second
+	)
+	type process struct {
+		budget *Retries
+		share  Share
+	}
+	start := func(now time.Time) process {
+		return process{budget: NewRetries(ratio, slack, length), share: Share{Hosts: hosts, SlackFrom: now.Add(length)}}
+	}
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		now := time.Unix(1000, 0)
+		processes := make([]process, hosts)
+		for i := range processes {
+			processes[i] = start(now.Add(-length))
+		}
+		var requests, spent []time.Time
+		for range 20_000 {
+			now = now.Add(time.Duration(rng.IntN(4)) * time.Millisecond)
+			n := rng.IntN(hosts)
+			switch p := processes[n]; rng.IntN(6) {
+			case 0:
+				p.budget.RecordRequest(now, "s")
+				requests = append(requests, now)
+			default:
+				if p.budget.Spend(now, "s", p.share) {
+					spent = append(spent, now)
+				}
+			}
+			if rng.IntN(400) == 0 {
+				processes[n] = start(now)
+			}
+			if rng.IntN(4000) == 0 {
+				for i := range processes {
+					processes[i] = start(now)
+				}
+			}
+			if rng.IntN(50) == 0 {
+				since := now.Add(-length)
+				require.LessOrEqual(t, float64(count(spent, since)), ratio*float64(count(requests, since))+slack)
+			}
+		}
+		require.NotEmpty(t, spent)
+	}
+}
+
 func count(times []time.Time, since time.Time) int {
 	n := 0
 	for i := len(times) - 1; i >= 0 && times[i].After(since); i-- {
@@ -125,7 +178,7 @@
 			if ms%2000 > 1000 {
 				at = stepWallClock(at, step)
 			}
-			if r.Spend(at, "s", 1) {
+			if r.Spend(at, "s", Share{Hosts: 1}) {
 				spent++
 			}
 		}
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -57,11 +57,13 @@
 // Config holds the dependencies of a handler.
 type Config struct {
 	// Domain is the failure domain of this host.
-	Domain   string
-	Dialect  Dialect
-	Placer   Placer
-	Links    *targets.Links
-	Snapshot func() *directory.Snapshot
+	Domain string
+	// FirstStart reports whether the whole fleet starts for the first time.
+	FirstStart bool
+	Dialect    Dialect
+	Placer     Placer
+	Links      *targets.Links
+	Snapshot   func() *directory.Snapshot
 	// Fresh reports whether the snapshot is up to date.
 	Fresh    func(now time.Time) bool
 	Bounds   settings.Bounds
--- a/internal/traffic/entry/retry.go
+++ b/internal/traffic/entry/retry.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"tamaracktiller.example/tamaracktiller/internal/traffic/budget"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/dispatcher"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
 )
@@ -216,14 +217,25 @@
 	h.retries.RecordRequest(time.Now(), service)
 }
 
+// share returns this process's part of the slack of the retry budget. The first processes of
+// a fleet have no predecessors that may have spent it.
+func (h *Handler) share() budget.Share {
+	s := h.cfg.Snapshot()
+	from := h.started
+	if !h.cfg.FirstStart || s.HasPredecessor {
+		from = from.Add(h.cfg.Bounds.RetryWindow)
+	}
+	return budget.Share{Hosts: s.MaxHosts, SlackFrom: from}
+}
+
 // spendRetry takes an extra attempt from the retry budget, and reports whether there was one
 // left.
 func (req *clientRequest) spendRetry(kind ExtraAttempt) bool {
-	h, service, hosts := req.h, req.service.Name, req.h.cfg.Snapshot().MaxHosts
+	h, service, share := req.h, req.service.Name, req.h.share()
 	now := time.Now()
 	h.mu.Lock()
-	ok := h.retries.Spend(now, service, hosts)
-	usage := h.retries.Usage(now, service, hosts)
+	ok := h.retries.Spend(now, service, share)
+	usage := h.retries.Usage(now, service, share)
 	h.mu.Unlock()
 	if h.cfg.Observer != nil {
 		h.cfg.Observer.ExtraAttempt(service, kind, ok)
@@ -234,14 +246,14 @@
 	}
 	h.cfg.Log.WithFields(logrus.Fields{
 		fieldRequest: req.id, "service": service, "kind": kind, "requests": usage.Requests, "spent": usage.Spent, "allowed": usage.Allowed,
-		"hosts": hosts, "uptime-ms": now.Sub(h.started).Milliseconds(),
+		"hosts": share.Hosts, "uptime-ms": now.Sub(h.started).Milliseconds(), "slack-in-ms": max(0, share.SlackFrom.Sub(now)).Milliseconds(),
 	}).Info(text)
 	return ok
 }
 
 func (h *Handler) remainingRetries(service string) float64 {
-	hosts := h.cfg.Snapshot().MaxHosts
+	share := h.share()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.retries.Remaining(time.Now(), service, hosts)
+	return h.retries.Remaining(time.Now(), service, share)
 }
