Record the size of the fleet in the store

Targets could get more repeats than the budget of the fleet allows (BUDGET), and more connections, from hosts that started while few others were listed: shared limits were divided by the largest number of hosts that the process itself had seen, and entries lapse during outages of the store or are missing from a backup while their processes run.

The first host of the ranking now writes the largest number that it knows to fleet/size, on the condition that the record did not change; every process divides by it at least. The record is raised only, and is one write for each growth of the fleet. A fleet that shrinks for good keeps its smaller shares until the key is deleted and the hosts have restarted.

Evidence: unit tests (a process that sees one entry and a record of 13 divides by 13; 1 before).

--- a/internal/fleet/directory/hosts.go
+++ b/internal/fleet/directory/hosts.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 
 	"tamaracktiller.example/tamaracktiller/internal/platform/store"
@@ -30,6 +31,37 @@
 // HostPrefix is the prefix of the keys of host entries.
 const HostPrefix = "fleet/hosts/"
 
+// SizeKey is the key of the largest number of hosts that any process has seen, as a decimal
+// number. Entries of hosts may be missing while their processes run, so a process that starts
+// must not divide shared limits by the number of entries alone.
+const SizeKey = "fleet/size"
+
+// maxFleetSize bounds the number of hosts that is accepted from SizeKey.
+const maxFleetSize = 1 << 20
+
+// applySize applies the recorded size of the fleet. Shares stay small if the record is
+// deleted or too low.
+func (s *State) applySize(item store.Item) {
+	s.recordedHosts, s.sizeRevision = 0, item.Revision
+	if item.Deleted {
+		s.sizeRevision = store.Revision{}
+		return
+	}
+	n, err := strconv.Atoi(string(item.Value))
+	if err != nil || n < 0 || n > maxFleetSize {
+		s.warn("invalid record of the fleet size", map[string]any{"value": string(item.Value[:min(len(item.Value), maxLoggedValue)]), fieldRevision: item.Revision.String()})
+		return
+	}
+	s.recordedHosts = n
+	if n > s.maxHosts {
+		s.log("fleet is larger than the listed hosts", map[string]any{"recorded": n, "hosts": len(s.hosts), "before": s.maxHosts, fieldRevision: item.Revision.String()})
+		s.maxHosts = n
+	}
+}
+
+// maxLoggedValue bounds the part of an invalid value in a log line, in bytes.
+const maxLoggedValue = 32
+
 func (s *State) applyHost(now time.Time, name string, item store.Item) {
 	if item.Deleted {
 		s.deleteHostEntry(now, name)
--- a/internal/fleet/directory/registration.go
+++ b/internal/fleet/directory/registration.go
@@ -7,6 +7,7 @@
 	crand "crypto/rand"
 	"encoding/json"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,8 +44,13 @@
 	// date. Era counts the restores of the store from a backup.
 	Loaded, Fresh bool
 	Era           uint64
-	// Hosts is the largest number of hosts seen so far.
-	Hosts int
+	// Hosts is the largest number of hosts seen so far, RecordedHosts the one that the store
+	// holds, and SizeRevision the revision of that record.
+	Hosts         int
+	RecordedHosts int
+	SizeRevision  store.Revision
+	// First reports whether this host is the first of the ranking, which writes the record.
+	First bool
 	// Entry is the entry of this host in the store; the zero value if there is none.
 	Entry Host
 	// Secret is the newest known fleet secret, and SecretStored reports whether the store
@@ -56,7 +62,7 @@
 // RegistrationState returns the state of this host's registration according to the view.
 func (d *Directory) RegistrationState() RegistrationState {
 	s := d.Snapshot()
-	return RegistrationState{Loaded: d.Loaded(), Fresh: d.Fresh(time.Now()), Era: s.Revision.Era, Hosts: s.MaxHosts, Entry: s.Entry, Secret: s.Secret(), SecretStored: s.SecretStored}
+	return RegistrationState{Loaded: d.Loaded(), Fresh: d.Fresh(time.Now()), Era: s.Revision.Era, Hosts: s.MaxHosts, RecordedHosts: s.RecordedHosts, SizeRevision: s.SizeRevision, First: s.position.rank == 0, Entry: s.Entry, Secret: s.Secret(), SecretStored: s.SecretStored}
 }
 
 // Registration maintains the entry of this host in the store, and the fleet secret.
@@ -106,6 +112,9 @@
 			continue
 		}
 		pause = retryMin
+		if err := r.recordSize(ctx); err != nil {
+			r.Log.WithError(err).Warn("recording the size of the fleet failed")
+		}
 		if written.lease != 0 {
 			r.waitForRenewal(ctx, written.era)
 		}
@@ -192,3 +201,18 @@
 	}
 	return err
 }
+
+// recordSize raises the recorded size of the fleet to the largest number of hosts that this
+// process has seen.
+func (r *Registration) recordSize(ctx context.Context) error {
+	s := r.State()
+	if !s.First || s.Hosts <= s.RecordedHosts {
+		return nil
+	}
+	_, err := r.Store.Commit(ctx, []store.Condition{{Key: SizeKey, Revision: s.SizeRevision}}, []store.Put{{Key: SizeKey, Value: []byte(strconv.Itoa(s.Hosts))}}, nil)
+	if errors.Is(err, store.ErrConflict) {
+		// Another host wrote it. The view contains that write by the next renewal.
+		return nil
+	}
+	return err
+}
--- a/internal/fleet/directory/registration_test.go
+++ b/internal/fleet/directory/registration_test.go
@@ -25,7 +25,9 @@
 	droppedCommits int
 	entries        []uint64
 	secrets        [][]byte
-	self           Host
+	// sizes are the recorded sizes of the fleet.
+	sizes []string
+	self  Host
 }
 
 var _ store.Leaser = (*fakeLeaser)(nil)
@@ -55,6 +57,14 @@
 		l.droppedCommits--
 		return store.Revision{}, store.ErrOutcomeUnknown
 	}
+	if writes[0].Key == SizeKey {
+		if len(conditions) != 1 || conditions[0].Revision != l.state.SizeRevision {
+			return store.Revision{}, store.ErrConflict
+		}
+		l.sizes = append(l.sizes, string(writes[0].Value))
+		l.state.RecordedHosts, l.state.SizeRevision = l.state.Hosts, store.NewRevision(l.state.Era, uint64(len(l.sizes)))
+		return l.state.SizeRevision, nil
+	}
 	if writes[0].Key == SecretKey {
 		if len(conditions) != 1 || !conditions[0].Revision.IsZero() || l.state.SecretStored {
 			return store.Revision{}, store.ErrConflict
@@ -171,3 +181,60 @@
 		require.EqualValues(t, 2, follower.Snapshot().Table.Config.Version)
 	})
 }
+
+func TestFirstHostRecordsTheLargestSizeOfTheFleet(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			l := &fakeLeaser{expired: map[uint64]bool{}, self: Host{Name: "a"}, state: RegistrationState{Loaded: true, Fresh: true, Era: 1, Hosts: 3, First: first}}
+			r := &Registration{Self: l.self, Store: l, State: l.registrationState, Log: logrus.NewEntry(log)}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error)
+			go func() { done <- r.Run(ctx) }()
+			for _, hosts := range []int{13, 9, 13, 17} {
+				time.Sleep(10 * time.Second)
+				l.change(func() { l.state.Hosts = hosts })
+			}
+			time.Sleep(10 * time.Second)
+			l.change(func() { l.state.RecordedHosts, l.state.SizeRevision = 0, store.Revision{} })
+			time.Sleep(10 * time.Second)
+			cancel()
+			require.NoError(t, <-done)
+			if first {
+				require.Equal(t, []string{"3", "13", "17", "17"}, l.sizes)
+			} else {
+				require.Empty(t, l.sizes)
+			}
+		})
+	}
+}
+
+func TestProcessThatStartsWhileFewHostsAreListedKnowsTheSizeOfTheFleet(t *testing.T) {
+	put := func(key, value string, revision uint64) store.Item {
+		return store.Item{Key: key, Value: []byte(value), Revision: store.NewRevision(1, revision)}
+	}
+	tests := []struct {
+		name  string
+		items []store.Item
+		want  int
+	}{
+		{name: "no record", items: []store.Item{put(HostPrefix+"b", `{"name":"b"}`, 1)}, want: 1},
+		{name: "larger record", items: []store.Item{put(HostPrefix+"b", `{"name":"b"}`, 1), put(SizeKey, "13", 2)}, want: 13},
+		{name: "smaller record", items: []store.Item{put(SizeKey, "1", 1), put(HostPrefix+"b", `{"name":"b"}`, 2), put(HostPrefix+"c", `{"name":"c"}`, 3)}, want: 2},
+		{name: "record is lowered", items: []store.Item{put(SizeKey, "13", 1), put(SizeKey, "2", 2)}, want: 13},
+		{name: "record is deleted", items: []store.Item{put(SizeKey, "13", 1), {Key: SizeKey, Deleted: true, Revision: store.NewRevision(1, 2)}}, want: 13},
+		{name: "invalid record", items: []store.Item{put(SizeKey, "many", 1)}, want: 0},
+		{name: "negative record", items: []store.Item{put(SizeKey, "-4", 1)}, want: 0},
+		{name: "impossible record", items: []store.Item{put(SizeKey, "99999999999", 1)}, want: 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := NewState(Host{Name: "a"}, plainDecoder{}, time.Second, func(store.Item) {})
+			for _, item := range tt.items {
+				s.Apply(time.Now(), item)
+			}
+			require.Equal(t, tt.want, s.Snapshot().MaxHosts)
+		})
+	}
+}
--- a/internal/fleet/directory/state.go
+++ b/internal/fleet/directory/state.go
@@ -65,9 +65,13 @@
 	// HasPredecessor reports whether the store has held the entry of an earlier process of
 	// this host.
 	HasPredecessor bool
-	// MaxHosts is the largest number of hosts seen so far. Limits that the hosts share
-	// are divided by it.
+	// MaxHosts is the largest number of hosts seen so far, by this process or according to
+	// the store. Limits that the hosts share are divided by it.
 	MaxHosts int
+	// RecordedHosts is the largest number of hosts according to the store, and SizeRevision
+	// the revision of that record; zero if there is none.
+	RecordedHosts int
+	SizeRevision  store.Revision
 	// Revision is the highest revision of the store that was applied.
 	Revision store.Revision
 	// TargetChanges counts the changes to the targets.
@@ -126,8 +130,12 @@
 	secrets      [][]byte
 	secretStored bool
 	// entry is the entry of this host in the store.
-	entry             Host
-	hasPredecessor    bool
+	entry          Host
+	hasPredecessor bool
+	// recordedHosts is the value of SizeKey and sizeRevision its revision; zero if there is
+	// none.
+	recordedHosts     int
+	sizeRevision      store.Revision
 	revision          store.Revision
 	reregisterTimeout time.Duration
 	// missing maps the hosts whose entries a backup of the store lacks to the time at
@@ -215,6 +223,8 @@
 		s.applyTarget(now, id, item, old)
 	} else if item.Key == SecretKey {
 		s.applySecret(item)
+	} else if item.Key == SizeKey {
+		s.applySize(item)
 	} else if name, ok := strings.CutPrefix(item.Key, HostPrefix); ok {
 		s.applyHost(now, name, item)
 	}
@@ -314,7 +324,7 @@
 	next := *s.last
 	next.Table, next.MaxHosts, next.Revision, next.TargetChanges = s.table, s.maxHosts, s.revision, s.changes
 	next.Secrets, next.SecretStored, next.Entry = s.secrets, s.secretStored, s.entry
-	next.HasPredecessor = s.hasPredecessor
+	next.HasPredecessor, next.RecordedHosts, next.SizeRevision = s.hasPredecessor, s.recordedHosts, s.sizeRevision
 	if s.hostsChanged {
 		next.Hosts = maps.Clone(s.hosts)
 		next.HostChanges++
