--- a/cmd/tamaracktiller/entry.go
+++ b/cmd/tamaracktiller/entry.go
@@ -17,12 +17,22 @@
 const gcPercent = 30
 
 type entryCommand struct {
-	Settings string `arg:"" optional:"" help:"Settings file; the platform sets its path in the environment." env:"TAMARACKTILLER_SETTINGS"`
+	Settings   string `arg:"" optional:"" help:"Settings file; the platform sets its path in the environment." env:"TAMARACKTILLER_SETTINGS"`
+	BindSource bool   `help:"Open connections to targets from the address that serves callers, so that targets and firewalls can tell hosts on one machine apart."`
+}
+
+// load reads the settings.
+func (c *entryCommand) load() (*settings.Entry, error) {
+	s, err := platform.LoadSettings(c.Settings)
+	if err == nil && c.BindSource {
+		s.Source = s.Callers.Addr()
+	}
+	return s, err
 }
 
 // Run runs an entry host until it receives a signal.
 func (c *entryCommand) Run(ctx context.Context) error {
-	s, err := platform.LoadSettings(c.Settings)
+	s, err := c.load()
 	if err != nil {
 		return err
 	}
@@ -30,7 +40,7 @@
 	p, err := entry.New(s, entry.Platform{
 		Dialect: platform.Dialect{}, Decoder: platform.Decoder{},
 		OpenStore: platform.OpenStore, ReadyPath: platform.ReadyPath,
-	}, func() (*settings.Entry, error) { return platform.LoadSettings(c.Settings) }, os.Stdout)
+	}, c.load, os.Stdout)
 	if err != nil {
 		return err
 	}
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -87,10 +87,10 @@
 	case HostReload:
 		h.signal(syscall.SIGHUP)
 	default:
-		links := map[Kind]linkState{HostStoreSlow: linkSlow, HostStoreSilent: linkSilent, HostStoreOneWay: linkOneWay, HostStoreReset: linkReset}
-		h.storeLink.set(links[f.Kind])
+		links := map[Kind]platformtest.LinkState{HostStoreSlow: platformtest.LinkSlow, HostStoreSilent: platformtest.LinkSilent, HostStoreOneWay: platformtest.LinkOneWay, HostStoreReset: platformtest.LinkReset}
+		h.storeLink.Set(links[f.Kind])
 		timer.Sleep(ctx, f.Length)
-		h.storeLink.set(linkUp)
+		h.storeLink.Set(platformtest.LinkUp)
 	}
 }
 
@@ -173,7 +173,7 @@
 
 	mu         sync.Mutex
 	target     *platformtest.Target
-	link       *proxy
+	link       *platformtest.Proxy
 	generation int
 }
 
@@ -185,12 +185,12 @@
 	t := platformtest.NewTarget(fmt.Sprintf("t-%d-%d", b.index, b.generation), serviceName, fmt.Sprintf("d-%d", b.index%2), targetSlots, platformtest.Behaviour{ServiceTime: typicalServiceTime})
 	id := t.ID
 	t.OnEvent = func(e platformtest.Event) { b.r.recordEvent(id, e) }
-	link, err := newProxy(ctx, t.Address(), b.r.g)
+	link, err := platformtest.NewProxy(ctx, t.Address(), b.r.g)
 	if err != nil {
 		return err
 	}
 	b.target, b.link = t, link
-	b.r.store.Put(platformtest.TargetPrefix+id, t.EntryAt(link.address(), "ready"))
+	b.r.store.Put(platformtest.TargetPrefix+id, t.EntryAt(link.Address(), "ready"))
 	return nil
 }
 
@@ -201,7 +201,7 @@
 	r.history.TargetEvents = append(r.history.TargetEvents, TargetEvent{Target: target, Kind: e.Kind, At: r.sinceStart(e.At), ID: e.RequestID})
 }
 
-func (b *backend) current() (*platformtest.Target, *proxy) {
+func (b *backend) current() (*platformtest.Target, *platformtest.Proxy) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.target, b.link
@@ -215,17 +215,17 @@
 		TargetShed:          {ServiceTime: typicalServiceTime, Shed: true},
 		TargetDropResponses: {ServiceTime: typicalServiceTime, DropResponses: true},
 	}
-	links := map[Kind]linkState{TargetLinkSilent: linkSilent, TargetLinkOneWay: linkOneWay, TargetLinkReset: linkReset, TargetLinkSlow: linkSlow}
+	links := map[Kind]platformtest.LinkState{TargetLinkSilent: platformtest.LinkSilent, TargetLinkOneWay: platformtest.LinkOneWay, TargetLinkReset: platformtest.LinkReset, TargetLinkSlow: platformtest.LinkSlow}
 	switch f.Kind {
 	case TargetLimit:
 		b.nameLimit(ctx, t, f)
 	case TargetCrash:
-		link.set(linkReset)
+		link.Set(platformtest.LinkReset)
 		timer.Sleep(ctx, min(f.Length, entryTimeout))
 		b.r.store.Delete(platformtest.TargetPrefix + t.ID)
 		b.replace(ctx)
 	case TargetDrain:
-		b.r.store.Put(platformtest.TargetPrefix+t.ID, t.EntryAt(link.address(), "draining"))
+		b.r.store.Put(platformtest.TargetPrefix+t.ID, t.EntryAt(link.Address(), "draining"))
 		b.r.mu.Lock()
 		if _, ok := b.r.history.DrainStarts[t.ID]; !ok {
 			b.r.history.DrainStarts[t.ID] = b.r.sinceStart(time.Now())
@@ -247,9 +247,9 @@
 			replace(platformtest.Behaviour{ServiceTime: typicalServiceTime})
 			return
 		}
-		link.set(links[f.Kind])
+		link.Set(links[f.Kind])
 		timer.Sleep(ctx, f.Length)
-		link.set(linkUp)
+		link.Set(platformtest.LinkUp)
 	}
 }
 
--- a/internal/bench/soak/host.go
+++ b/internal/bench/soak/host.go
@@ -39,7 +39,7 @@
 	domain    string
 	dir       string
 	binary    string
-	storeLink *proxy
+	storeLink *platformtest.Proxy
 	g         *group.Group
 	settings  *settings.Entry
 
@@ -56,7 +56,7 @@
 	const megabyte = 1 << 20
 	return &settings.Entry{
 		Name: h.name, Domain: h.domain, Domains: []string{"d-0", "d-1"}, FirstStart: true,
-		Callers: h.callerAddress(), Observe: netip.AddrPortFrom(h.ip, portReady), Peers: netip.AddrPortFrom(h.ip, portPeers), Store: h.storeLink.address(),
+		Callers: h.callerAddress(), Observe: netip.AddrPortFrom(h.ip, portReady), Peers: netip.AddrPortFrom(h.ip, portPeers), Store: h.storeLink.Address(),
 		MemoryBytes: 200 * megabyte, Heartbeat: time.Second,
 		Bounds: settings.Bounds{
 			RetryRatio: r.bounds.RetryRatio, RetrySlack: r.bounds.RetrySlack, RetryWindow: r.bounds.RetryWindow, ProbesPerSecond: r.bounds.ProbesPerSecond,
@@ -92,7 +92,7 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.CommandContext(ctx, h.binary, "entry", h.settingsFile()) //nolint:gosec // The program under test.
+	cmd := exec.CommandContext(ctx, h.binary, "entry", "--bind-source", h.settingsFile()) //nolint:gosec // The program under test.
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, h.name)
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -144,7 +144,7 @@
 		r.targets = append(r.targets, b)
 	}
 	for n := range r.cfg.Hosts {
-		link, err := newProxy(ctx, r.store.Address(), r.g)
+		link, err := platformtest.NewProxy(ctx, r.store.Address(), r.g)
 		if err != nil {
 			return err
 		}
--- a/internal/kernel/dial/dial.go
+++ b/internal/kernel/dial/dial.go
@@ -34,10 +34,19 @@
 
 // TCP opens a TCP connection to address.
 func TCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	return TCPFrom(ctx, netip.Addr{}, address)
+}
+
+// TCPFrom opens a TCP connection from a local address to address. The zero source leaves the
+// choice of the local address to the system.
+func TCPFrom(ctx context.Context, source netip.Addr, address netip.AddrPort) (net.Conn, error) {
 	d := net.Dialer{
 		Control:         UserTimeout(userTimeout),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: keepAliveCount},
 	}
+	if source.IsValid() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
+	}
 	return d.DialContext(ctx, "tcp", address.String())
 }
 
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -126,7 +126,7 @@
 		Self: p.self(), FirstStart: cfg.FirstStart, Source: p.store, Decoder: platform.Decoder, Timer: timers, Log: p.log.For("directory"),
 		ReregisterTimeout: cfg.Bounds.ReregisterTimeout, OnChange: p.applySnapshot, OnQueueWait: p.metrics.ObserveUpdateDelay,
 	}, p.g)
-	p.links = targets.NewLinks(platform.Dialect, p.g)
+	p.links = targets.NewLinks(platform.Dialect, cfg.Source, p.g)
 	crashes := entry.NewCrashTracker(entry.CrashTrackerConfig{
 		Self: cfg.Name, Hosts: func() map[string]directory.Host { return p.directory.Snapshot().Hosts },
 		Send: p.sendEvidence, ConnectionRefused: p.links.RefusesConnections, Log: p.log.For("crashes"),
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -24,6 +24,9 @@
 	Metrics netip.AddrPort
 	// Store is the address of the metadata store.
 	Store netip.AddrPort
+	// Source is the local address of connections to targets; the zero value leaves the choice
+	// to the system.
+	Source netip.Addr
 	// FirstStart is set when the whole fleet starts for the first time.
 	FirstStart bool
 	// MemoryBytes is the memory limit of the host.
--- a/internal/traffic/targets/targets.go
+++ b/internal/traffic/targets/targets.go
@@ -108,15 +108,17 @@
 // Links holds the connections to all targets. It is safe for concurrent use.
 type Links struct {
 	reader Reader
+	source netip.Addr
 	g      *group.Group
 
 	mu    sync.Mutex
 	links map[string]*Link
 }
 
-// NewLinks returns Links without targets. Goroutines of g send the request bodies.
-func NewLinks(reader Reader, g *group.Group) *Links {
-	return &Links{reader: reader, g: g, links: map[string]*Link{}}
+// NewLinks returns Links without targets, whose connections are opened from the address source
+// if it is valid. Goroutines of g send the request bodies.
+func NewLinks(reader Reader, source netip.Addr, g *group.Group) *Links {
+	return &Links{reader: reader, source: source, g: g, links: map[string]*Link{}}
 }
 
 // SetTargets applies the targets of a snapshot. It closes the connections to removed
@@ -152,12 +154,12 @@
 	}
 	l.remove(t.ID)
 	l.links[t.ID] = &Link{Target: t, Pool: relay.NewPool(t.Address, relay.Config{
-		MaxConnections: limit, Dial: dialTarget, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxNonIdempotentIdle: maxNonIdempotentIdle,
+		MaxConnections: limit, Dial: l.dial, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxNonIdempotentIdle: maxNonIdempotentIdle,
 	}, l.g)}
 }
 
-func dialTarget(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	return dial.TCP(ctx, address)
+func (l *Links) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	return dial.TCPFrom(ctx, l.source, address)
 }
 
 func (l *Links) remove(id string) {
@@ -193,7 +195,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := dialTarget(ctx, link.Target.Address)
+	conn, err := l.dial(ctx, link.Target.Address)
 	if err == nil {
 		_ = conn.Close()
 	}
