--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/process/entry"
 	"tamaracktiller.example/tamaracktiller/internal/process/settings"
 	"tamaracktiller.example/tamaracktiller/internal/report/burn"
@@ -35,6 +36,9 @@
 	version int
 	// firstStart is set while the fleet starts for the first time.
 	firstStart bool
+	// domains is the number of failure domains. Host n is in domain n modulo domains.
+	domains int
+	proxies []*platformtest.Proxy
 
 	// mu guards hosts, to which tests add while others send requests.
 	mu    sync.Mutex
@@ -78,25 +82,43 @@
 
 func newCluster(t *testing.T, hosts int, targets ...*platformtest.Target) *cluster {
 	t.Helper()
-	return newFleet(t, false, hosts, targets...)
+	return newFleet(t, fleet{hosts: hosts}, targets...)
 }
 
 // newFirstCluster returns a deployment that starts for the first time.
 func newFirstCluster(t *testing.T, hosts int, targets ...*platformtest.Target) *cluster {
 	t.Helper()
-	return newFleet(t, true, hosts, targets...)
+	return newFleet(t, fleet{hosts: hosts, firstStart: true}, targets...)
 }
 
-func newFleet(t *testing.T, firstStart bool, hosts int, targets ...*platformtest.Target) *cluster {
+// fleet describes the hosts of a cluster.
+type fleet struct {
+	hosts int
+	// domains is the number of failure domains over which hosts are spread; 0 means one.
+	domains    int
+	firstStart bool
+	// proxied puts a proxy before each target, which tells connections of hosts apart.
+	proxied bool
+}
+
+func newFleet(t *testing.T, f fleet, targets ...*platformtest.Target) *cluster {
 	t.Helper()
-	cl := &cluster{t: t, store: platformtest.NewStore(), targets: targets, firstStart: firstStart}
+	cl := &cluster{t: t, store: platformtest.NewStore(), targets: targets, firstStart: f.firstStart, domains: max(1, f.domains)}
 	t.Cleanup(cl.store.Close)
 	for _, target := range targets {
 		t.Cleanup(target.Close)
-		cl.store.Put("servers/"+target.ID, target.Entry("ready"))
+		address := target.Address()
+		if f.proxied {
+			g := group.New(t.Context())
+			proxy, err := platformtest.NewProxy(t.Context(), address, g)
+			require.NoError(t, err)
+			cl.proxies = append(cl.proxies, proxy)
+			address = proxy.Address()
+		}
+		cl.store.Put("servers/"+target.ID, target.EntryAt(address, "ready"))
 	}
 	cl.configure("/search/", "/book/")
-	for n := range hosts {
+	for n := range f.hosts {
 		cl.start(fmt.Sprintf("host-%d", n))
 	}
 	for _, h := range cl.hosts {
@@ -119,7 +141,7 @@
 
 func (cl *cluster) start(name string) *host {
 	cl.t.Helper()
-	h := cl.run(name)
+	h := cl.run(name, len(cl.hosts)%cl.domains)
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	cl.hosts = append(cl.hosts, h)
@@ -129,18 +151,18 @@
 // restart starts a new process in place of a host.
 func (cl *cluster) restart(index int) {
 	cl.t.Helper()
-	h := cl.run(fmt.Sprintf("host-%d", index))
+	h := cl.run(fmt.Sprintf("host-%d", index), index%cl.domains)
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	cl.hosts[index] = h
 }
 
 // run runs the process of a host.
-func (cl *cluster) run(name string) *host {
+func (cl *cluster) run(name string, domain int) *host {
 	cl.t.Helper()
 	ip := freeAddress()
 	cfg := &settings.Entry{
-		Name: name, Domain: "d", FirstStart: cl.firstStart, Callers: netip.AddrPortFrom(ip, 8381), Observe: netip.AddrPortFrom(ip, 8388),
+		Name: name, Domain: []string{"d", "e", "f"}[domain], FirstStart: cl.firstStart, Source: ip, Callers: netip.AddrPortFrom(ip, 8381), Observe: netip.AddrPortFrom(ip, 8388),
 		Peers: netip.AddrPortFrom(ip, 7200), Metrics: netip.AddrPortFrom(ip, 7201),
 		Store: cl.store.Address(), LogLevel: "debug",
 		Bounds: settings.Bounds{
