Drop attempts that never arrive from the count of a target's requests

Cause: requests of a cut host hang in its connections until their deadline. The dispatcher counted them as running, and as overdue, so that their targets seemed too slow for any request, although the targets' own load reports showed that they run nothing.

An attempt for which no load report has accounted for 60 ms is dropped now, oldest first. The order by age is a guess; a wrong one only loses a sample of the service time.

Evidence: TestAttemptsThatNeverArriveDoNotMakeTheirTargetSlow fails before.

--- a/internal/traffic/placement/chooser.go
+++ b/internal/traffic/placement/chooser.go
@@ -346,6 +346,7 @@
 	t.profile.RecordSlowness(t.load.Slowness, gap, l.Slowness)
 	t.load, t.reportedAt, t.unresponsive = l, now, false
 	t.dropSuspects()
+	t.dropUnaccounted(now)
 }
 
 // RecordResponse records whether a response of a target carried a load report.
--- a/internal/traffic/placement/chooser_test.go
+++ b/internal/traffic/placement/chooser_test.go
@@ -317,3 +317,40 @@
 		})
 	}
 }
+
+// Guards against taking requests that hang on the link of one host for slow ones: they are
+// sent and never arrive, and the target goes on to serve others.
+func TestAttemptsThatNeverArriveDoNotMakeTheirTargetSlow(t *testing.T) {
+	tests := []struct {
+		name string
+		// running is the number of requests that the target reports, and reports are the times
+		// of its reports.
+		running int
+		reports []int
+		// later adds an attempt shortly before the choice.
+		later bool
+		want  bool
+	}{
+		{name: "the target runs nothing", reports: []int{100, 130, 170, 400}, want: true},
+		{name: "the target runs a later request", later: true, running: 1, reports: []int{100, 130, 170, 400}, want: true},
+		{name: "the target runs one of the two", running: 1, reports: []int{100, 130, 170, 400}},
+		{name: "a single report", reports: []int{400}},
+		{name: "the target runs the attempts", running: 2, reports: []int{100, 130, 170, 400}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := chooser(Load{Slots: 8, Slowness: 1})
+			c.RecordAttempt(at(1), Choice{ID: "a", ServiceTime: typicalTime})
+			c.RecordAttempt(at(2), Choice{ID: "a", ServiceTime: typicalTime})
+			for _, ms := range tt.reports {
+				if tt.later && ms == 400 {
+					c.RecordAttempt(at(350), Choice{ID: "a", ServiceTime: typicalTime})
+				}
+				c.RecordLoad(at(ms), "a", Load{Running: tt.running, Slots: 8, Slowness: 1})
+			}
+			got, ok := c.Best(at(401), "s", r)
+			require.True(t, ok)
+			require.Equal(t, tt.want, got.HasCapacity)
+		})
+	}
+}
--- a/internal/traffic/placement/target.go
+++ b/internal/traffic/placement/target.go
@@ -153,6 +153,9 @@
 	rejectedAt time.Time
 	// attempts are the requests in flight that this chooser recorded.
 	attempts []attempt
+	// surplusSince is the time since which every load report accounted for fewer requests
+	// than attempts; zero if the last one did not.
+	surplusSince time.Time
 	// latencyRatio is a moving average of actual over expected time of the attempts, as
 	// of latencyRatioAt. It exceeds 1 if the target is slower than it reports.
 	latencyRatio   float64
@@ -181,12 +184,41 @@
 	return n
 }
 
+// surplus returns the number of attempts for which the last load report does not account.
+func (t *target) surplus() int {
+	return len(t.attempts) - t.sentSinceReport(t.transit) - t.load.Running - t.load.Waiting
+}
+
 // dropSuspects drops suspect attempts, oldest first, as long as there are more attempts
 // than the last load report accounts for: the target does not run the surplus any more.
 func (t *target) dropSuspects() {
-	surplus := len(t.attempts) - t.sentSinceReport(t.transit) - t.load.Running - t.load.Waiting
+	t.dropSurplus(func(a attempt) bool { return a.suspect && a.sentAt.Add(t.transit).Before(t.reportedAt) })
+}
+
+// dropUnaccounted drops attempts, oldest first, for which no load report has accounted for
+// surplusTime: they never reached the target, since the link between it and the host that sent
+// them is broken, or their outcome was lost on the way. The host may wait for them much longer.
+func (t *target) dropUnaccounted(now time.Time) {
+	switch {
+	case t.surplus() <= 0:
+		t.surplusSince = time.Time{}
+	case t.surplusSince.IsZero():
+		t.surplusSince = now
+	case now.Sub(t.surplusSince) >= surplusTime:
+		t.dropSurplus(func(a attempt) bool { return a.sentAt.Before(t.surplusSince) })
+	}
+}
+
+// surplusTime is the time after which an attempt that is missing in load reports is dropped.
+// It exceeds the time that a request or an outcome takes to arrive.
+const surplusTime = 60 * time.Millisecond
+
+// dropSurplus drops attempts for which drop returns true, oldest first, as long as there is a
+// surplus.
+func (t *target) dropSurplus(drop func(a attempt) bool) {
+	surplus := t.surplus()
 	t.attempts = slices.DeleteFunc(t.attempts, func(a attempt) bool {
-		if surplus <= 0 || !a.suspect || !a.sentAt.Add(t.transit).Before(t.reportedAt) {
+		if surplus <= 0 || !drop(a) {
 			return false
 		}
 		surplus--
