Count a silent connection against a target only if no other host hears from it

Cause: connections that could not be opened or went silent were failures of the target, whichever host saw them. Evidence of one pair of host and target ejected the target for all.

The result Unreachable tells them from errors of the target. The dispatcher counts it unless another host, or its own probe, has heard from the target since the attempt was sent; so a target that is really gone counts as before from the first attempt on that was sent after its end.

Evidence: TestFailuresOfOneHostCountUnlessAnotherHearsFromTheTarget.

--- a/internal/traffic/dispatcher/cell.go
+++ b/internal/traffic/dispatcher/cell.go
@@ -381,7 +381,7 @@
 		d.chooser.MarkFull(now, id)
 	default:
 		d.chooser.SetHealthy(id, r.Healthy)
-		d.chooser.RecordResponse(id, r.LoadKnown)
+		d.chooser.RecordProbed(now, id, r.LoadKnown)
 		if r.LoadKnown {
 			d.chooser.RecordLoad(now, id, r.Load)
 		}
--- a/internal/traffic/dispatcher/remote.go
+++ b/internal/traffic/dispatcher/remote.go
@@ -311,7 +311,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.chooser.Done(now, r.grant.at, r.grant.ID, m.Result)
+	d.chooser.DoneBy(now, from.String(), r.grant.at, r.grant.ID, m.Result)
 	d.recordOutcome(now, *r.grant, Outcome{Result: m.Result, Gone: m.Gone, Load: m.Load, LoadKnown: m.LoadKnown, Limit: m.Limit})
 	d.dispatchQueue(now, r.cell)
 }
--- a/internal/traffic/entry/attempt.go
+++ b/internal/traffic/entry/attempt.go
@@ -171,6 +171,9 @@
 		if r.req.isDone(ctx) {
 			return placement.Cancelled
 		}
+		if r.outcome == notSent || relay.IsTimeout(r.cause) {
+			return placement.Unreachable
+		}
 	case targetError:
 	}
 	return placement.Failed
@@ -182,7 +185,7 @@
 	if result == placement.Served {
 		h.updateTypicalTime(r.req, r)
 	}
-	if r.outcome == succeeded || result == placement.Failed {
+	if r.outcome == succeeded || result == placement.Failed || result == placement.Unreachable {
 		h.cfg.CrashTracker.attemptEnded(r.req, r)
 	}
 }
--- a/internal/traffic/placement/chooser.go
+++ b/internal/traffic/placement/chooser.go
@@ -349,6 +349,15 @@
 	t.dropUnaccounted(now)
 }
 
+// RecordProbed records that a target responded to a probe of this host, and whether the
+// response carried a load report.
+func (c *Chooser) RecordProbed(now time.Time, id string, hasLoad bool) {
+	if t := c.targets[id]; t != nil {
+		t.recordHeard(now, ThisHost)
+		t.profile.RecordResponse(hasLoad)
+	}
+}
+
 // RecordResponse records whether a response of a target carried a load report.
 func (c *Chooser) RecordResponse(id string, hasLoad bool) {
 	if t := c.targets[id]; t != nil {
@@ -419,12 +428,29 @@
 	}
 }
 
-// Done records the result of the attempt that was recorded at the time sent.
+// Done records the result of the attempt of this host that was recorded at the time sent.
 func (c *Chooser) Done(now, sent time.Time, id string, result Result) {
+	c.DoneBy(now, ThisHost, sent, id, result)
+}
+
+// ThisHost stands for the host of the chooser.
+const ThisHost = ""
+
+// DoneBy records the result of the attempt of a host that was recorded at the time sent.
+func (c *Chooser) DoneBy(now time.Time, host string, sent time.Time, id string, result Result) {
 	t := c.targets[id]
 	if t == nil {
 		return
 	}
+	switch result {
+	case Served, Rejected:
+		t.recordHeard(now, host)
+	case Unreachable:
+		if t.heardByOther(host).After(sent) {
+			result = Lost
+		}
+	default:
+	}
 	if i := slices.IndexFunc(t.attempts, func(a attempt) bool { return a.sentAt.Equal(sent) }); i >= 0 {
 		if result == Served || result == Cancelled {
 			t.updateLatencyRatio(now, t.attempts[i], result == Served)
--- a/internal/traffic/placement/chooser_test.go
+++ b/internal/traffic/placement/chooser_test.go
@@ -354,3 +354,38 @@
 		})
 	}
 }
+
+// Guards against ejecting a target because the link of one host to it is broken.
+func TestFailuresOfOneHostCountUnlessAnotherHearsFromTheTarget(t *testing.T) {
+	tests := []struct {
+		name string
+		// heard holds the hosts that are served by the target between the failures.
+		heard  []string
+		result Result
+		want   string
+	}{
+		{name: "nobody hears from it", result: Unreachable, want: "b"},
+		{name: "only the host that fails hears from it", heard: []string{"h1"}, result: Unreachable, want: "b"},
+		{name: "another host hears from it", heard: []string{"h2"}, result: Unreachable, want: "a"},
+		{name: "this host hears from it", heard: []string{ThisHost}, result: Unreachable, want: "a"},
+		{name: "an error of the target", heard: nil, result: Failed, want: "b"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := chooser(Load{Slots: 8, Slowness: 1}, Load{Slots: 8, Running: 1, Slowness: 1})
+			for n := range 6 {
+				sent := at(10 * n)
+				c.RecordAttempt(sent, Choice{ID: "a", ServiceTime: typicalTime})
+				for _, host := range tt.heard {
+					c.RecordAttempt(sent.Add(time.Microsecond), Choice{ID: "a", ServiceTime: typicalTime})
+					c.DoneBy(sent.Add(5*time.Millisecond), host, sent.Add(time.Microsecond), "a", Served)
+				}
+				c.DoneBy(sent.Add(9*time.Millisecond), "h1", sent, "a", tt.result)
+			}
+			c.RecordLoad(at(60), "a", Load{Slots: 8, Slowness: 1})
+			got, ok := c.Best(at(61), "s", r)
+			require.True(t, ok)
+			require.Equal(t, tt.want, got.ID)
+		})
+	}
+}
--- a/internal/traffic/placement/target.go
+++ b/internal/traffic/placement/target.go
@@ -127,6 +127,10 @@
 	// Lost means that the outcome was never reported, for example because the sending
 	// host crashed. It says nothing about the target.
 	Lost
+	// Unreachable means that the connection could not be opened or went silent. It counts
+	// as Failed unless another host has heard from the target since the attempt was sent:
+	// then the link of the sending host is broken, and not the target.
+	Unreachable
 )
 
 // attempt is a request in flight at a target.
@@ -156,6 +160,10 @@
 	// surplusSince is the time since which every load report accounted for fewer requests
 	// than attempts; zero if the last one did not.
 	surplusSince time.Time
+	// heardBy is the host that heard from the target last, at heardAt. othersHeardAt is the
+	// last time at which another host did.
+	heardBy                string
+	heardAt, othersHeardAt time.Time
 	// latencyRatio is a moving average of actual over expected time of the attempts, as
 	// of latencyRatioAt. It exceeds 1 if the target is slower than it reports.
 	latencyRatio   float64
@@ -388,6 +396,23 @@
 	failureRateGain = 0.25
 )
 
+// recordHeard records that a host got a response of the target.
+func (t *target) recordHeard(now time.Time, host string) {
+	if host != t.heardBy {
+		t.othersHeardAt, t.heardBy = t.heardAt, host
+	}
+	t.heardAt = now
+}
+
+// heardByOther returns the last time at which a host other than the given one heard from the
+// target; zero for never.
+func (t *target) heardByOther(host string) time.Time {
+	if host == t.heardBy {
+		return t.othersHeardAt
+	}
+	return t.heardAt
+}
+
 // recordResult updates the failure statistics and ejects the target if needed.
 func (t *target) recordResult(now time.Time, cfg Config, result Result) {
 	switch result {
@@ -397,7 +422,7 @@
 		t.consecutiveFailures, t.ejections = 0, 0
 		t.failureRate -= failureRateGain * t.failureRate
 		return
-	case Failed, Rejected:
+	case Failed, Rejected, Unreachable:
 		t.consecutiveFailures++
 		t.failureRate += failureRateGain * (1 - t.failureRate)
 	}
--- a/internal/traffic/relay/pool.go
+++ b/internal/traffic/relay/pool.go
@@ -24,6 +24,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -76,6 +77,12 @@
 	return !errors.As(err, &e) || e.Sent
 }
 
+// IsTimeout reports whether the peer went silent: an operation on the connection timed out.
+func IsTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout() || errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH)
+}
+
 // DialFunc opens a connection to an address.
 type DialFunc func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 
