Open connections to targets through other hosts while a host is cut off

Cause: a host judged each target by its own link to it, accepted requests as ever and had nothing but its own links to serve them: 400 ms for each connection that does not open, the whole time of a request on one that is silent.

A host that suspects its links (a connection that fails or takes 60 ms, a probe or a request without any byte from any target) now probes three targets directly and, if none responds, through other hosts. If these get further, it opens its connections through them: a WebSocket for each request to another host, which connects to the target over its own links only. All decisions stay with the host that has the request: what was sent and may have run, deadlines, retries and their budget, limits, cancellation. The other host copies bytes, and tells a connection that the target closed from one that broke. Silent idempotent attempts are given up and tried again, others keep waiting for their response but do not count as running any more. While cut off, a host probes a target directly every 400 ms and returns to its own links after two responses. A host is asked for a tunnel checks its own links too if it heard of no target for half a second, and hosts through which nothing arrives are asked last, since in a cut others may not know yet that they are cut off.

Weighed and not taken: sending whole requests to the entry handler of another host (outcomes, budgets and deadlines would be kept in two places); leaving readiness alone (open connections stay, and the platform uses all hosts of a domain when half of them are out); refusing at once (a failed first attempt for the caller, where others could serve it). Crash evidence now asks another host before it takes a refused connection for the end of a target.

Evidence: TestHostsCutOffFromAllTargetsServeTheirCallers.

--- a/internal/fleet/packet/fuzz_test.go
+++ b/internal/fleet/packet/fuzz_test.go
@@ -19,16 +19,16 @@
 	data, err := cbor.Marshal(fuzzMessage{ID: 7, Text: "x", List: []string{"a"}})
 	require.NoError(f, err)
 	f.Add(data, true)
-	f.Add(append(data, computeMAC(secret, data)...), false)
+	f.Add(append(data, MAC(secret, data)...), false)
 	f.Fuzz(func(t *testing.T, data []byte, signed bool) {
 		c := &Conn[fuzzMessage]{secrets: func() [][]byte { return [][]byte{secret} }}
 		other := &Conn[fuzzMessage]{secrets: func() [][]byte { return [][]byte{[]byte("other")} }}
 		if signed {
-			data = append(data, computeMAC(secret, data)...)
+			data = append(data, MAC(secret, data)...)
 		}
 		if _, ok := c.decode(data); ok && len(data) > macBytes {
 			end := len(data) - macBytes
-			require.Equal(t, computeMAC(secret, data[:end]), data[end:])
+			require.Equal(t, MAC(secret, data[:end]), data[end:])
 		}
 		_, ok := other.decode(data)
 		require.False(t, ok)
--- a/internal/fleet/packet/packet.go
+++ b/internal/fleet/packet/packet.go
@@ -81,11 +81,12 @@
 	if len(data)+macBytes > MaxBytes {
 		return errors.Wrapf(ErrTooLarge, "%d bytes", len(data))
 	}
-	_, err = c.udp.WriteToUDPAddrPort(append(data, computeMAC(secrets[0], data)...), to)
+	_, err = c.udp.WriteToUDPAddrPort(append(data, MAC(secrets[0], data)...), to)
 	return errors.Wrap(err, "packet")
 }
 
-func computeMAC(secret, data []byte) []byte {
+// MAC returns the message authentication code of data under a secret.
+func MAC(secret, data []byte) []byte {
 	h := hmac.New(sha256.New, secret)
 	_, _ = h.Write(data)
 	return h.Sum(nil)[:macBytes]
@@ -127,7 +128,7 @@
 		return m, false
 	}
 	data, mac := datagram[:len(datagram)-macBytes], datagram[len(datagram)-macBytes:]
-	if !slices.ContainsFunc(c.secrets(), func(secret []byte) bool { return hmac.Equal(mac, computeMAC(secret, data)) }) {
+	if !slices.ContainsFunc(c.secrets(), func(secret []byte) bool { return hmac.Equal(mac, MAC(secret, data)) }) {
 		return m, false
 	}
 	return m, cbor.Unmarshal(data, &m) == nil
--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -22,6 +22,7 @@
 	attempts    prometheus.Counter
 	extra       *prometheus.CounterVec
 	latency     *prometheus.HistogramVec
+	tunnels     prometheus.Counter
 	probes      *prometheus.CounterVec
 	storeCalls  *prometheus.CounterVec
 	updateDelay prometheus.Histogram
@@ -43,11 +44,12 @@
 		attempts:    prometheus.NewCounter(prometheus.CounterOpts{Name: "tamarack_entry_sends_total", Help: "Attempts to send a request to a target."}),
 		extra:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_entry_extra_attempts_total", Help: "Retries and hedges that the retry budget permitted or not."}, []string{labelService, "kind", "permitted"}),
 		latency:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "tamarack_entry_latency_seconds", Help: "Time to the final response.", Buckets: latencyBuckets}, []string{labelService}),
+		tunnels:     prometheus.NewCounter(prometheus.CounterOpts{Name: "tamarack_tunnels_total", Help: "Connections to targets that were opened for other hosts."}),
 		probes:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_entry_questions_total", Help: "Load probes sent to targets."}, []string{labelService}),
 		updateDelay: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "tamarack_view_wait_seconds", Help: "Time that updates from the store waited to be applied.", Buckets: latencyBuckets}),
 		storeCalls:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_store_calls_total", Help: "Calls to the metadata store by operation."}, []string{"operation"}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.extra, m.latency, m.probes, m.storeCalls, m.updateDelay)
+	m.registry.MustRegister(m.requests, m.attempts, m.extra, m.latency, m.tunnels, m.probes, m.storeCalls, m.updateDelay)
 	return m
 }
 
@@ -79,6 +81,20 @@
 	gauge("tamarack_store_age_seconds", "Age of this host's view of the store.", func() float64 { return age().Seconds() })
 }
 
+// registerReachability registers the gauge that tells whether this host has lost its links to
+// the targets.
+func (m *metrics) registerReachability(cutOff func() bool) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "tamarack_cut_off", Help: "Whether this host reaches targets only through other hosts."}, func() float64 {
+		if cutOff() {
+			return 1
+		}
+		return 0
+	}))
+}
+
+// CountTunnel counts a connection to a target that was opened for another host.
+func (m *metrics) CountTunnel() { m.tunnels.Inc() }
+
 // limitCollector exports the rate limits that targets name.
 type limitCollector struct {
 	limits      func() map[string]float64
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -40,6 +40,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/traffic/entry"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/targets"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/tunnel"
 )
 
 const (
@@ -94,6 +95,7 @@
 	directory       *directory.Directory
 	handler         *entry.Handler
 	links           *targets.Links
+	tunnels         *tunnel.Server
 	dispatcher      *dispatcher.Dispatcher
 	packets         *packet.Conn[dispatcher.Message]
 	metrics         *metrics
@@ -126,7 +128,17 @@
 		Self: p.self(), FirstStart: cfg.FirstStart, Source: p.store, Decoder: platform.Decoder, Timer: timers, Log: p.log.For("directory"),
 		ReregisterTimeout: cfg.Bounds.ReregisterTimeout, OnChange: p.applySnapshot, OnQueueWait: p.metrics.ObserveUpdateDelay,
 	}, p.g)
-	p.links = targets.NewLinks(platform.Dialect, cfg.Source, p.g)
+	p.links = targets.NewLinks(targets.Config{
+		Reader: platform.Dialect, Source: cfg.Source, Log: p.log.For("links"),
+		Limited: func(target string) bool { return p.dispatcher.Limited(target) },
+		Tunnels: tunnel.NewDialer(tunnel.DialerConfig{
+			Self: cfg.Name, Hosts: func() map[string]directory.Host { return p.directory.Snapshot().Hosts }, Secret: func() []byte { return p.directory.Snapshot().Secret() },
+		}, p.g),
+	}, p.g)
+	p.tunnels = tunnel.NewServer(tunnel.ServerConfig{
+		Secrets: p.fleetSecrets, Connect: p.links.ConnectFor, Available: func() bool { return !p.links.CutOff() }, Log: p.log.For("tunnels"), OnOpen: p.metrics.CountTunnel,
+	}, p.g)
+	p.metrics.registerReachability(p.links.CutOff)
 	crashes := entry.NewCrashTracker(entry.CrashTrackerConfig{
 		Self: cfg.Name, Hosts: func() map[string]directory.Host { return p.directory.Snapshot().Hosts },
 		Send: p.sendEvidence, ConnectionRefused: p.links.RefusesConnections, Log: p.log.For("crashes"),
@@ -281,6 +293,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(directory.ChangesPath, p.directory)
+	mux.Handle(tunnel.Path, p.tunnels)
 	p.peerServer = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	if err := p.serve(ctx, p.cfg.Peers, p.peerServer); err != nil {
 		return err
@@ -348,12 +361,16 @@
 	close(p.draining)
 	p.handler.Drain()
 	p.dispatcher.Drain()
+	p.tunnels.Refuse()
 	time.Sleep(min(drainNotice, time.Until(deadline)/2))
 	drainCtx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := p.clientServer.Shutdown(drainCtx); err != nil {
 		log.WithError(err).WithField("open", p.handler.InFlight()).Warn("requests are still in flight at the end of the grace period")
 	}
+	if open := p.tunnels.Drain(drainCtx); open > 0 {
+		log.WithField("open", open).Warn("tunnels of other hosts are still open at the end of the grace period")
+	}
 	log.WithField("ms", time.Since(started).Milliseconds()).Info("closed down")
 	p.logWriter.Flush()
 }
--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -141,7 +141,7 @@
 
 func (cl *cluster) start(name string) *host {
 	cl.t.Helper()
-	h := cl.run(name, len(cl.hosts)%cl.domains)
+	h := cl.run(name, len(cl.hosts)%max(1, cl.domains))
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	cl.hosts = append(cl.hosts, h)
@@ -151,7 +151,7 @@
 // restart starts a new process in place of a host.
 func (cl *cluster) restart(index int) {
 	cl.t.Helper()
-	h := cl.run(fmt.Sprintf("host-%d", index), index%cl.domains)
+	h := cl.run(fmt.Sprintf("host-%d", index), index%max(1, cl.domains))
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	cl.hosts[index] = h
--- a/internal/process/entry/recover_test.go
+++ b/internal/process/entry/recover_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -93,6 +95,19 @@
 	return tries
 }
 
+// saveLogs writes the logs of the hosts of a failed test to a directory, and names it.
+func (cl *cluster) saveLogs(name string) {
+	if !cl.t.Failed() {
+		return
+	}
+	dir, err := os.MkdirTemp("", "hosts-")
+	require.NoError(cl.t, err)
+	for _, h := range cl.hosts {
+		require.NoError(cl.t, os.WriteFile(filepath.Join(dir, h.cfg.Name+".log"), []byte(h.log.String()), 0o600))
+	}
+	cl.t.Logf("%s: logs of the hosts are in %s", name, dir)
+}
+
 func TestHostsCutOffFromAllTargetsServeTheirCallers(t *testing.T) {
 	some := func(hosts ...int) []int { return hosts }
 	tests := []struct {
@@ -115,6 +130,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			const length, callers = 6 * time.Second, 40
 			hosts, targets := tt.hosts, tt.targets
 			if hosts == 0 {
@@ -125,6 +141,7 @@
 				list = append(list, platformtest.NewTarget(fmt.Sprintf("t-%d", n), "svc", []string{"d", "e", "f"}[n%3], 48/targets, platformtest.Behaviour{ServiceTime: 40 * time.Millisecond}))
 			}
 			cl := newFleet(t, fleet{hosts: hosts, domains: 3, firstStart: true, proxied: true}, list...)
+			t.Cleanup(func() { cl.saveLogs(tt.name) })
 			begin := time.Now().Add(cutWarmUp)
 			end := begin.Add(length)
 			time.AfterFunc(time.Until(begin), func() {
--- a/internal/traffic/dispatcher/limit.go
+++ b/internal/traffic/dispatcher/limit.go
@@ -214,3 +214,11 @@
 	defer d.mu.Unlock()
 	return d.limits.Named()
 }
+
+// Limited reports whether a target is known to name a rate limit.
+func (d *Dispatcher) Limited(target string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, ok := d.limits.Limit(target)
+	return ok
+}
--- a/internal/traffic/entry/attempt.go
+++ b/internal/traffic/entry/attempt.go
@@ -63,6 +63,10 @@
 	info    targets.ResponseInfo
 	cause   error
 	elapsed time.Duration
+	// via is the host through which the request was sent; empty for none.
+	via string
+	// released is set if the dispatcher was told before the end that the attempt is lost.
+	released bool
 }
 
 // errResponseTooLarge reports a response body that exceeds maxStreamedResponse.
@@ -76,7 +80,9 @@
 	started := time.Now()
 	out := attempt{grant: grant, outcome: notSent, cause: targets.ErrGone}
 	if l, ok := req.h.cfg.Links.Find(grant.ID); ok {
-		out = req.roundTrip(ctx, l.Pool, grant)
+		w := req.watch(ctx, grant)
+		out = req.roundTrip(w, l.Pool, grant)
+		out.via, out.released = w.stop()
 	}
 	out.req, out.elapsed = req, time.Since(started)
 	if out.unread == nil {
@@ -99,9 +105,9 @@
 	r.req.h.reportDone(r, result)
 }
 
-func (req *clientRequest) roundTrip(ctx context.Context, pool *relay.Pool, grant dispatcher.Grant) attempt {
-	res, err := pool.RoundTrip(ctx, req.targetRequest(grant.ID, time.Until(req.deadline)), relay.Options{
-		Idempotent: req.route.Idempotent, AllowCloseDelimited: true,
+func (req *clientRequest) roundTrip(w *linkWatch, pool *relay.Pool, grant dispatcher.Grant) attempt {
+	res, err := pool.RoundTrip(targets.WithRequestID(w.ctx, req.id), req.targetRequest(grant.ID, time.Until(req.deadline)), relay.Options{
+		Idempotent: req.route.Idempotent, AllowCloseDelimited: true, Connected: w.connected,
 		// A late copy of the response to the first attempt has the same ID.
 		NewConnection:  slices.Contains(req.avoid, grant.ID),
 		MatchesRequest: func(header http.Header) bool { return req.h.cfg.Dialect.MatchesRequest(header, req.id) },
@@ -171,6 +177,9 @@
 		if r.req.isDone(ctx) {
 			return placement.Cancelled
 		}
+		if errors.Is(r.cause, errLinkLost) {
+			return placement.Lost
+		}
 		if r.outcome == notSent || relay.IsTimeout(r.cause) {
 			return placement.Unreachable
 		}
@@ -181,7 +190,9 @@
 
 // reportDone reports the end of an attempt to the dispatcher and the crash tracker.
 func (h *Handler) reportDone(r *attempt, result placement.Result) {
-	h.cfg.Placer.Done(r.grant, dispatcher.Outcome{Result: result, Gone: r.info.Misdirected, Load: r.info.Load, LoadKnown: r.info.LoadKnown, Limit: r.limit()})
+	if !r.released {
+		h.cfg.Placer.Done(r.grant, dispatcher.Outcome{Result: result, Gone: r.info.Misdirected, Load: r.info.Load, LoadKnown: r.info.LoadKnown, Limit: r.limit()})
+	}
 	if result == placement.Served {
 		h.updateTypicalTime(r.req, r)
 	}
--- a/internal/traffic/entry/response.go
+++ b/internal/traffic/entry/response.go
@@ -172,6 +172,9 @@
 		"running": r.grant.Load.Running, "waiting": r.grant.Load.Waiting, "slots": r.grant.Load.Slots,
 		"slowness": r.grant.Load.Slowness, "load-age-ms": r.grant.Age.Milliseconds(), "expected-ms": (r.grant.ServiceTime + r.grant.QueueTime).Milliseconds(), "dispatcher": r.grant.DispatchedBy(),
 	}
+	if r.via != "" {
+		fields["via"] = r.via
+	}
 	if r.cause != nil {
 		fields["error"] = r.cause.Error()
 	}
--- a/internal/traffic/entry/retry.go
+++ b/internal/traffic/entry/retry.go
@@ -57,6 +57,10 @@
 			return req.finalize(req.failureResponse(last, ""))
 		}
 		last.discard()
+		if last.outcome == notSent {
+			// If this host has lost its links, the next attempt goes through another host.
+			req.h.cfg.Links.AwaitCheck(ctx)
+		}
 	}
 }
 
--- a/internal/traffic/relay/pool.go
+++ b/internal/traffic/relay/pool.go
@@ -97,6 +97,8 @@
 	// MaxNonIdempotentIdle is the maximum time since the last response on a connection
 	// that may be reused for a request that is not idempotent.
 	MaxNonIdempotentIdle time.Duration
+	// MayReuse reports whether a connection may carry another request; nil means always.
+	MayReuse func(nc net.Conn) bool
 }
 
 // Pool holds the connections to one address. It is safe for concurrent use.
@@ -177,6 +179,18 @@
 	}
 }
 
+// DropIdle closes all idle connections.
+func (p *Pool) DropIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.open -= len(idle)
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.nc.Close()
+	}
+}
+
 // get returns an idle connection or opens one. For a request that is not idempotent, an idle
 // connection must have carried a response within MaxNonIdempotentIdle, because an older one
 // may be dead without an error.
@@ -239,8 +253,9 @@
 func (p *Pool) put(c *conn) {
 	c.lastResponse = time.Now()
 	c.reused = true
+	mayReuse := p.cfg.MayReuse == nil || p.cfg.MayReuse(c.nc)
 	p.mu.Lock()
-	if !p.closed {
+	if !p.closed && mayReuse {
 		p.idle = append(p.idle, c)
 		p.closeExcess()
 		p.mu.Unlock()
--- a/internal/traffic/relay/roundtrip.go
+++ b/internal/traffic/relay/roundtrip.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -20,6 +21,8 @@
 	Idempotent bool
 	// Informational is called for each 1xx response except 100 Continue. It may be nil.
 	Informational func(status int, header http.Header)
+	// Connected is called with the connection before the request is sent. It may be nil.
+	Connected func(nc net.Conn)
 	// NewConnection requires a connection that has carried no request before.
 	NewConnection bool
 	// AllowCloseDelimited accepts a close-delimited response: one without a length, whose
@@ -77,6 +80,9 @@
 	if err != nil {
 		return nil, &Error{Address: p.address, Cause: err}
 	}
+	if o.Connected != nil {
+		o.Connected(c.nc)
+	}
 	x := &exchange{pool: p, c: c, req: req, writeDone: make(chan struct{}), closeDelimited: o.AllowCloseDelimited}
 	before := c.written.n.Load()
 	x.watchContext(ctx)
--- a/internal/traffic/targets/targets.go
+++ b/internal/traffic/targets/targets.go
@@ -1,9 +1,10 @@
 // Package targets holds the connections of a host to targets, and probes the health and
-// load of targets.
+// load of targets. A host that has lost its own links to the targets, but not to the other
+// hosts, opens its connections through these (package tunnel) until it is back.
 //
 // # Usage
 //
-//	links := targets.NewLinks(cfg, group)
+//	links := targets.NewLinks(targets.Config{Reader: reader, Tunnels: dialer, Log: log}, group)
 //	links.SetTargets(snapshot, restarted)
 //	l, ok := links.Find(id)
 //	report, err := links.Probe(ctx, id, healthPath)
@@ -22,13 +23,14 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/roster"
-	"tamaracktiller.example/tamaracktiller/internal/kernel/dial"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/reachability"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/relay"
 )
 
@@ -107,18 +109,43 @@
 
 // Links holds the connections to all targets. It is safe for concurrent use.
 type Links struct {
-	reader Reader
-	source netip.Addr
-	g      *group.Group
+	cfg Config
+	g   *group.Group
 
 	mu    sync.Mutex
 	links map[string]*Link
+	// healthPaths holds the health check paths by service.
+	healthPaths map[string]string
+
+	// reachMu guards the fields below.
+	reachMu sync.Mutex
+	monitor *reachability.Monitor
+	// changed is closed and replaced when the verdict of monitor changes. checking is closed
+	// at the end of the check in progress; nil while there is none.
+	changed  chan struct{}
+	checking chan struct{}
+}
+
+// Config holds the settings and dependencies of Links.
+type Config struct {
+	Reader Reader
+	// Source is the local address of connections to targets; the zero value leaves the choice
+	// to the system.
+	Source netip.Addr
+	// Tunnels opens connections through other hosts while this one reaches no target. If it
+	// is nil, connections are always direct.
+	Tunnels Tunnels
+	// Limited reports whether a target names a rate limit; nil means that none does.
+	Limited func(target string) bool
+	Log     *logrus.Entry
+	// OnCutOff is called when this host has lost its own links to the targets, and when it
+	// reaches them again. It may be nil.
+	OnCutOff func(cutOff bool)
 }
 
-// NewLinks returns Links without targets, whose connections are opened from the address source
-// if it is valid. Goroutines of g send the request bodies.
-func NewLinks(reader Reader, source netip.Addr, g *group.Group) *Links {
-	return &Links{reader: reader, source: source, g: g, links: map[string]*Link{}}
+// NewLinks returns Links without targets. Goroutines of g send the request bodies.
+func NewLinks(cfg Config, g *group.Group) *Links {
+	return &Links{cfg: cfg, g: g, links: map[string]*Link{}, healthPaths: map[string]string{}, monitor: reachability.NewMonitor(), changed: make(chan struct{})}
 }
 
 // SetTargets applies the targets of a snapshot. It closes the connections to removed
@@ -129,6 +156,11 @@
 	for _, id := range restarted {
 		l.remove(id)
 	}
+	if s.Table != nil {
+		for name, service := range s.Table.Config.Services {
+			l.healthPaths[name] = service.HealthPath
+		}
+	}
 	seen := map[string]bool{}
 	for _, list := range s.Targets {
 		for _, t := range list {
@@ -153,13 +185,12 @@
 		return
 	}
 	l.remove(t.ID)
-	l.links[t.ID] = &Link{Target: t, Pool: relay.NewPool(t.Address, relay.Config{
-		MaxConnections: limit, Dial: l.dial, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxNonIdempotentIdle: maxNonIdempotentIdle,
-	}, l.g)}
-}
-
-func (l *Links) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	return dial.TCPFrom(ctx, l.source, address)
+	link := &Link{Target: t}
+	link.Pool = relay.NewPool(t.Address, relay.Config{
+		MaxConnections: limit, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxNonIdempotentIdle: maxNonIdempotentIdle,
+		Dial: func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) { return l.connect(ctx, link) }, MayReuse: l.mayReuse,
+	}, l.g)
+	l.links[t.ID] = link
 }
 
 func (l *Links) remove(id string) {
@@ -187,7 +218,8 @@
 }
 
 // RefusesConnections reports whether a target refuses connections, that is, whether its
-// process has ended while its machine still responds.
+// process has ended while its machine still responds. If another host reaches the target, the
+// links of this host are at fault.
 func (l *Links) RefusesConnections(ctx context.Context, id string) bool {
 	link, ok := l.Find(id)
 	if !ok {
@@ -195,15 +227,32 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := l.dial(ctx, link.Target.Address)
+	conn, err := l.connectDirectly(ctx, link)
 	if err == nil {
 		_ = conn.Close()
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	if !errors.Is(err, syscall.ECONNREFUSED) || l.cfg.Tunnels == nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	conn, err = l.tunnel(ctx, link)
+	if err != nil {
+		return true
+	}
+	_ = conn.Close()
+	return false
 }
 
 // Probe requests the health and load of a target. Errors: ErrGone, ErrUnresponsive.
 func (l *Links) Probe(ctx context.Context, id, healthPath string) (ProbeResult, error) {
+	started := time.Now()
+	result, err := l.probe(ctx, id, healthPath)
+	if errors.Is(err, ErrUnresponsive) && !l.HeardSince(started) {
+		l.Suspect(id, "a load probe failed")
+	}
+	return result, err
+}
+
+func (l *Links) probe(ctx context.Context, id, healthPath string) (ProbeResult, error) {
 	link, ok := l.Find(id)
 	if !ok {
 		return ProbeResult{}, errors.Wrap(ErrGone, id)
@@ -218,7 +267,7 @@
 	req.Header.Set("User-Agent", "")
 	res, err := link.Pool.RoundTrip(ctx, req, relay.Options{
 		Idempotent:     true,
-		MatchesRequest: func(header http.Header) bool { return l.reader.MatchesRequest(header, "") },
+		MatchesRequest: func(header http.Header) bool { return l.cfg.Reader.MatchesRequest(header, "") },
 	})
 	if err != nil {
 		return ProbeResult{}, errors.Wrapf(ErrUnresponsive, "%s: %v", id, err)
@@ -227,7 +276,7 @@
 	if _, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxProbeResponseBytes)); err != nil {
 		return ProbeResult{}, errors.Wrapf(ErrUnresponsive, "%s: %v", id, err)
 	}
-	info := l.reader.ReadHeader(res)
+	info := l.cfg.Reader.ReadHeader(res)
 	if info.TargetID != "" && info.TargetID != id {
 		return ProbeResult{}, errors.Wrapf(ErrGone, "%s: %s responded at its address", id, info.TargetID)
 	}
--- a/internal/traffic/targets/targets_test.go
+++ b/internal/traffic/targets/targets_test.go
@@ -15,7 +15,7 @@
 func TestConnectionsOfAllHostsStayWithinTheLimitAsTheFleetGrows(t *testing.T) {
 	g := group.New(t.Context())
 	defer func() { _ = g.Stop() }()
-	l := NewLinks(nil, netip.Addr{}, g)
+	l := NewLinks(Config{}, g)
 	list := []roster.ActiveTarget{{Target: roster.Target{ID: "t-1", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80")}}}
 	for _, tt := range []struct{ hosts, connections, want int }{{1, 200, 160}, {10, 200, 16}, {10, 100, 8}, {100, 200, minConnections}} {
 		table := routing.NewTable(&routing.Config{Services: map[string]routing.Service{"s": {Name: "s", MaxConnections: tt.connections}}})
