Let another host dispatch while a host is cut off from the targets

The dispatcher of a cell judges targets by its own probes. Cut off, it found all of them unresponsive, kept the requests of sound hosts waiting, and would probe through other hosts, with a new connection for each probe.

It now answers other hosts that it is unavailable, hands over those that wait, and has its own requests dispatched by the next host of the ranking; only if none responds it dispatches them itself.

Evidence: TestHostThatIsCutOffLetsAnotherHostDispatch.

--- a/internal/traffic/dispatcher/dispatcher.go
+++ b/internal/traffic/dispatcher/dispatcher.go
@@ -64,6 +64,8 @@
 	cfg      Config
 	g        *group.Group
 	draining atomic.Bool
+	// cutOff is set while this host reaches targets only through other hosts.
+	cutOff atomic.Bool
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -170,6 +172,33 @@
 // host or dispatch the requests themselves.
 func (d *Dispatcher) Drain() { d.draining.Store(true) }
 
+// SetCutOff tells whether this host reaches targets only through other hosts. Meanwhile it
+// turns away the requests of other hosts, including those that wait, and lets other hosts
+// dispatch its own, since it cannot judge targets by its own links.
+func (d *Dispatcher) SetCutOff(cutOff bool) {
+	d.cutOff.Store(cutOff)
+	if !cutOff {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for key, r := range d.remoteRequests {
+		if r.grant != nil || r.waiter.done {
+			continue
+		}
+		r.waiter.done = true
+		if r.waiter.queued != nil {
+			r.cell.queue.Remove(r.waiter.queued)
+			delete(r.cell.waiters, r.waiter.queued)
+		}
+		delete(d.remoteRequests, key)
+		d.send(key.from, Message{Kind: kindUnavailable, ID: key.id})
+	}
+}
+
+// turnsAway reports whether this host does not dispatch for other hosts.
+func (d *Dispatcher) turnsAway() bool { return d.draining.Load() || d.cutOff.Load() }
+
 // Place waits for a target for a request. The error is a *RejectedError or that of ctx.
 func (d *Dispatcher) Place(ctx context.Context, req Request) (Grant, error) {
 	c := d.selectCell(req)
@@ -221,6 +250,9 @@
 	now := time.Now()
 	var hosts []directory.Host
 	for _, h := range c.ranked {
+		if h.Name == d.cfg.Self && d.cutOff.Load() {
+			continue
+		}
 		if h.Name == d.cfg.Self || len(hosts) == maxRemoteDispatchers {
 			break
 		}
--- a/internal/traffic/dispatcher/dispatcher_test.go
+++ b/internal/traffic/dispatcher/dispatcher_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -327,3 +328,41 @@
 		t.Fatal("the request is still queued")
 	}
 }
+
+// Guards against a dispatcher that judges targets by its own broken links: its requests and
+// those of other hosts, also those that wait already, are dispatched by another host.
+func TestHostThatIsCutOffLetsAnotherHostDispatch(t *testing.T) {
+	f, list := newFleet(t, 3, 1, 1)
+	dispatcher, other := dispatcherAndOther(list)
+	next := list[slices.IndexFunc(list, func(d *Dispatcher) bool { return d.cfg.Self == dispatcher.cells["s"].ranked[1].Name })]
+	running := f.place(t, other)
+	waiting := make(chan Grant, 1)
+	go func() {
+		grant, err := other.Place(t.Context(), newRequest(5*time.Second))
+		if err == nil {
+			waiting <- grant
+		}
+	}()
+	require.Eventually(t, func() bool {
+		dispatcher.mu.Lock()
+		defer dispatcher.mu.Unlock()
+		return dispatcher.cells["s"].queue.Len() == 1
+	}, time.Second, time.Millisecond)
+
+	dispatcher.SetCutOff(true)
+	require.Eventually(t, func() bool {
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		return next.cells["s"].queue.Len() == 1 || next.chooser.InFlight("s") == 1
+	}, time.Second, time.Millisecond, "the waiting request moves to the next host")
+	f.finish(other, running)
+	grant := <-waiting
+	require.NotEqual(t, dispatcher.cfg.Self, grant.DispatchedBy())
+	f.finish(other, grant)
+
+	grant = f.place(t, dispatcher)
+	require.Equal(t, next.cfg.Self, grant.DispatchedBy(), "the host that is cut off does not dispatch its own requests")
+	f.finish(dispatcher, grant)
+	dispatcher.SetCutOff(false)
+	require.Empty(t, f.place(t, dispatcher).DispatchedBy())
+}
--- a/internal/traffic/dispatcher/remote.go
+++ b/internal/traffic/dispatcher/remote.go
@@ -248,7 +248,7 @@
 	d.observeAnnouncements(m.Limits)
 	d.mu.Lock()
 	c := d.cells[m.Cell]
-	if c == nil || c.targets == 0 || d.draining.Load() {
+	if c == nil || c.targets == 0 || d.turnsAway() {
 		d.mu.Unlock()
 		d.send(from, Message{Kind: kindUnavailable, ID: m.ID})
 		return
