Discard the bytes of requests that were given up with their connections

Cause: a connection whose exchange was given up was closed in order, so the kernel went on to deliver what it still held.

Connections are reset now unless their response was read to its end. The target learns of the end at once, as before.

Evidence: TestRequestsGivenUpDuringACutDoNotRunAfterIt fails before (a booking ran after the cut).

--- a/internal/process/entry/recover_test.go
+++ b/internal/process/entry/recover_test.go
@@ -178,3 +178,34 @@
 		})
 	}
 }
+
+// Guards against requests that wait in a socket during a cut and run when it ends, long after
+// their clients got a final response.
+func TestRequestsGivenUpDuringACutDoNotRunAfterIt(t *testing.T) {
+	cl := newFleet(t, fleet{hosts: 1, proxied: true}, target("t-1", platformtest.Behaviour{}), target("t-2", platformtest.Behaviour{}))
+	for n := range 6 {
+		resp, err := cl.send(t.Context(), cl.hosts[0], fmt.Sprintf("before-%d", n), "/book/x")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.status)
+	}
+	cl.cut(0, platformtest.LinkSilent)
+	var wg sync.WaitGroup
+	for n := range 4 {
+		wg.Go(func() {
+			resp, err := cl.send(t.Context(), cl.hosts[0], fmt.Sprintf("during-%d", n), []string{"/book/x", "/search/x"}[n%2])
+			if err != nil || resp.status == http.StatusOK {
+				t.Errorf("%v %v", resp, err)
+			}
+		})
+	}
+	wg.Wait()
+	cl.cut(0, platformtest.LinkUp)
+	require.Eventually(t, func() bool {
+		resp, err := cl.send(t.Context(), cl.hosts[0], "after", "/search/x")
+		return err == nil && resp.status == http.StatusOK
+	}, 3*time.Second, 50*time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
+	for n := range 4 {
+		require.Zero(t, cl.runCount(fmt.Sprintf("during-%d", n)), "request %d", n)
+	}
+}
--- a/internal/traffic/relay/conn.go
+++ b/internal/traffic/relay/conn.go
@@ -100,6 +100,15 @@
 	return c
 }
 
+// abort makes the close of the connection discard the bytes that have not reached the peer. They
+// may be held back on a broken link, and a request that was given up must not run when it
+// heals.
+func (c *conn) abort() {
+	if l, ok := c.nc.(interface{ SetLinger(seconds int) error }); ok {
+		_ = l.SetLinger(0)
+	}
+}
+
 // isIdle reports whether the connection is open and has nothing to read. Unsolicited bytes
 // belong to no request, so a connection that received some is not used.
 func (c *conn) isIdle() bool {
--- a/internal/traffic/relay/roundtrip.go
+++ b/internal/traffic/relay/roundtrip.go
@@ -68,6 +68,8 @@
 	once      sync.Once
 	// mismatched counts the discarded responses.
 	mismatched int
+	// complete is set when the response was read to its end.
+	complete bool
 	// closeDelimited allows the body of the response to end with the connection.
 	closeDelimited bool
 }
@@ -187,6 +189,7 @@
 func (x *exchange) attachBody(res *http.Response) (*http.Response, error) {
 	x.c.readIdleTimeout(res.Header)
 	if res.Body == http.NoBody {
+		x.complete = true
 		x.release(!res.Close)
 		return res, nil
 	}
@@ -212,6 +215,9 @@
 			x.pool.put(x.c)
 			return
 		}
+		if !x.complete {
+			x.c.abort()
+		}
 		x.pool.discard(x.c)
 	})
 }
@@ -247,6 +253,7 @@
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
 	if errors.Is(err, io.EOF) {
+		b.x.complete = true
 		b.x.release(!b.res.Close)
 		return n, err
 	}
