Let the soak cut hosts off from all targets and restart hosts in series

New kinds of faults: one host, a domain or all hosts but one lose their links to all targets, which hang, are reset, or refuse new connections while open ones live on; and all hosts are killed one after the other, twice. From 3 s after a cut began, callers of separated hosts must be served at least two thirds as often as those of the others, as far as hosts are not disturbed otherwise.

--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -67,6 +67,8 @@
 	DrainStarts map[string]time.Duration
 	// Limits are the rate limits that targets named.
 	Limits []*LimitSpan
+	// Cuts are the periods in which hosts were separated from all targets.
+	Cuts   []*CutSpan
 	Length time.Duration
 }
 
@@ -103,6 +105,12 @@
 	// LimitWindow it gets at most LimitRatio times the limit, plus LimitSlack requests.
 	LimitNotice, LimitWindow time.Duration
 	LimitRatio, LimitSlack   float64
+	// CutNotice is the time from which hosts that are separated from all targets must serve at
+	// least MinCutRatio times as large a share of their requests as the others, or fail at most
+	// CutSlack requests and CutShare of all.
+	CutNotice          time.Duration
+	MinCutRatio        float64
+	CutSlack, CutShare float64
 	// MinServedShare is the minimum share of requests that are served after all faults ended.
 	MinServedShare float64
 }
@@ -136,6 +144,7 @@
 	c.checkDraining()
 	c.checkBudgets()
 	c.checkLimits()
+	c.checkCuts()
 	c.checkRecovery()
 	return c.violations
 }
--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -49,6 +49,18 @@
 	}
 }
 
+// cutHost adds a cut of host 1 from second 4 to 14 with requests at second 10.
+func cutHost(h *History, failed, served int) {
+	h.Cuts = append(h.Cuts, &CutSpan{Hosts: []int{1}, From: 4 * time.Second, To: 14 * time.Second})
+	for n := range failed + served {
+		a := Attempt{ID: fmt.Sprintf("cut-%d", n), Host: 1, Incarnation: 1, Start: 10 * time.Second, End: 10*time.Second + 20*ms, Status: 503}
+		if n < served {
+			a.Status, a.Signed, a.Body = 200, true, "t for "+a.ID+" ran 0 bytes"
+		}
+		h.Attempts = append(h.Attempts, a)
+	}
+}
+
 func TestCheck(t *testing.T) {
 	probe := func(at time.Duration, status, route int) Attempt {
 		return unsafeAttempt(status, func(a *Attempt) {
@@ -73,6 +85,14 @@
 			h.Attempts = append(h.Attempts, unsafeAttempt(503, nil))
 			h.TargetEvents = append(h.TargetEvents, started("t", 6*time.Second))
 		}, want: "no run after a not-run status"},
+		{name: "hosts without links to targets fail", modify: func(h *History) { cutHost(h, 12, 0) }, want: "service at hosts without links to targets"},
+		{name: "hosts without links to targets serve half", modify: func(h *History) { cutHost(h, 12, 12) }, want: "service at hosts without links to targets"},
+		{name: "hosts without links to targets serve most", modify: func(h *History) { cutHost(h, 6, 18) }},
+		{name: "hosts without links to targets get few requests", modify: func(h *History) { cutHost(h, 9, 0) }},
+		{name: "hosts without links to targets while the store is down", modify: func(h *History) {
+			cutHost(h, 12, 0)
+			h.Disturbances = append(h.Disturbances, Span{Kind: StoreDown, Host: allHosts, From: 8 * time.Second, To: 9 * time.Second})
+		}},
 		{name: "request runs after status 504", modify: func(h *History) {
 			h.Attempts = append(h.Attempts, unsafeAttempt(504, nil))
 			h.TargetEvents = append(h.TargetEvents, started("t", 6*time.Second))
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -39,6 +39,10 @@
 func (r *run) inject(ctx context.Context, f Fault) {
 	start := r.sinceStart(time.Now())
 	switch {
+	case f.isCut():
+		r.cutHosts(ctx, f)
+	case f.Kind == HostKillSeries:
+		r.killInSeries(ctx)
 	case f.isHostFault():
 		r.injectHostFault(ctx, r.hosts[f.Index], f)
 		r.recordSpan(f.Kind, f.Index, start)
@@ -189,6 +193,7 @@
 	if err != nil {
 		return err
 	}
+	b.r.applyCutsTo(link)
 	b.target, b.link = t, link
 	b.r.store.Put(platformtest.TargetPrefix+id, t.EntryAt(link.Address(), "ready"))
 	return nil
--- a/internal/bench/soak/result.go
+++ b/internal/bench/soak/result.go
@@ -26,14 +26,16 @@
 	Probes   int         `json:"probes"`
 	Versions int         `json:"versions"`
 	// LimitedRequests counts the requests that targets got while they named rate limits.
-	LimitedRequests int         `json:"limited-requests"`
-	Violations      []Violation `json:"violations"`
-	attempts        []Attempt
-	disturbances    []Span
+	LimitedRequests int `json:"limited-requests"`
+	// CutRequests counts the requests to hosts separated from all targets that were judged.
+	CutRequests  int         `json:"cut-requests"`
+	Violations   []Violation `json:"violations"`
+	attempts     []Attempt
+	disturbances []Span
 }
 
-func newResult(cfg Config, faults []Fault, h *History, v []Violation) *Result {
-	r := &Result{Seed: cfg.Seed, Hosts: cfg.Hosts, Faults: faults, Statuses: map[int]int{}, Versions: len(h.Versions), Violations: v, attempts: h.Attempts, disturbances: h.Disturbances}
+func newResult(cfg Config, faults []Fault, h *History, b Bounds) *Result {
+	r := &Result{Seed: cfg.Seed, Hosts: cfg.Hosts, Faults: faults, Statuses: map[int]int{}, Versions: len(h.Versions), Violations: Check(h, b), CutRequests: (&checker{h: h, b: b}).checkCuts(), attempts: h.Attempts, disturbances: h.Disturbances}
 	for _, e := range h.TargetEvents {
 		if e.Kind != platformtest.Probed && slices.ContainsFunc(h.Limits, func(s *LimitSpan) bool { return s.Target == e.Target && e.At >= s.From && (s.To == 0 || e.At <= s.To) }) {
 			r.LimitedRequests++
--- a/internal/bench/soak/schedule.go
+++ b/internal/bench/soak/schedule.go
@@ -23,6 +23,15 @@
 	HostStoreOneWay Kind = "host-store-one-way"
 	HostStoreReset  Kind = "host-store-reset"
 
+	// The kinds of cuts separate hosts from all targets, for cutFactor times Fault.Length:
+	// Fault.Index selects a host, its domain or all hosts but that one.
+	CutSilent Kind = "hosts-cut-silent"
+	CutReset  Kind = "hosts-cut-reset"
+	// CutRefuse lets open connections live on.
+	CutRefuse Kind = "hosts-cut-refuse"
+	// HostKillSeries kills and restarts all hosts one after the other, killSeries times.
+	HostKillSeries Kind = "host-kill-series"
+
 	StoreDown           Kind = "store-down"
 	StoreSlow           Kind = "store-slow"
 	StoreDropResponses  Kind = "store-lost-answers"
@@ -53,7 +62,7 @@
 // kinds are the kinds that Schedule draws from; a kind listed twice is drawn twice as
 // often. isHostFault and isStoreFault depend on the order.
 var kinds = []Kind{
-	HostKill, HostPause, HostStop, HostReload, HostStoreSlow, HostStoreSilent, HostStoreOneWay, HostStoreReset,
+	HostKill, HostPause, HostStop, HostReload, HostStoreSlow, HostStoreSilent, HostStoreOneWay, HostStoreReset, CutSilent, CutReset, CutRefuse, HostKillSeries,
 	StoreDown, StoreSlow, StoreDropResponses, StoreDelayWrites, StoreSuppressEvents, StoreCompact, StoreRestore,
 	TargetSlow, TargetFail, TargetShed, TargetDropResponses, TargetCrash, TargetDrain, TargetLinkSilent, TargetLinkOneWay, TargetLinkReset, TargetLinkSlow, TargetLimit, TargetLimit,
 	ConfigChange, ConfigChange, ConfigBurst, MalformedEntry,
@@ -78,6 +87,8 @@
 	maxGap      = 900 * time.Millisecond
 	minDuration = 200 * time.Millisecond
 	maxDuration = 3 * time.Second
+	// cutFactor makes cuts last long enough for a time in which hosts must serve again.
+	cutFactor = 3
 	// limitFactor makes rate limits last long enough for a window in which they must hold.
 	limitFactor = 4
 	// repeatProbability is the probability that a fault has the kind and index of the one
@@ -102,8 +113,11 @@
 		if at > length-recoveryTime {
 			return faults
 		}
-		if f.Kind == TargetLimit {
+		switch {
+		case f.Kind == TargetLimit:
 			f.Length *= limitFactor
+		case f.isCut():
+			f.Length *= cutFactor
 		}
 		f.Length = min(f.Length, length-recoveryTime-at)
 		if f.isHostFault() {
@@ -116,11 +130,15 @@
 }
 
 func (f Fault) isHostFault() bool {
-	return slices.Contains(kinds[:8], f.Kind)
+	return slices.Contains(kinds[:12], f.Kind)
+}
+
+func (f Fault) isCut() bool {
+	return f.Kind == CutSilent || f.Kind == CutReset || f.Kind == CutRefuse
 }
 
 func (f Fault) isStoreFault() bool {
-	return slices.Contains(kinds[8:15], f.Kind)
+	return slices.Contains(kinds[12:19], f.Kind)
 }
 
 // randomDuration returns a random duration in [0, d).
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -2,8 +2,8 @@
 // faults by a seeded schedule, and verifies the guarantees of the load balancer against
 // what callers and targets observed.
 //
-// Hosts are killed, paused, stopped and reloaded by signals. The links to the store and
-// to targets are delayed, blocked in one or both directions, or reset. The store is
+// Hosts are killed, also in series, paused, stopped and reloaded by signals. Some or most of
+// them are separated from all targets. The links to the store and to targets are delayed, blocked in one or both directions, or reset. The store is
 // unavailable or slow, sends no watch events, drops responses, delays writes, compacts
 // its history or is restored from a backup. Targets become slow, fail, shed load, drop
 // responses, name rate limits, crash and drain. The configuration changes, also in bursts, and malformed
@@ -58,6 +58,7 @@
 		Timeout: requestTimeout, ResponseSlack: 500 * time.Millisecond, DropSlack: 200 * time.Millisecond, ConfigApply: 2500 * time.Millisecond, RollbackGrace: 250 * time.Millisecond,
 		Drain: 2500 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, ProbesPerSecond: 60, MinServedShare: 0.95,
 		LimitNotice: 3 * time.Second, LimitWindow: 4 * time.Second, LimitRatio: 1.5, LimitSlack: 5,
+		CutNotice: 3 * time.Second, MinCutRatio: 2.0 / 3, CutSlack: 10, CutShare: 1.0 / 50,
 	}
 }
 
@@ -77,6 +78,8 @@
 	mu         sync.Mutex
 	inRotation []*host
 	history    History
+	// cuts holds the current cuts by host.
+	cuts map[int]cutState
 	// storeFaults counts the active faults of the store by kind.
 	storeFaults map[Kind]int
 }
@@ -89,7 +92,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r := &run{cfg: cfg, bounds: DefaultBounds(), g: group.New(ctx), store: platformtest.NewStore(), storeFaults: map[Kind]int{}}
+	r := &run{cfg: cfg, bounds: DefaultBounds(), g: group.New(ctx), store: platformtest.NewStore(), storeFaults: map[Kind]int{}, cuts: map[int]cutState{}}
 	r.history.DrainStarts = map[string]time.Duration{}
 	defer r.close()
 	if err := r.startFleet(ctx); err != nil {
@@ -103,7 +106,7 @@
 	r.settle()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return newResult(cfg, faults, &r.history, Check(&r.history, r.bounds)), nil
+	return newResult(cfg, faults, &r.history, r.bounds), nil
 }
 
 // settle waits for requests that links or targets still hold back, so that a late run of a
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -9,12 +9,32 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestSoak does a short run with real processes.
-func TestSoak(t *testing.T) {
-	dir := t.TempDir()
+// build builds the load balancer in a directory and returns its path.
+func build(t *testing.T, dir string) string {
+	t.Helper()
 	binary := filepath.Join(dir, "tamaracktiller")
 	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../../cmd/tamaracktiller").CombinedOutput()
 	require.NoError(t, err, "%s", out)
+	return binary
+}
+
+// TestSoakCutsHostsOff does a short run with real processes in which hosts lose their links to
+// all targets.
+func TestSoakCutsHostsOff(t *testing.T) {
+	dir := t.TempDir()
+	result, err := Run(t.Context(), Config{
+		Seed: 2, Length: 24 * time.Second, Hosts: 5, Targets: 6, Callers: 16, Binary: build(t, dir), Dir: filepath.Join(dir, "run"),
+		Only: []Kind{CutSilent, CutReset, CutRefuse, HostKillSeries, HostReload, ConfigChange},
+	})
+	require.NoError(t, err)
+	require.Empty(t, result.Violations, result.Timeline())
+	require.Positive(t, result.CutRequests, "requests at hosts that are separated from all targets")
+}
+
+// TestSoak does a short run with real processes.
+func TestSoak(t *testing.T) {
+	dir := t.TempDir()
+	binary := build(t, dir)
 	result, err := Run(t.Context(), Config{
 		Seed: 1, Length: 24 * time.Second, Hosts: 3, Targets: 4, Callers: 10, Binary: binary, Dir: filepath.Join(dir, "run"),
 		Only: []Kind{HostKill, HostPause, HostStop, HostReload, StoreSuppressEvents, StoreDown, StoreRestore, TargetCrash, TargetDrain, TargetDropResponses, TargetLimit, TargetLimit, ConfigChange},
