--- a/internal/traffic/entry/watch.go
+++ b/internal/traffic/entry/watch.go
@@ -99,7 +99,7 @@
 	}
 	switch {
 	case !links.CutOff():
-		links.Suspect(w.grant.ID, "a request is silent")
+		links.SuspectSilence(w.grant.ID)
 	case w.req.route.Idempotent && !w.req.streamed:
 		w.cancel(errLinkLost)
 	case !w.released:
--- a/internal/traffic/relay/pool.go
+++ b/internal/traffic/relay/pool.go
@@ -191,6 +191,13 @@
 	}
 }
 
+// HasIdle reports whether there is an idle connection.
+func (p *Pool) HasIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0
+}
+
 // get returns an idle connection or opens one. For a request that is not idempotent, an idle
 // connection must have carried a response within MaxNonIdempotentIdle, because an older one
 // may be dead without an error.
