--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -67,6 +67,8 @@
 	DrainStarts map[string]time.Duration
 	// Limits are the rate limits that targets named.
 	Limits []*LimitSpan
+	// Hosts are the indexes of all hosts.
+	Hosts []int
 	// Cuts are the periods in which hosts were separated from all targets.
 	Cuts   []*CutSpan
 	Length time.Duration
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -158,6 +158,7 @@
 		h := &host{index: n, name: fmt.Sprintf("host-%d", n), ip: ip, domain: fmt.Sprintf("d-%d", n%2), dir: r.cfg.Dir, binary: r.cfg.Binary, storeLink: link, g: r.g}
 		h.settings = r.hostSettings(h)
 		r.hosts = append(r.hosts, h)
+		r.history.Hosts = append(r.history.Hosts, n)
 		if err := h.start(ctx); err != nil {
 			return err
 		}
--- a/internal/traffic/tunnel/dialer.go
+++ b/internal/traffic/tunnel/dialer.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -75,6 +76,8 @@
 	net.Conn
 	ws *websocket.Conn
 	d  *Dialer
+	// heard is set when bytes of the target have arrived.
+	heard atomic.Bool
 	// Peer is the host that it goes through.
 	Peer string
 }
@@ -83,8 +86,13 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
+		c.heard.Store(true)
 		c.d.recordHeard(c.Peer)
 	}
+	if err != nil && !c.heard.Load() && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) {
+		// The other host may have lost its links and not know it yet.
+		c.d.recordFailure(c.Peer, err)
+	}
 	if err != io.EOF && errors.Is(err, io.EOF) { //nolint:errorlint // A tunnel that broke ends with a wrapped io.EOF.
 		err = errors.Wrap(io.ErrUnexpectedEOF, "tunnel broke")
 	}
