Do not take busy targets for a lost link, and bound the wait for a check

If the direct probes are only silent, and bytes of any target arrived directly since the check began, the host is not cut off (TestBusyTargetsAreNotTakenForALostLink). A retry waits 200 ms at most for a check. The dispatcher reads the current verdict, so that two changes in a row cannot be applied in the wrong order.

--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -129,7 +129,7 @@
 		ReregisterTimeout: cfg.Bounds.ReregisterTimeout, OnChange: p.applySnapshot, OnQueueWait: p.metrics.ObserveUpdateDelay,
 	}, p.g)
 	p.links = targets.NewLinks(targets.Config{
-		Reader: platform.Dialect, Source: cfg.Source, Log: p.log.For("links"), OnCutOff: p.setCutOff,
+		Reader: platform.Dialect, Source: cfg.Source, Log: p.log.For("links"), OnChange: p.applyReachability,
 		Limited: func(target string) bool { return p.dispatcher.Limited(target) },
 		Tunnels: tunnel.NewDialer(tunnel.DialerConfig{
 			Self: cfg.Name, Hosts: func() map[string]directory.Host { return p.directory.Snapshot().Hosts }, Secret: func() []byte { return p.directory.Snapshot().Secret() },
@@ -165,8 +165,9 @@
 	p.dispatcher.SetSnapshot(s, restarted)
 }
 
-// setCutOff makes other hosts dispatch while this host does not reach the targets by itself.
-func (p *Process) setCutOff(cutOff bool) { p.dispatcher.SetCutOff(cutOff) }
+// applyReachability makes other hosts dispatch while this host does not reach the targets by
+// itself.
+func (p *Process) applyReachability() { p.dispatcher.SetCutOff(p.links.CutOff()) }
 
 func (p *Process) addServers() {
 	errorLog := stdlog.New(p.log.For("http").WriterLevel(logrus.DebugLevel), "", 0)
--- a/internal/traffic/targets/check.go
+++ b/internal/traffic/targets/check.go
@@ -27,6 +27,8 @@
 	// up with those through another host.
 	checkTimeout = 350 * time.Millisecond
 	directGrace  = 100 * time.Millisecond
+	// awaitTimeout bounds the time for which a retry waits for a check.
+	awaitTimeout = 200 * time.Millisecond
 	// pooledTargets is the number of targets that are probed over open connections before a
 	// check because of a silent request, and pooledTimeout bounds the wait for them.
 	pooledTargets = 2
@@ -71,7 +73,8 @@
 	})
 }
 
-// AwaitCheck waits for the end of a running check whether this host is cut off.
+// AwaitCheck waits for the end of a running check whether this host is cut off, for
+// awaitTimeout at most.
 func (l *Links) AwaitCheck(ctx context.Context) {
 	l.reachMu.Lock()
 	done := l.checking
@@ -79,6 +82,8 @@
 	if done == nil {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, awaitTimeout)
+	defer cancel()
 	select {
 	case <-done:
 	case <-ctx.Done():
@@ -137,6 +142,10 @@
 	for round := 0; round < maxRounds && v == reachability.Inconclusive && (round == 0 || c.peersConnected()); round++ {
 		c, v = l.checkOnce(ctx, first)
 	}
+	if v == reachability.CutOff && c.onlySilent() && l.HeardSince(started) {
+		// Busy targets respond late, and by chance first to the other hosts.
+		v = reachability.Reached
+	}
 	l.finishCheck(started, v, c.checks, first, reason)
 }
 
@@ -279,6 +288,17 @@
 	return !slices.ContainsFunc(c.checks, func(check reachability.Check) bool { return check.ViaPeer < reachability.Connected })
 }
 
+// onlySilent reports whether all direct probes that are behind have a connection that has not
+// broken: the targets may respond yet.
+func (c *checkState) onlySilent() bool {
+	for i, check := range c.checks {
+		if check.ViaPeer > check.Direct && (check.Direct < reachability.Connected || c.directEnded[i]) {
+			return false
+		}
+	}
+	return true
+}
+
 // directPending reports whether a direct probe may still catch up.
 func (c *checkState) directPending() bool {
 	for i, check := range c.checks {
@@ -349,9 +369,9 @@
 func (l *Links) notifyChange() {
 	close(l.changed)
 	l.changed = make(chan struct{})
-	if cutOff, _ := l.monitor.CutOff(); l.cfg.OnCutOff != nil {
+	if l.cfg.OnChange != nil {
 		l.g.Go("reachability changed", func(context.Context) error {
-			l.cfg.OnCutOff(cutOff)
+			l.cfg.OnChange()
 			return nil
 		})
 	}
--- a/internal/traffic/targets/targets.go
+++ b/internal/traffic/targets/targets.go
@@ -138,9 +138,8 @@
 	// Limited reports whether a target names a rate limit; nil means that none does.
 	Limited func(target string) bool
 	Log     *logrus.Entry
-	// OnCutOff is called when this host has lost its own links to the targets, and when it
-	// reaches them again. It may be nil.
-	OnCutOff func(cutOff bool)
+	// OnChange is called when the result of CutOff has changed. It may be nil.
+	OnChange func()
 }
 
 // NewLinks returns Links without targets. Goroutines of g send the request bodies.
--- a/internal/traffic/targets/targets_test.go
+++ b/internal/traffic/targets/targets_test.go
@@ -10,6 +10,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/roster"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/reachability"
 )
 
 func TestConnectionsOfAllHostsStayWithinTheLimitAsTheFleetGrows(t *testing.T) {
@@ -25,3 +26,34 @@
 		require.Equal(t, tt.want, link.Pool.MaxConnections())
 	}
 }
+
+func TestBusyTargetsAreNotTakenForALostLink(t *testing.T) {
+	type probe struct {
+		viaPeer  bool
+		progress reachability.Progress
+		ended    bool
+	}
+	tests := []struct {
+		name string
+		// probes are the reports on each of two targets.
+		probes []probe
+		want   bool
+	}{
+		{name: "targets respond late", probes: []probe{{progress: reachability.Connected}, {viaPeer: true, progress: reachability.Responded, ended: true}}, want: true},
+		{name: "connections are refused", probes: []probe{{ended: true}, {viaPeer: true, progress: reachability.Responded, ended: true}}},
+		{name: "connections hang", probes: []probe{{viaPeer: true, progress: reachability.Responded, ended: true}}},
+		{name: "connections are accepted and reset", probes: []probe{{progress: reachability.Connected, ended: true}, {viaPeer: true, progress: reachability.Responded, ended: true}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := &checkState{checks: make([]reachability.Check, 2), directEnded: make([]bool, 2), known: 2}
+			for n := range c.checks {
+				for _, p := range tt.probes {
+					c.add(report{index: n, viaPeer: p.viaPeer, progress: p.progress, ended: p.ended})
+				}
+			}
+			require.Equal(t, reachability.CutOff, reachability.Judge(c.checks, c.known))
+			require.Equal(t, tt.want, c.onlySilent())
+		})
+	}
+}
