Start a check of a host's links only when several targets fail

A failure starts a check now only if the host has failed at two targets since a new connection last worked (at one, if there is no other), and probes through other hosts start after 50 ms in place of 20. TestFailuresAtSeveralTargetsArouseSuspicion; all cases of TestHostsCutOffFromAllTargetsServeTheirCallers pass as before.

--- a/internal/traffic/reachability/monitor.go
+++ b/internal/traffic/reachability/monitor.go
@@ -106,14 +106,27 @@
 	changedAt time.Time
 	// reached counts the checks in a row that reached a target directly.
 	reached int
+	// failed holds the targets at which this host failed since a new connection last worked.
+	failed map[string]bool
 }
 
 // NewMonitor returns a monitor of a host that is not cut off.
-func NewMonitor() *Monitor { return &Monitor{interval: minCheckInterval} }
+func NewMonitor() *Monitor { return &Monitor{interval: minCheckInterval, failed: map[string]bool{}} }
 
 // RecordHeard records that bytes of a target arrived over a direct connection.
 func (m *Monitor) RecordHeard(now time.Time) { m.heardAt = now }
 
+// RecordNewConnection records that a new direct connection to a target has worked.
+func (m *Monitor) RecordNewConnection() { clear(m.failed) }
+
+// RecordFailure records a failure at a target, and reports whether it arouses suspicion: if
+// this host has failed at as many targets as a verdict needs since a new connection last
+// worked. A single one may be down, or refuse connections because it is busy.
+func (m *Monitor) RecordFailure(target string, knownTargets int) bool {
+	m.failed[target] = true
+	return len(m.failed) >= min(minTargets, knownTargets)
+}
+
 // HeardAt returns the time at which bytes of a target last arrived over a direct connection;
 // zero for never.
 func (m *Monitor) HeardAt() time.Time { return m.heardAt }
--- a/internal/traffic/reachability/monitor_test.go
+++ b/internal/traffic/reachability/monitor_test.go
@@ -75,3 +75,32 @@
 	}
 	require.InDelta(t, 10_000/800, started, 4)
 }
+
+func TestFailuresAtSeveralTargetsArouseSuspicion(t *testing.T) {
+	tests := []struct {
+		name string
+		// failures are the targets at which the host fails in turn; empty for a new connection
+		// that works.
+		failures []string
+		known    int
+		want     bool
+	}{
+		{name: "one target", failures: []string{"a", "a", "a"}, known: 5},
+		{name: "two targets", failures: []string{"a", "b"}, known: 5, want: true},
+		{name: "a new connection works in between", failures: []string{"a", "", "b"}, known: 5},
+		{name: "the only target", failures: []string{"a"}, known: 1, want: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m, got := NewMonitor(), false
+			for _, target := range tt.failures {
+				if target == "" {
+					m.RecordNewConnection()
+				} else {
+					got = m.RecordFailure(target, tt.known)
+				}
+			}
+			require.Equal(t, tt.want, got)
+		})
+	}
+}
--- a/internal/traffic/targets/check.go
+++ b/internal/traffic/targets/check.go
@@ -35,9 +35,9 @@
 	pooledTimeout = 50 * time.Millisecond
 	// maxRounds bounds the rounds of a check.
 	maxRounds = 4
-	// directHeadStart is the time for which only direct probes run, since a target that is
-	// well responds within milliseconds.
-	directHeadStart = 20 * time.Millisecond
+	// directHeadStart is the time for which only direct probes run. A target that is well
+	// responds within milliseconds, on small hosts within some tens of them.
+	directHeadStart = 50 * time.Millisecond
 	// recheckPeriod is the interval at which a host that is cut off probes a target directly,
 	// and confirmDelay the time between two probes while targets respond.
 	recheckPeriod = 400 * time.Millisecond
@@ -49,10 +49,23 @@
 
 // SuspectSilence starts a check since a request at a target has no response and no target was
 // heard in the meantime.
-func (l *Links) SuspectSilence(target string) { l.Suspect(target, silentRequest) }
+func (l *Links) SuspectSilence(target string) { l.startCheck(target, silentRequest) }
 
-// Suspect starts a check whether this host is cut off, unless one is running or has just run.
+// Suspect records a failure at a target. It starts a check whether this host is cut off if
+// other targets failed as well since a new connection last worked.
 func (l *Links) Suspect(target, reason string) {
+	known := l.count()
+	l.reachMu.Lock()
+	suspicious := l.monitor.RecordFailure(target, known)
+	l.reachMu.Unlock()
+	if suspicious {
+		l.startCheck(target, reason)
+	}
+}
+
+// startCheck starts a check whether this host is cut off, unless one is running or has just
+// run.
+func (l *Links) startCheck(target, reason string) {
 	if l.cfg.Tunnels == nil {
 		return
 	}
--- a/internal/traffic/targets/reach.go
+++ b/internal/traffic/targets/reach.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,21 +33,28 @@
 type heardConn struct {
 	*net.TCPConn
 	l *Links
+	// heard is set when the first bytes have arrived.
+	heard atomic.Bool
 }
 
 // Read implements net.Conn.
 func (c *heardConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
 	if n > 0 {
-		c.l.recordHeard()
+		c.l.recordHeard(!c.heard.Swap(true))
 	}
 	return n, err
 }
 
-func (l *Links) recordHeard() {
+// recordHeard records that bytes of a target arrived. first is set for the first ones on their
+// connection.
+func (l *Links) recordHeard(first bool) {
 	l.reachMu.Lock()
 	defer l.reachMu.Unlock()
 	l.monitor.RecordHeard(time.Now())
+	if first {
+		l.monitor.RecordNewConnection()
+	}
 }
 
 // HeardSince reports whether bytes of any target arrived over a direct connection since a time.
@@ -156,7 +164,7 @@
 		return nil, errors.Wrap(ErrGone, target)
 	}
 	if !l.HeardSince(time.Now().Add(-tunnelSuspicion)) {
-		l.Suspect(target, "another host asks for a tunnel")
+		l.startCheck(target, "another host asks for a tunnel")
 	}
 	return l.connectDirectly(ctx, link)
 }
