--- a/internal/process/entry/budget_test.go
+++ b/internal/process/entry/budget_test.go
@@ -83,7 +83,7 @@
 func TestExcessReportsTheWorstWindow(t *testing.T) {
 	start := time.Unix(1000, 0)
 	every := func(from time.Time, interval time.Duration, n int) []time.Time {
-		var times []time.Time
+		times := make([]time.Time, 0, n)
 		for i := range n {
 			times = append(times, from.Add(time.Duration(i)*interval))
 		}
