Let old evidence of an unreported slowdown decay before a new sample

A host whose links had healed refused its own requests from the end of the cut on, and 2.3 s later those of the others too, for 1.7 s: "no target has room in time any more".

Cause: two requests of that host had hung for 1.5 s, which put the target's latency ratio at about 22. The ratio decays in 3 s when it is read, but a new sample was mixed with the value as it was stored, and restarted the decay. So each request that ran in 41 ms raised the ratio that counts: expected 173 ms at 53.65 s, 547 ms at 54.29 s, then 293, 173 and 88 ms, one request per half a second, until the ratio fell below the bound for a free target at 56.4 s. A stored value of 22.4 at 47.76 s gives 4.0, 11.2, 6.5, 4.0 at these times; logged are 4.2, 13.3 (with seven requests running there), 7.1, 4.2.

Change: the new sample is mixed with the decayed value.

TestOldEvidenceOfASlowdownIsNotRevivedByAFastRequest failed before: 973 ms expected after a request of 100 ms, 257 ms before it.

Ruled out: attempts that stay in the target's list (their ratio would be over 100), a pause of the process (no gap above 0.17 s in the log), the load that the target reports (0 to 7 of 48).

--- a/internal/traffic/placement/chooser.go
+++ b/internal/traffic/placement/chooser.go
@@ -461,7 +461,7 @@
 	}
 	if i := slices.IndexFunc(t.attempts, func(a attempt) bool { return a.sentAt.Equal(sent) }); i >= 0 {
 		if result == Served || result == Cancelled {
-			t.updateLatencyRatio(now, t.attempts[i], result == Served)
+			t.updateLatencyRatio(now, c.cfg, t.attempts[i], result == Served)
 			c.RecordRun(now, t.attempts[i].choice, now.Sub(sent), result)
 		}
 		if result == Served {
--- a/internal/traffic/placement/chooser_test.go
+++ b/internal/traffic/placement/chooser_test.go
@@ -275,6 +275,23 @@
 	}
 }
 
+func TestOldEvidenceOfASlowdownIsNotRevivedByAFastRequest(t *testing.T) {
+	load := Load{Slots: 8, Slowness: 1}
+	c := chooser(load)
+	run := func(sent, took int, result Result) {
+		c.RecordAttempt(at(sent), Choice{ID: "a", ServiceTime: typicalTime})
+		c.Done(at(sent+took), at(sent), "a", result)
+	}
+	run(0, 3000, Cancelled)
+	c.RecordLoad(at(9000), "a", load)
+	before, _ := c.Best(at(9000), "s", r)
+	run(9000, 100, Served)
+	after, _ := c.Best(at(9100), "s", r)
+	require.True(t, before.HasCapacity)
+	require.LessOrEqual(t, after.ServiceTime, before.ServiceTime)
+	require.True(t, after.HasCapacity)
+}
+
 func TestHigherConcurrencyIsTriedWhenManyRequestsWait(t *testing.T) {
 	c := chooser(Load{Running: 2, Slots: 3, Slowness: 1})
 	got, _ := c.Best(at(1), "s", r)
--- a/internal/traffic/placement/target.go
+++ b/internal/traffic/placement/target.go
@@ -255,8 +255,7 @@
 // unreportedSlowdown returns how many times longer attempts take than the target's load
 // reports predict. Overdue attempts count before they end.
 func (t *target) unreportedSlowdown(now time.Time, cfg Config) float64 {
-	age := float64(now.Sub(t.latencyRatioAt)) / float64(cfg.LatencyRatioDecay)
-	ratio := 1 + max(0, t.latencyRatio-1)*math.Exp(-age)
+	ratio := t.decayedLatencyRatio(now, cfg)
 	for _, a := range t.attempts {
 		if a.expected > 0 {
 			ratio = max(ratio, float64(now.Sub(a.sentAt))/float64(a.expected))
@@ -268,24 +267,28 @@
 	return ratio
 }
 
+// decayedLatencyRatio returns the latency ratio of the ended attempts, which tends to 1 as the
+// last one ages.
+func (t *target) decayedLatencyRatio(now time.Time, cfg Config) float64 {
+	age := float64(now.Sub(t.latencyRatioAt)) / float64(cfg.LatencyRatioDecay)
+	return 1 + max(0, t.latencyRatio-1)*math.Exp(-age)
+}
+
 // latencyRatioTolerance is the latency ratio below which a target is not considered slow:
 // requests differ in size, so many take that much longer than expected.
 const latencyRatioTolerance = 1.6
 
 // updateLatencyRatio records how long an attempt took. A cancelled one would have taken
 // longer, so it counts only if it raises the ratio.
-func (t *target) updateLatencyRatio(now time.Time, a attempt, ended bool) {
+func (t *target) updateLatencyRatio(now time.Time, cfg Config, a attempt, ended bool) {
 	if a.expected <= 0 {
 		return
 	}
-	ratio := float64(now.Sub(a.sentAt)) / float64(a.expected)
-	if !ended && ratio < max(t.latencyRatio, latencyRatioTolerance) {
+	ratio, previous := float64(now.Sub(a.sentAt))/float64(a.expected), t.decayedLatencyRatio(now, cfg)
+	if !ended && ratio < max(previous, latencyRatioTolerance) {
 		return
 	}
-	if t.latencyRatio < 1 {
-		t.latencyRatio = 1
-	}
-	t.latencyRatio += latencyRatioGain * (ratio - t.latencyRatio)
+	t.latencyRatio = previous + latencyRatioGain*(ratio-previous)
 	t.latencyRatioAt = now
 }
 
