Give up requests on a cut link also if a target was heard after they were sent

What callers saw: a request that was sent shortly before a host lost its links, and that hung on one, got 504 at the end of its time, though the host served later ones through other hosts within 0.3 s.

Cause: the watch of an attempt did nothing once bytes of any target had arrived after the attempt was sent, as those of earlier requests do in the last milliseconds before a cut. The condition is meant for cuts in which open connections live on.

Change: a host that knows it is cut off gives the attempt up if it heard no target for the time after which an attempt counts as silent. What arouses the suspicion is as before.

--- a/internal/process/entry/recover_test.go
+++ b/internal/process/entry/recover_test.go
@@ -232,6 +232,33 @@
 	}
 }
 
+func TestRequestsSentJustBeforeACutAreServedThroughOtherHosts(t *testing.T) {
+	const serviceTime = 300 * time.Millisecond
+	cl := newFleet(t, fleet{hosts: 3, firstStart: true, proxied: true}, platformtest.NewTarget("t-0", "svc", "d", 16, platformtest.Behaviour{ServiceTime: serviceTime}))
+	send := func(id string) {
+		resp, err := cl.send(t.Context(), cl.hosts[0], id, "/search/x")
+		if err != nil || resp.status != http.StatusOK {
+			t.Errorf("%s: %v %v", id, resp, err)
+		}
+	}
+	for n := range 4 {
+		send(fmt.Sprintf("before-%d", n))
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { send("heard") })
+	time.Sleep(serviceTime / 2)
+	wg.Go(func() { send("in-flight") })
+	// The first response arrives after the second request was sent.
+	time.Sleep(serviceTime * 3 / 4)
+	cl.cut(0, platformtest.LinkSilent)
+	for n := range 10 {
+		wg.Go(func() { send(fmt.Sprintf("during-%d", n)) })
+		time.Sleep(50 * time.Millisecond)
+	}
+	wg.Wait()
+	cl.cut(0, platformtest.LinkUp)
+}
+
 func TestHostsThatStopWhileTheyHelpACutHostCutOffNoRequest(t *testing.T) {
 	const hosts = 4
 	list := make([]*platformtest.Target, 0, 3)
--- a/internal/traffic/entry/watch.go
+++ b/internal/traffic/entry/watch.go
@@ -35,6 +35,8 @@
 	req     *clientRequest
 	grant   dispatcher.Grant
 	started time.Time
+	// patience is the time without a response after which the attempt is silent.
+	patience time.Duration
 	// ctx is the context of the attempt, which cancel ends.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -49,12 +51,12 @@
 
 // watch starts to watch an attempt. The context of the attempt ends with ctx.
 func (req *clientRequest) watch(ctx context.Context, grant dispatcher.Grant) *linkWatch {
-	w := &linkWatch{req: req, grant: grant, started: time.Now()}
-	w.ctx, w.cancel = context.WithCancelCause(ctx)
 	expected := time.Duration(silenceFactor * float64(grant.ServiceTime+grant.QueueTime))
+	w := &linkWatch{req: req, grant: grant, started: time.Now(), patience: max(minSilence, expected)}
+	w.ctx, w.cancel = context.WithCancelCause(ctx)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(max(minSilence, expected), w.look)
+	w.timer = time.AfterFunc(w.patience, w.look)
 	return w
 }
 
@@ -79,9 +81,9 @@
 	return targets.ReachedThrough(w.nc), w.released
 }
 
-// look checks a silent attempt. If the host is cut off, an idempotent request is sent again
-// through another host. Others may still get their response, but do not count as running any
-// more.
+// look checks a silent attempt. If the host is cut off and hears no target any more, an
+// idempotent request is sent again through another host. Others may still get their response,
+// but do not count as running any more.
 func (w *linkWatch) look() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -94,12 +96,16 @@
 		c.AvoidIfSilent(w.started)
 		return
 	}
-	if w.nc == nil || links.HeardSince(w.started) {
+	if w.nc == nil {
 		return
 	}
 	switch {
 	case !links.CutOff():
-		links.SuspectSilence(w.grant.ID)
+		if !links.HeardSince(w.started) {
+			links.SuspectSilence(w.grant.ID)
+		}
+	case links.HeardSince(time.Now().Add(-w.patience)):
+		// Open connections still work.
 	case w.req.route.Idempotent && !w.req.streamed:
 		w.cancel(errLinkLost)
 	case !w.released:
