--- a/internal/traffic/placement/chooser_test.go
+++ b/internal/traffic/placement/chooser_test.go
@@ -292,6 +292,21 @@
 	require.True(t, after.HasCapacity)
 }
 
+// Guards against refusals for as long as the evidence of a short stall lasts.
+func TestIdleTargetsAreUsedWhileAllSeemSlow(t *testing.T) {
+	idle := Load{Slots: 8, Slowness: 1}
+	c := chooser(idle, idle)
+	for _, id := range []string{"a", "b"} {
+		for n := range 8 {
+			c.RecordAttempt(at(n), Choice{ID: id, ServiceTime: 43 * time.Millisecond})
+			c.Done(at(200+n), at(n), id, Served)
+		}
+		c.RecordLoad(at(210), id, idle)
+	}
+	got, _ := c.Best(at(211), "s", Request{Domain: "d", TypicalTime: 43 * time.Millisecond, Objective: at(1600), Backlogged: true})
+	require.True(t, got.HasCapacity)
+}
+
 func TestHigherConcurrencyIsTriedWhenManyRequestsWait(t *testing.T) {
 	c := chooser(Load{Running: 2, Slots: 3, Slowness: 1})
 	got, _ := c.Best(at(1), "s", r)
