Let hosts with more processor time dispatch

The dispatchers of busy cells were hosts of 0.16 cores, which did not respond within 50 ms in a burst. The other hosts then dispatched by themselves for 0.8 s each, without knowing of each other's requests: targets were filled unevenly, rejected requests and reset connections over their limit.

Cells are now ranked by weighted rendezvous hashing: a host names its cores in its entry, and its weight is their cube. If the cores of any host are unknown, as those of earlier versions, all weights are equal, and the ranking is that of the earlier version. Only the first eight hosts are selected in place of sorting all for each cell.

--- a/internal/fleet/directory/hosts.go
+++ b/internal/fleet/directory/hosts.go
@@ -22,6 +22,23 @@
 	PeerAddress netip.AddrPort `json:"peers"`
 	// Incarnation distinguishes the runs of a process under one name.
 	Incarnation string `json:"incarnation"`
+	// Cores is the processor time that the host may use, in cores; zero if unknown. Entries of
+	// earlier versions lack it.
+	Cores float64 `json:"cores,omitempty"`
+}
+
+// HostWeights returns the function that weighs hosts for work which the fleet shares: the cube
+// of their cores. Callers are spread evenly over hosts, so small hosts have little processor time
+// left for others, and what they do for others takes longer. If the cores of any host are
+// unknown, all weights are equal, as on hosts of earlier versions, so that all hosts agree on who
+// does what.
+func HostWeights(hosts map[string]Host) func(h Host) float64 {
+	for _, h := range hosts {
+		if h.Cores <= 0 {
+			return func(Host) float64 { return 1 }
+		}
+	}
+	return func(h Host) float64 { return h.Cores * h.Cores * h.Cores }
 }
 
 // SecretKey is the key of the fleet secret, which authenticates messages between hosts.
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -185,7 +185,7 @@
 
 // self returns the entry of this host.
 func (p *Process) self() directory.Host {
-	return directory.Host{Name: p.cfg.Name, Domain: p.cfg.Domain, PeerAddress: p.cfg.Peers, Incarnation: p.incarnation}
+	return directory.Host{Name: p.cfg.Name, Domain: p.cfg.Domain, PeerAddress: p.cfg.Peers, Incarnation: p.incarnation, Cores: p.cfg.Cores}
 }
 
 // serveReadiness responds to readiness checks: a host is ready when it has a configuration
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -31,9 +31,11 @@
 	FirstStart bool
 	// MemoryBytes is the memory limit of the host.
 	MemoryBytes int64
-	Heartbeat   time.Duration
-	Bounds      Bounds
-	LogLevel    string
+	// Cores is the processor time that the host may use, in cores; zero if unknown.
+	Cores     float64
+	Heartbeat time.Duration
+	Bounds    Bounds
+	LogLevel  string
 }
 
 // Bounds are the limits and time guarantees of a deployment. The hosts of the fleet must
--- a/internal/traffic/dispatcher/cells.go
+++ b/internal/traffic/dispatcher/cells.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
+	"tamaracktiller.example/tamaracktiller/internal/fleet/rendezvous"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/roster"
 )
 
@@ -51,32 +52,41 @@
 const maxRankedHosts = 8
 
 // rankHosts returns the first hosts in the order of preference for dispatching a cell, by
-// rendezvous hashing. Hosts in the cell's domain come first.
+// weighted rendezvous hashing. Hosts in the cell's domain come first.
 func rankHosts(id cellID, hosts map[string]directory.Host) []directory.Host {
-	type scored struct {
-		host       directory.Host
-		sameDomain bool
-		score      uint64
-	}
-	list := make([]scored, 0, len(hosts))
+	weigh := directory.HostWeights(hosts)
+	top := make([]rankedHost, 0, maxRankedHosts+1)
 	for _, h := range hosts {
-		list = append(list, scored{host: h, sameDomain: h.Domain == id.domain, score: xxhash.Sum64String(id.key + "\x00" + h.Name)})
-	}
-	slices.SortFunc(list, func(a, b scored) int {
-		switch {
-		case a.sameDomain != b.sameDomain && a.sameDomain:
-			return -1
-		case a.sameDomain != b.sameDomain:
-			return 1
-		case a.score > b.score:
-			return -1
+		r := rankedHost{host: h, sameDomain: h.Domain == id.domain, cost: rendezvous.Cost(id.key+"\x00"+h.Name, weigh(h))}
+		if len(top) == maxRankedHosts && !r.precedes(&top[maxRankedHosts-1]) {
+			continue
 		}
-		return 1
-	})
-	list = list[:min(maxRankedHosts, len(list))]
-	ranked := make([]directory.Host, 0, len(list))
-	for _, s := range list {
-		ranked = append(ranked, s.host)
+		i, _ := slices.BinarySearchFunc(top, r, func(a, b rankedHost) int {
+			if a.precedes(&b) {
+				return -1
+			}
+			return 1
+		})
+		top = slices.Insert(top, i, r)[:min(len(top)+1, maxRankedHosts)]
+	}
+	ranked := make([]directory.Host, 0, len(top))
+	for _, r := range top {
+		ranked = append(ranked, r.host)
 	}
 	return ranked
 }
+
+// rankedHost is a host in the ranking of a cell.
+type rankedHost struct {
+	host       directory.Host
+	sameDomain bool
+	// cost orders hosts of equal distance.
+	cost float64
+}
+
+func (r *rankedHost) precedes(other *rankedHost) bool {
+	if r.sameDomain != other.sameDomain {
+		return r.sameDomain
+	}
+	return r.cost < other.cost
+}
