Let hosts keep to one cell of their domain while loads are alike

A host spread its requests over all cells of its domain, so that few of its connections to targets were used twice before they expired. Each host now has a home among the cells of a service in its domain, and leaves it for a load that is lower by 0.15. Homes are spread by the number of targets.

--- a/internal/traffic/dispatcher/cell.go
+++ b/internal/traffic/dispatcher/cell.go
@@ -49,6 +49,8 @@
 	// probeDivisor is the number by which the probe budget is divided to get the share of
 	// this host.
 	probeDivisor float64
+	// home is set for the cell of the service that this host prefers.
+	home bool
 	// rank is the position of this host in the ranking since rankSince. It is one of the first
 	// two since topSince.
 	rank                int
--- a/internal/traffic/dispatcher/cell_load.go
+++ b/internal/traffic/dispatcher/cell_load.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
+	"tamaracktiller.example/tamaracktiller/internal/fleet/rendezvous"
 )
 
 const (
@@ -22,6 +23,9 @@
 	// remoteDomainCost is added to the load of cells in other domains. It stands for the
 	// cost of traffic between domains.
 	remoteDomainCost = 0.3
+	// awayCost is added to the load of cells of the request's domain other than this host's
+	// home. Hosts that keep to few targets have open connections to them.
+	awayCost = 0.15
 	// queueWeight is the weight of the number of queued requests per target in the load.
 	queueWeight = 2.0
 	// loadJitter is the range of random noise that spreads requests over cells of nearly
@@ -35,8 +39,30 @@
 	maxLoads = 8
 )
 
-// bestCell returns the cell for a request: it prefers cells of the request's domain and
-// those with lower load. The caller holds the mutex.
+// setHome selects this host's home among the cells of a service: the cell of its domain that it
+// uses unless that has a higher load than others. The hosts of a domain together spread over its
+// cells by their numbers of targets.
+func (d *Dispatcher) setHome(cells []*cell) {
+	domain := d.snapshot.Hosts[d.cfg.Self].Domain
+	var home *cell
+	lowest := 0.0
+	for _, c := range cells {
+		c.home = false
+		if c.id.domain != "" && c.id.domain != domain {
+			continue
+		}
+		cost := rendezvous.Cost(d.cfg.Self+"\x00"+c.id.key, float64(max(1, c.registered)))
+		if home == nil || cost < lowest {
+			home, lowest = c, cost
+		}
+	}
+	if home != nil {
+		home.home = true
+	}
+}
+
+// bestCell returns the cell for a request: it prefers the home of this host, then cells of the
+// request's domain, and those with lower load. The caller holds the mutex.
 func (d *Dispatcher) bestCell(now time.Time, req Request) *cell {
 	var best *cell
 	bestCost := 0.0
@@ -45,8 +71,12 @@
 			continue
 		}
 		cost := d.load(now, c) + loadJitter*d.rng.Float64()
-		if c.id.domain != "" && c.id.domain != req.Domain {
+		switch {
+		case c.home:
+		case c.id.domain != req.Domain:
 			cost += remoteDomainCost
+		default:
+			cost += awayCost
 		}
 		if best == nil || best.targets == 0 || cost < bestCost {
 			best, bestCost = c, cost
--- a/internal/traffic/dispatcher/dispatcher.go
+++ b/internal/traffic/dispatcher/dispatcher.go
@@ -146,6 +146,7 @@
 			d.services[service] = append(d.services[service], c)
 			all[id.key] = specs(service, part)
 		}
+		d.setHome(d.services[service])
 	}
 	d.chooser.SetTargets(all)
 	d.probes.Retain(d.chooser.Has)
