Use an idle connection that responds for requests that must not be repeated

A request that is not idempotent takes only a connection that carried a response within the last 0.5 s, so nearly each one opened a connection. If there is an idle one, the host now probes the target over it first, which takes as long as to open one. The probe is taken from this host's part of the probe budget; without a response within 25 ms a new connection is opened as before.

--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -131,9 +131,10 @@
 	}, p.g)
 	p.links = targets.NewLinks(targets.Config{
 		Reader: platform.Dialect, Source: cfg.Source, Log: p.log.For("links"), OnChange: p.applyReachability,
-		Limited:  func(target string) bool { return p.dispatcher.Limited(target) },
-		Paused:   func(target string) bool { return p.dispatcher.Paused(target) },
-		OnNotice: func(n notice.Notice) { p.dispatcher.ObserveNotice(n) },
+		Limited:    func(target string) bool { return p.dispatcher.Limited(target) },
+		Paused:     func(target string) bool { return p.dispatcher.Paused(target) },
+		SpendProbe: func(target string) bool { return p.dispatcher.SpendProbe(target) },
+		OnNotice:   func(n notice.Notice) { p.dispatcher.ObserveNotice(n) },
 		Tunnels: tunnel.NewDialer(tunnel.DialerConfig{
 			Self: cfg.Name, Hosts: func() map[string]directory.Host { return p.directory.Snapshot().Hosts }, Secret: func() []byte { return p.directory.Snapshot().Secret() },
 		}, p.g),
--- a/internal/traffic/dispatcher/cell.go
+++ b/internal/traffic/dispatcher/cell.go
@@ -354,6 +354,16 @@
 	})
 }
 
+// SpendProbe reports whether a target may be probed before a request that was granted it, and
+// spends the probe budget for that. Targets that do not report their load respond to a probe only
+// when they have a free slot.
+func (d *Dispatcher) SpendProbe(target string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.cells[d.chooser.Group(target)]
+	return c != nil && d.chooser.MayProbe(time.Now(), target) && len(d.withinProbeBudget(c, []string{target})) > 0
+}
+
 // probe probes targets for their load. It returns when all have responded, when enough
 // returns true after a response, or after probeWait, and reports whether enough did.
 // Responses that arrive later are still recorded.
--- a/internal/traffic/entry/attempt.go
+++ b/internal/traffic/entry/attempt.go
@@ -114,10 +114,14 @@
 }
 
 func (req *clientRequest) roundTrip(w *linkWatch, l *targets.Link, grant dispatcher.Grant) attempt {
+	newConnection := slices.Contains(req.avoid, grant.ID)
+	if !req.route.Idempotent && !newConnection && grant.Through() == "" {
+		req.h.cfg.Links.Refresh(w.ctx, l)
+	}
 	res, err := l.Pool.RoundTrip(targets.WithRequestID(w.ctx, req.id), req.targetRequest(grant.ID, time.Until(req.deadline)), relay.Options{
 		Idempotent: req.route.Idempotent, AllowCloseDelimited: true, Connected: w.connected, Dial: req.dialThrough(grant),
 		// A late copy of the response to the first attempt has the same ID.
-		NewConnection:  slices.Contains(req.avoid, grant.ID),
+		NewConnection:  newConnection,
 		MatchesRequest: func(header http.Header) bool { return req.h.cfg.Dialect.MatchesRequest(header, req.id) },
 	})
 	switch {
--- a/internal/traffic/placement/candidates.go
+++ b/internal/traffic/placement/candidates.go
@@ -69,6 +69,12 @@
 	return !r.SpareLimited && c.limits.HasToken(now, t.spec.ID)
 }
 
+// MayProbe reports whether a target that is known may be probed now, and reports its load.
+func (c *Chooser) MayProbe(now time.Time, id string) bool {
+	t := c.targets[id]
+	return t != nil && c.mayProbe(now, t)
+}
+
 // mayProbe reports whether a load probe may be sent to a target.
 func (c *Chooser) mayProbe(now time.Time, t *target) bool {
 	if _, paused := c.pauses.Until(now, t.incarnation()); paused {
--- a/internal/traffic/relay/pool.go
+++ b/internal/traffic/relay/pool.go
@@ -36,6 +36,8 @@
 var (
 	// ErrPoolExhausted reports that all connections to the address are in use.
 	ErrPoolExhausted = errors.New("all connections are in use")
+	// ErrNoIdleConnection reports that there is no idle connection, for Options.IdleOnly.
+	ErrNoIdleConnection = errors.New("no connection is idle")
 	// ErrAmbiguousFraming reports a response whose body length is not given exactly once.
 	ErrAmbiguousFraming = errors.New("ambiguous response framing")
 	// ErrHeaderTooLarge reports a response header that exceeds maxHeaderBytes.
@@ -198,6 +200,15 @@
 	return len(p.idle) > 0
 }
 
+// NeedsRefresh reports whether there is an idle connection, but none that carried a response
+// within MaxNonIdempotentIdle.
+func (p *Pool) NeedsRefresh() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	return n > 0 && time.Since(p.idle[n-1].lastResponse) > p.cfg.MaxNonIdempotentIdle
+}
+
 // get returns an idle connection or opens one. For a request that is not idempotent, an idle
 // connection must have carried a response within MaxNonIdempotentIdle, because an older one
 // may be dead without an error.
@@ -211,6 +222,9 @@
 			p.discard(c)
 			continue
 		}
+		if o.IdleOnly {
+			return nil, ErrNoIdleConnection
+		}
 		if !mayDial {
 			return nil, ErrPoolExhausted
 		}
@@ -233,6 +247,9 @@
 			return last, false
 		}
 	}
+	if o.IdleOnly {
+		return nil, false
+	}
 	if p.open >= p.cfg.MaxConnections && len(p.idle) > 0 {
 		oldest := p.idle[0]
 		p.idle = p.idle[1:]
--- a/internal/traffic/relay/roundtrip.go
+++ b/internal/traffic/relay/roundtrip.go
@@ -25,8 +25,9 @@
 	Connected func(nc net.Conn)
 	// Dial opens the connection for this request only; nil for one of the pool.
 	Dial func(ctx context.Context) (net.Conn, error)
-	// NewConnection requires a connection that has carried no request before.
-	NewConnection bool
+	// NewConnection requires a connection that has carried no request before, and IdleOnly one
+	// that is open and idle.
+	NewConnection, IdleOnly bool
 	// AllowCloseDelimited accepts a close-delimited response: one without a length, whose
 	// body ends with the connection.
 	AllowCloseDelimited bool
--- a/internal/traffic/targets/check.go
+++ b/internal/traffic/targets/check.go
@@ -173,7 +173,7 @@
 	responses := make(chan bool, len(list))
 	for _, link := range list {
 		l.g.Go("probe open connection", func(context.Context) error {
-			_, err := l.probe(ctx, link.Target.ID, l.healthPath(link.Target.Service))
+			_, err := l.probe(ctx, link.Target.ID, l.healthPath(link.Target.Service), relay.Options{Idempotent: true})
 			responses <- err == nil
 			return nil
 		})
--- a/internal/traffic/targets/targets.go
+++ b/internal/traffic/targets/targets.go
@@ -45,8 +45,10 @@
 	// maxNonIdempotentIdle is the idle time up to which a connection is reused for a
 	// non-idempotent request.
 	maxNonIdempotentIdle = 500 * time.Millisecond
-	// probeTimeout limits the duration of a probe.
-	probeTimeout = 150 * time.Millisecond
+	// probeTimeout limits the duration of a probe, and refreshTimeout that of one which delays
+	// a request.
+	probeTimeout   = 150 * time.Millisecond
+	refreshTimeout = 25 * time.Millisecond
 	// connectionShare is the fraction of the connection limit of a target that all hosts
 	// together may use.
 	connectionShare = 0.8
@@ -151,6 +153,9 @@
 	Paused func(target string) bool
 	// OnNotice is called with what a target says of itself in a response. It may be nil.
 	OnNotice func(n notice.Notice)
+	// SpendProbe reports whether a target may be probed for a request, and takes the probe from
+	// the budget; nil means that none may.
+	SpendProbe func(target string) bool
 	// OnChange is called when the result of CutOff has changed. It may be nil.
 	OnChange func()
 }
@@ -274,14 +279,28 @@
 // Probe requests the health and load of a target. Errors: ErrGone, ErrUnresponsive.
 func (l *Links) Probe(ctx context.Context, id, healthPath string) (ProbeResult, error) {
 	started := time.Now()
-	result, err := l.probe(ctx, id, healthPath)
+	result, err := l.probe(ctx, id, healthPath, relay.Options{Idempotent: true})
 	if errors.Is(err, ErrUnresponsive) && !l.HeardSince(started) {
 		l.Suspect(id, "a load probe failed")
 	}
 	return result, err
 }
 
-func (l *Links) probe(ctx context.Context, id, healthPath string) (ProbeResult, error) {
+// Refresh probes a target over an idle connection, if there is only one that was idle for too long
+// to carry a request which is not idempotent. If the target responds, the next such request takes
+// that connection. Opening one takes as long, and costs the target more.
+func (l *Links) Refresh(ctx context.Context, link *Link) {
+	if !link.Pool.NeedsRefresh() || l.CutOff() || l.cfg.SpendProbe == nil || !l.cfg.SpendProbe(link.Target.ID) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	if _, err := l.probe(ctx, link.Target.ID, l.healthPath(link.Target.Service), relay.Options{Idempotent: true, IdleOnly: true}); err != nil {
+		l.cfg.Log.WithError(err).WithField("target", link.Target.ID).Debug("idle connection is not used for a request that is not idempotent")
+	}
+}
+
+func (l *Links) probe(ctx context.Context, id, healthPath string, o relay.Options) (ProbeResult, error) {
 	link, ok := l.Find(id)
 	if !ok {
 		return ProbeResult{}, errors.Wrap(ErrGone, id)
@@ -295,11 +314,9 @@
 	// An empty value keeps Request.Write from adding a default.
 	req.Header.Set("User-Agent", "")
 	through := ""
-	res, err := link.Pool.RoundTrip(ctx, req, relay.Options{
-		Idempotent:     true,
-		Connected:      func(nc net.Conn) { through = ReachedThrough(nc) },
-		MatchesRequest: func(header http.Header) bool { return l.cfg.Reader.MatchesRequest(header, "") },
-	})
+	o.Connected = func(nc net.Conn) { through = ReachedThrough(nc) }
+	o.MatchesRequest = func(header http.Header) bool { return l.cfg.Reader.MatchesRequest(header, "") }
+	res, err := link.Pool.RoundTrip(ctx, req, o)
 	if err != nil {
 		return ProbeResult{}, errors.Wrapf(ErrUnresponsive, "%s: %v", id, err)
 	}
