Give buffers of connections to targets back when they are idle

Each connection to a target had 20 KB of buffers from its start to its end. A host opens one for most requests and keeps many open, so they were most of the garbage and of the heap. Buffers are now taken from a pool for an exchange and returned if it ended cleanly; those of other exchanges are left to the garbage collector, since something may still read the rest of a response. Responses with a length are read into a buffer of that size.

--- a/internal/traffic/entry/attempt.go
+++ b/internal/traffic/entry/attempt.go
@@ -4,6 +4,7 @@
 // response.
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -153,7 +154,7 @@
 		info.Load.Running = max(0, info.Load.Running-1)
 	}
 	out := attempt{grant: grant, status: res.StatusCode, header: res.Header, info: info}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedResponse+1))
+	body, err := readBuffered(res)
 	out.body = body
 	if res.ContentLength > maxStreamedResponse {
 		err = errResponseTooLarge
@@ -178,6 +179,14 @@
 	return out
 }
 
+// readBuffered reads the body of a response, or its beginning if it exceeds maxBufferedResponse.
+func readBuffered(res *http.Response) ([]byte, error) {
+	// ReadFrom grows a buffer with less than MinRead bytes left before it finds the end.
+	body := bytes.NewBuffer(make([]byte, 0, min(max(0, res.ContentLength), maxBufferedResponse)+bytes.MinRead))
+	_, err := body.ReadFrom(io.LimitReader(res.Body, maxBufferedResponse+1))
+	return body.Bytes(), err
+}
+
 // limit returns what the response says about the rate limit of the target. Only a response
 // that the target certainly generated itself can say that there is none.
 func (r *attempt) limit() ratelimit.Report {
--- a/internal/traffic/relay/conn.go
+++ b/internal/traffic/relay/conn.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -26,10 +27,10 @@
 )
 
 type conn struct {
-	nc           net.Conn
-	raw          syscall.RawConn
-	br           *bufio.Reader
-	bw           *bufio.Writer
+	nc  net.Conn
+	raw syscall.RawConn
+	// buffers are those of an exchange; nil while the connection is idle.
+	*buffers
 	written      *countingWriter
 	lastResponse time.Time
 	// idleTimeout is the time after which the peer closes the connection when it is idle, as
@@ -88,8 +89,6 @@
 
 func newConn(nc net.Conn) *conn {
 	c := &conn{nc: nc, written: &countingWriter{nc: nc}}
-	c.br = bufio.NewReaderSize(nc, maxHeaderBytes)
-	c.bw = bufio.NewWriterSize(c.written, writeBufferBytes)
 	rawConn := nc
 	if tlsConn, ok := nc.(*tls.Conn); ok {
 		rawConn = tlsConn.NetConn()
@@ -100,6 +99,34 @@
 	return c
 }
 
+// buffers is what an exchange needs to read from and write to a connection.
+type buffers struct {
+	br *bufio.Reader
+	bw *bufio.Writer
+}
+
+// freeBuffers holds buffers of ended exchanges. Idle connections have none: a host keeps many
+// open, and opens one for most requests.
+var freeBuffers = sync.Pool{New: func() any {
+	return &buffers{br: bufio.NewReaderSize(nil, maxHeaderBytes), bw: bufio.NewWriterSize(nil, writeBufferBytes)}
+}}
+
+// attachBuffers prepares a connection for an exchange.
+func (c *conn) attachBuffers() {
+	c.buffers = freeBuffers.Get().(*buffers) //nolint:forcetypeassert // The pool holds nothing else.
+	c.br.Reset(c.nc)
+	c.bw.Reset(c.written)
+}
+
+// releaseBuffers returns the buffers of an exchange that ended cleanly. Those of others are not
+// reused, since something may still read the rest of a response.
+func (c *conn) releaseBuffers() {
+	c.br.Reset(nil)
+	c.bw.Reset(nil)
+	freeBuffers.Put(c.buffers)
+	c.buffers = nil
+}
+
 // abort makes the close of the connection discard the bytes that have not reached the peer. They
 // may be held back on a broken link, and a request that was given up must not run when it
 // heals.
@@ -112,9 +139,6 @@
 // isIdle reports whether the connection is open and has nothing to read. Unsolicited bytes
 // belong to no request, so a connection that received some is not used.
 func (c *conn) isIdle() bool {
-	if c.br.Buffered() > 0 {
-		return false
-	}
 	if c.raw == nil {
 		return true
 	}
--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -228,3 +228,15 @@
 		})
 	}
 }
+
+// Guards against memory and garbage that grow with the number of open connections.
+func TestIdleConnectionsHoldNoBuffers(t *testing.T) {
+	p, _ := newScriptedPool(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 204 No Content\r\n\r\n")
+	for _, want := range []string{"ok", ""} {
+		got, err := get(t, p, http.MethodGet)
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+		require.Len(t, p.idle, 1)
+		require.Nil(t, p.idle[0].buffers)
+	}
+}
--- a/internal/traffic/relay/roundtrip.go
+++ b/internal/traffic/relay/roundtrip.go
@@ -88,6 +88,7 @@
 	if o.Connected != nil {
 		o.Connected(c.nc)
 	}
+	c.attachBuffers()
 	x := &exchange{pool: p, c: c, req: req, writeDone: make(chan struct{}), closeDelimited: o.AllowCloseDelimited}
 	before := c.written.n.Load()
 	x.watchContext(ctx)
@@ -215,6 +216,7 @@
 		notCancelled := x.stopWatch()
 		if clean && notCancelled && x.requestWritten() && x.mismatched == 0 && x.c.br.Buffered() == 0 {
 			_ = x.c.nc.SetDeadline(time.Time{})
+			x.c.releaseBuffers()
 			x.pool.put(x.c)
 			return
 		}
