--- a/internal/process/logs/async.go
+++ b/internal/process/logs/async.go
@@ -18,6 +18,8 @@
 	queueLength = 512
 	// flushTimeout limits the time that Flush waits at the end of the process.
 	flushTimeout = 200 * time.Millisecond
+	// maxWriteBytes is the size from which on a write takes no further lines.
+	maxWriteBytes = 16 << 10
 )
 
 // Async passes lines to a writer through a bounded queue. If the queue is full, lines are
@@ -28,6 +30,8 @@
 	dropped atomic.Int64
 	// unwritten counts the lines that were accepted and not written yet.
 	unwritten atomic.Int64
+	// buf holds the lines of one write. Only run uses it.
+	buf []byte
 }
 
 var _ io.Writer = (*Async)(nil)
@@ -72,11 +76,7 @@
 		case <-ctx.Done():
 			return nil
 		case line := <-a.lines:
-			if _, err := a.w.Write(line); err != nil {
-				// The error cannot be logged, because the log itself is not writable.
-				a.dropped.Add(1)
-			}
-			a.unwritten.Add(-1)
+			a.writeQueued(line)
 		}
 		if n := a.dropped.Load(); n > reported && len(a.lines) == 0 {
 			fmt.Fprintf(a.w, "{\"level\":\"warning\",\"part\":\"logs\",\"msg\":\"lines were dropped\",\"dropped\":%d}\n", n-reported)
@@ -84,3 +84,18 @@
 		}
 	}
 }
+
+// writeQueued writes a line and those queued behind it, up to maxWriteBytes, in one call.
+func (a *Async) writeQueued(line []byte) {
+	a.buf = append(a.buf[:0], line...)
+	count := int64(1)
+	for len(a.buf) < maxWriteBytes && len(a.lines) > 0 {
+		a.buf = append(a.buf, <-a.lines...)
+		count++
+	}
+	if _, err := a.w.Write(a.buf); err != nil {
+		// The error cannot be logged, because the log itself is not writable.
+		a.dropped.Add(count)
+	}
+	a.unwritten.Add(-count)
+}
