Wake the timer service only when a callback is due

It woke 20 times a second to detect pauses, which only the balancer role uses. Callbacks whose periods are multiples of each other now share their ticks.

--- a/internal/kernel/timer/timer.go
+++ b/internal/kernel/timer/timer.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	// resolution is the tick interval of the timer goroutine. A shorter interval detects
-	// pauses sooner.
+	// resolution is the tick interval while pauses are to be detected, and of a service
+	// without callbacks. A shorter interval detects pauses sooner.
 	resolution = 50 * time.Millisecond
 	// PauseThreshold is the time between two ticks from which on the process is considered
 	// to have been paused.
@@ -87,18 +87,36 @@
 }
 
 func (s *Service) run(ctx context.Context) error {
-	ticker := time.NewTicker(resolution)
-	defer ticker.Stop()
+	t := time.NewTimer(resolution)
+	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-t.C:
 			s.Tick(time.Now())
+			t.Reset(s.untilTick(time.Now()))
 		}
 	}
 }
 
+// untilTick returns the time until the next tick is needed. Each tick wakes the process, so
+// without pause callbacks there is none before a callback is due.
+func (s *Service) untilTick(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.onPause) > 0 || len(s.subscriptions) == 0 {
+		return resolution
+	}
+	next := now.Add(s.subscriptions[0].every)
+	for _, sub := range s.subscriptions {
+		if sub.next.Before(next) {
+			next = sub.next
+		}
+	}
+	return max(0, next.Sub(now))
+}
+
 // Stale reports whether the last tick is so long ago that the process must have been
 // paused, but the pause callbacks have not run yet.
 func (s *Service) Stale(now time.Time) bool {
@@ -134,7 +152,9 @@
 	return Pause{Length: now.Sub(lastTick), Ended: now}, true
 }
 
-// due returns the callbacks that are due at now. Missed periods are skipped.
+// due returns the callbacks that are due at now. Missed periods are skipped. Due times are
+// multiples of the period, so that callbacks whose periods are multiples of each other share
+// their ticks.
 func (s *Service) due(now time.Time) []func(time.Time) {
 	var fns []func(time.Time)
 	for _, sub := range s.subscriptions {
@@ -145,7 +165,7 @@
 		if now.Before(sub.next) {
 			continue
 		}
-		sub.next = now.Add(sub.every)
+		sub.next = sub.next.Add((now.Sub(sub.next)/sub.every + 1) * sub.every)
 		fns = append(fns, sub.fn)
 	}
 	return fns
