Wait for the time at which a host's role may change

Three goroutines of an idle host woke ten times a second each to check whether it should watch the store, poll fallback hosts or write its entry again. They now sleep until that may be the case, or until the hosts, the secrets or the era of the view have changed.

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -67,6 +68,8 @@
 	codec          *itemCodec
 	// watchJitter is added to othersWatchAge.
 	watchJitter time.Duration
+	// hostsChanged is notified when the hosts, the secrets or the era of the view have changed.
+	hostsChanged *broadcast
 }
 
 // update holds changes received from the store or from another host.
@@ -109,7 +112,7 @@
 func New(cfg Config, g *group.Group) *Directory {
 	d := &Directory{
 		cfg: cfg, g: g, cache: newWatchCache(), largeResponses: make(semaphore, maxLargeResponses), codec: newItemCodec(),
-		baseTime: time.Now().Add(-unknownAge), watchJitter: rand.N(othersWatchJitter),
+		baseTime: time.Now().Add(-unknownAge), watchJitter: rand.N(othersWatchJitter), hostsChanged: newBroadcast(),
 	}
 	d.state = NewState(cfg.Self, cfg.Decoder, cfg.ReregisterTimeout, d.cache.add)
 	if cfg.PeerTransport == nil {
@@ -232,7 +235,10 @@
 		return
 	}
 	s := d.state.Snapshot()
-	d.snapshot.Store(s)
+	before := d.snapshot.Swap(s)
+	if s.HostChanges != before.HostChanges || len(s.Secrets) != len(before.Secrets) || s.Revision.Era != before.Revision.Era {
+		d.hostsChanged.notify()
+	}
 	if d.cfg.OnChange != nil {
 		d.cfg.OnChange(s, d.state.TakeRestarted())
 	}
@@ -251,3 +257,25 @@
 	case <-ctx.Done():
 	}
 }
+
+// broadcast wakes all goroutines that wait for an event. It is safe for concurrent use.
+type broadcast struct {
+	mu       sync.Mutex
+	notified chan struct{}
+}
+
+func newBroadcast() *broadcast { return &broadcast{notified: make(chan struct{})} }
+
+// wait returns a channel that is closed at the next event.
+func (b *broadcast) wait() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.notified
+}
+
+func (b *broadcast) notify() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	close(b.notified)
+	b.notified = make(chan struct{})
+}
--- a/internal/fleet/directory/registration.go
+++ b/internal/fleet/directory/registration.go
@@ -68,13 +68,20 @@
 	return RegistrationState{Loaded: d.Loaded(), Fresh: d.Fresh(time.Now()), Era: s.Revision.Era, Hosts: s.MaxHosts, RecordedHosts: s.RecordedHosts, SizeRevision: s.SizeRevision, First: s.position.rank == 0, Entry: s.Entry, Secret: s.Secret(), SecretStored: s.SecretStored}
 }
 
+// HostsChanged returns a channel that is closed when the hosts, the secrets or the era of the
+// view change.
+func (d *Directory) HostsChanged() <-chan struct{} { return d.hostsChanged.wait() }
+
 // Registration maintains the entry of this host in the store, and the fleet secret.
 type Registration struct {
 	Self  Host
 	Store store.Leaser
 	// State returns the current state.
 	State func() RegistrationState
-	Log   *logrus.Entry
+	// HostsChanged returns a channel that is closed when the hosts or the era of the state
+	// change.
+	HostsChanged func() <-chan struct{}
+	Log          *logrus.Entry
 
 	// largest is the largest number of hosts seen so far, since grownAt.
 	largest int
@@ -154,6 +161,7 @@
 func (r *Registration) waitForRenewal(ctx context.Context, era uint64) {
 	end := time.Now().Add(r.period())
 	for ctx.Err() == nil && time.Now().Before(end) {
+		changed := r.HostsChanged()
 		if r.State().Era > era {
 			timer.Sleep(ctx, rand.N(min(maxRewriteJitter, time.Millisecond+time.Duration(r.State().Hosts)*rewriteJitterPerHost)))
 			return
@@ -161,7 +169,7 @@
 		if err := r.recordSettledSize(ctx, time.Now()); err != nil {
 			r.Log.WithError(err).Warn("recording the size of the fleet failed")
 		}
-		timer.Sleep(ctx, min(roleCheckInterval, time.Until(end)))
+		sleepUnless(ctx, changed, time.Until(end))
 	}
 }
 
--- a/internal/fleet/directory/registration_test.go
+++ b/internal/fleet/directory/registration_test.go
@@ -141,7 +141,7 @@
 					expired: map[uint64]bool{}, droppedCommits: tt.droppedCommits, self: Host{Name: "a", Incarnation: "1"},
 					state: RegistrationState{Loaded: true, Fresh: true, Era: 1, Hosts: 13, Secret: secret},
 				}
-				r := &Registration{Self: l.self, Store: l, State: l.registrationState, Log: logrus.NewEntry(log)}
+				r := &Registration{Self: l.self, Store: l, State: l.registrationState, HostsChanged: func() <-chan struct{} { return nil }, Log: logrus.NewEntry(log)}
 				ctx, cancel := context.WithCancel(t.Context())
 				done := make(chan error)
 				go func() { done <- r.Run(ctx) }()
@@ -188,7 +188,7 @@
 			log := logrus.New()
 			log.SetOutput(io.Discard)
 			l := &fakeLeaser{expired: map[uint64]bool{}, self: Host{Name: "a"}, state: RegistrationState{Loaded: true, Fresh: true, Era: 1, Hosts: 3, First: first}}
-			r := &Registration{Self: l.self, Store: l, State: l.registrationState, Log: logrus.NewEntry(log)}
+			r := &Registration{Self: l.self, Store: l, State: l.registrationState, HostsChanged: func() <-chan struct{} { return nil }, Log: logrus.NewEntry(log)}
 			ctx, cancel := context.WithCancel(t.Context())
 			done := make(chan error)
 			go func() { done <- r.Run(ctx) }()
--- a/internal/fleet/directory/watch.go
+++ b/internal/fleet/directory/watch.go
@@ -53,8 +53,12 @@
 	secondWatchAge    = time.Second
 	othersWatchAge    = 1400 * time.Millisecond
 	othersWatchJitter = 300 * time.Millisecond
-	// roleCheckInterval is the time between two checks of whether this host should watch.
+	// roleCheckInterval is the pause after a failed call, and the time between two polls of
+	// fallback hosts.
 	roleCheckInterval = 100 * time.Millisecond
+	// maxRoleWait bounds the time between two checks of whether this host should watch the
+	// store or poll fallback hosts.
+	maxRoleWait = time.Second
 	// retryMin and retryMax bound the backoff after a failed call of the store.
 	// othersRetryMin and othersRetryMax apply to all hosts but the first two, because
 	// most of them learn through those two that the store is available again.
@@ -67,19 +71,18 @@
 	allKeys = ""
 )
 
-// shouldWatch reports whether this host should watch the store now.
-func (d *Directory) shouldWatch(now time.Time) bool {
+// untilWatch returns the time after which this host should watch the store if the hosts stay
+// the same and no newer data arrives; zero if it should now.
+func (d *Directory) untilWatch(now time.Time) time.Duration {
 	s := d.Snapshot()
-	if len(s.Secrets) == 0 || d.asOf.Load() == 0 {
-		return true
+	if len(s.Secrets) == 0 || d.asOf.Load() == 0 || s.position.rank == 0 {
+		return 0
 	}
-	switch s.position.rank {
-	case 0:
-		return true
-	case 1:
-		return d.Age(now) > secondWatchAge
+	limit := secondWatchAge
+	if s.position.rank > 1 {
+		limit = othersWatchAge + d.watchJitter
 	}
-	return d.Age(now) > othersWatchAge+d.watchJitter
+	return max(0, limit-d.Age(now))
 }
 
 // watcher is the state of this host's watch of the store.
@@ -102,9 +105,10 @@
 	}
 	w := &watcher{d: d}
 	for ctx.Err() == nil {
-		if !d.shouldWatch(time.Now()) {
+		hostsChanged := d.hostsChanged.wait()
+		if wait := d.untilWatch(time.Now()); wait > 0 {
 			w.active, w.failed = false, false
-			timer.Sleep(ctx, roleCheckInterval)
+			sleepUnless(ctx, hostsChanged, wait)
 			continue
 		}
 		if !w.active {
@@ -223,18 +227,38 @@
 // fallbackAge.
 func (d *Directory) pollFallbacks(ctx context.Context) error {
 	for n := 0; ctx.Err() == nil; n++ {
+		hostsChanged := d.hostsChanged.wait()
 		s := d.Snapshot()
-		if fallbacks := s.position.fallbacks; len(s.Secrets) > 0 && len(fallbacks) > 0 && d.Age(time.Now()) > fallbackAge {
-			host := fallbacks[n%len(fallbacks)]
-			if err := d.pollPeer(ctx, host, 0); err != nil {
-				d.cfg.Log.WithError(err).WithField(fieldHost, host.Name).Debug("polling a fallback host failed")
-			}
+		fallbacks := s.position.fallbacks
+		if len(s.Secrets) == 0 || len(fallbacks) == 0 {
+			sleepUnless(ctx, hostsChanged, maxRoleWait)
+			continue
+		}
+		if wait := fallbackAge - d.Age(time.Now()); wait > 0 {
+			timer.Sleep(ctx, wait)
+			continue
+		}
+		host := fallbacks[n%len(fallbacks)]
+		if err := d.pollPeer(ctx, host, 0); err != nil {
+			d.cfg.Log.WithError(err).WithField(fieldHost, host.Name).Debug("polling a fallback host failed")
 		}
 		timer.Sleep(ctx, roleCheckInterval)
 	}
 	return nil
 }
 
+// sleepUnless returns after d, or maxRoleWait if that is shorter, or when changed is closed or
+// ctx ends.
+func sleepUnless(ctx context.Context, changed <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(min(d, maxRoleWait))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-t.C:
+	}
+}
+
 // pollPeer requests the changes that this view lacks from another host and applies them.
 func (d *Directory) pollPeer(ctx context.Context, host Host, wait time.Duration) error {
 	u, err := d.fetchChanges(ctx, host, d.cache.applied(), wait)
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -212,7 +212,7 @@
 		return err
 	}
 	registration := &directory.Registration{
-		Self: p.self(), Store: p.store, State: p.directory.RegistrationState, Log: p.log.For("directory"),
+		Self: p.self(), Store: p.store, State: p.directory.RegistrationState, HostsChanged: p.directory.HostsChanged, Log: p.log.For("directory"),
 	}
 	p.g.Go("registration", registration.Run)
 	if err := p.servePeers(ctx); err != nil {
