--- a/internal/fleet/directory/watch.go
+++ b/internal/fleet/directory/watch.go
@@ -27,8 +27,8 @@
 	// minWatchWait is the wait of a watch when the view is old.
 	minWatchWait = 100 * time.Millisecond
 	// batchDelay is the time between two watches after a change, so that changes in quick
-	// succession cost one call.
-	batchDelay = 60 * time.Millisecond
+	// succession cost one call of the store, and one poll and one new snapshot on each host.
+	batchDelay = 150 * time.Millisecond
 	// startJitter is the period over which the hosts spread their first read when the
 	// fleet first starts.
 	startJitter = 300 * time.Millisecond
