--- a/internal/traffic/dispatcher/cell_load.go
+++ b/internal/traffic/dispatcher/cell_load.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -147,24 +148,27 @@
 }
 
 // ReportLoads reports the load of the cells that this host dispatches to the other
-// dispatchers of the same service.
+// dispatchers of the same service, each of which gets one message.
 func (d *Dispatcher) ReportLoads(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, cells := range d.services {
-		if len(cells) < 2 {
-			continue
-		}
+		var own []CellLoad
+		others := map[netip.AddrPort]bool{}
 		for _, c := range cells {
-			if !c.dispatchedBy(d.cfg.Self) {
-				continue
+			host, ok := c.dispatcher()
+			switch {
+			case !ok:
+			case host.Name != d.cfg.Self:
+				others[host.PeerAddress] = true
+			default:
+				d.measure(now, c)
+				own = append(own, CellLoad{Cell: c.id.key, Utilization: int(c.utilization * perMille), Waiting: c.waiting})
 			}
-			d.measure(now, c)
-			m := Message{Kind: kindLoad, Loads: []CellLoad{{Cell: c.id.key, Utilization: int(c.utilization * perMille), Waiting: c.waiting}}}
-			for _, other := range cells {
-				if host, ok := other.dispatcher(); ok && host.Name != d.cfg.Self {
-					d.send(host.PeerAddress, m)
-				}
+		}
+		for loads := range slices.Chunk(own, maxLoads) {
+			for to := range others {
+				d.send(to, Message{Kind: kindLoad, Loads: loads})
 			}
 		}
 	}
