--- a/internal/fleet/directory/tree.go
+++ b/internal/fleet/directory/tree.go
@@ -9,6 +9,7 @@
 // more than twice fanOut others, regardless of the size of the fleet.
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,19 +32,20 @@
 
 // ranking returns the hosts in the order in which they should watch the store.
 func ranking(hosts map[string]Host) []Host {
-	list := make([]Host, 0, len(hosts))
-	score := make(map[string]uint64, len(hosts))
+	type scored struct {
+		host  Host
+		score uint64
+	}
+	list := make([]scored, 0, len(hosts))
 	for _, h := range hosts {
-		list = append(list, h)
-		score[h.Name] = xxhash.Sum64String("watch\x00" + h.Name)
+		list = append(list, scored{host: h, score: xxhash.Sum64String("watch\x00" + h.Name)})
 	}
-	slices.SortFunc(list, func(a, b Host) int {
-		if score[a.Name] < score[b.Name] {
-			return -1
-		}
-		return 1
-	})
-	return list
+	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
+	ranked := make([]Host, 0, len(list))
+	for _, s := range list {
+		ranked = append(ranked, s.host)
+	}
+	return ranked
 }
 
 // findPosition returns the position of a host among the ranked ones. A host that is not
