Use idle targets while all of a cell seem slower than they report

After a short stall of all requests a dispatcher took every target for three or four times slower than it reports, and refused requests for as long as that evidence lasted, though nothing ran at any target and the requests would have met their objectives even at that speed. If no target has capacity, an idle one where the request meets its objective now has.

--- a/internal/traffic/placement/chooser.go
+++ b/internal/traffic/placement/chooser.go
@@ -173,10 +173,11 @@
 // Best returns the target of a group with the lowest cost for a request. Targets with
 // capacity come before those without. A target may be tried at a concurrency above the best
 // known one if no target has capacity and r.Backlogged is set, or if those with capacity are
-// likely to fail.
+// likely to fail. If none has capacity, an idle target where the request meets its objective
+// has, since waiting would gain nothing.
 func (c *Chooser) Best(now time.Time, group string, r Request) (Choice, bool) {
-	var best, trial *target
-	var bestEstimate, trialEstimate estimate
+	var best, trial, idle *target
+	var bestEstimate, trialEstimate, idleEstimate estimate
 	for _, t := range c.candidates(now, group, r) {
 		e := t.estimate(now, c.cfg, r)
 		if best == nil || cheaper(e, bestEstimate) || e == bestEstimate && c.rng.IntN(2) == 0 {
@@ -185,10 +186,17 @@
 		if e.trial && (trial == nil || e.cost < trialEstimate.cost) {
 			trial, trialEstimate = t, e
 		}
+		if e.idle && (idle == nil || e.cost < idleEstimate.cost) {
+			idle, idleEstimate = t, e
+		}
 	}
 	if best == nil {
 		return Choice{}, false
 	}
+	if !bestEstimate.hasCapacity && idle != nil {
+		best, bestEstimate = idle, idleEstimate
+		bestEstimate.hasCapacity = true
+	}
 	wanted := r.Backlogged
 	if bestEstimate.hasCapacity {
 		wanted = best.failureRate > likelyFailure && trialEstimate.cost < bestEstimate.cost
--- a/internal/traffic/placement/target.go
+++ b/internal/traffic/placement/target.go
@@ -349,6 +349,9 @@
 	trial bool
 	// full says that all slots are in use.
 	full bool
+	// idle says that nothing runs at the target, and that the request would meet its objective
+	// there although the target seems slower than it reports.
+	idle bool
 }
 
 func (t *target) estimate(now time.Time, cfg Config, r Request) estimate {
@@ -369,6 +372,7 @@
 		// Send one request at a time to a target that should report its load but has not.
 		e.hasCapacity = running == 0 && t.consecutiveFailures == 0
 	}
+	e.idle = running == 0 && t.fastEnough(cfg, reported, contention) && !r.Objective.IsZero() && !now.Add(e.serviceTime).After(r.Objective)
 	e.trial = running == best && !e.full && reported*unreported <= maxTrialSlowness && t.profile.NeedsTrial(now, e.concurrency, slots)
 	e.cost = e.serviceTime + e.queueTime + time.Duration(t.penalty(cfg, r)*float64(r.TypicalTime))
 	return e
