--- a/internal/traffic/budget/budget_test.go
+++ b/internal/traffic/budget/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 	"unsafe"
@@ -221,6 +222,81 @@
 	}
 }
 
+// Guards against extra attempts that requests earned in a burst just before the window in which
+// they arrive.
+func TestBurstBeforeAWindowStaysWithinTheBudget(t *testing.T) {
+	const (
+		hosts  = 13
+		ratio  = 0.2
+		slack  = 56
+		length = 10 * time.Second
+		step   = 20 * time.Millisecond
+		// calm is the time before the burst; targets fail from the end of the burst on.
+		calm = 20 * time.Second
+	)
+	tests := []struct {
+		name string
+		// perHost is the rate of requests at a host before and after the burst.
+		perHost, burst float64
+		lasts          time.Duration
+	}{
+		{name: "twice the requests for a second", perHost: 8, burst: 16, lasts: time.Second},
+		{name: "ten times the requests for a second", perHost: 8, burst: 80, lasts: time.Second},
+		{name: "ten times the requests for half a second", perHost: 8, burst: 80, lasts: time.Second / 2},
+		{name: "few requests after three seconds of many", perHost: 1, burst: 40, lasts: 3 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			budgets := make([]*Retries, hosts)
+			for i := range budgets {
+				budgets[i] = NewRetries(ratio, slack, length)
+			}
+			var requests, spent []time.Time
+			due := make([]float64, hosts)
+			for at := time.Duration(0); at < calm+30*time.Second; at += step {
+				now, rate := start.Add(at), tt.perHost
+				if at >= calm && at < calm+tt.lasts {
+					rate = tt.burst
+				}
+				for n, b := range budgets {
+					for due[n] += rate * step.Seconds(); due[n] >= 1; due[n]-- {
+						b.RecordRequest(now, "s")
+						requests = append(requests, now)
+					}
+					for at >= calm+tt.lasts && b.Spend(now, "s", Share{Hosts: hosts}) {
+						b.End(now, "s")
+						spent = append(spent, now)
+					}
+				}
+				most := 0
+				for _, earlier := range []time.Duration{0, length / 2, length} {
+					most = max(most, count(requests, now.Add(-length-earlier))-count(requests, now.Add(-earlier)))
+				}
+				require.LessOrEqual(t, float64(count(spent, now.Add(-length))), ratio*float64(most)+slack, "after %s", at-calm)
+			}
+			require.NotEmpty(t, spent)
+		})
+	}
+}
+
+// Guards against hosts that refuse a request after one rejection, while the fleet has hardly used
+// its budget.
+func TestHostsOfALargeFleetMayRetryTheirFirstRequest(t *testing.T) {
+	const (
+		slack  = 430
+		length = 10 * time.Second
+	)
+	for _, hosts := range []int{30, 312, 1000} {
+		t.Run(strconv.Itoa(hosts), func(t *testing.T) {
+			r := NewRetries(0.2, slack, length)
+			now := time.Unix(1000, 0)
+			r.RecordRequest(now, "s")
+			require.True(t, r.Spend(now, "s", Share{Hosts: hosts}))
+		})
+	}
+}
+
 func count(times []time.Time, since time.Time) int {
 	n := 0
 	for i := len(times) - 1; i >= 0 && times[i].After(since); i-- {
