--- a/internal/fleet/directory/hosts.go
+++ b/internal/fleet/directory/hosts.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -27,20 +28,24 @@
 	Cores float64 `json:"cores,omitempty"`
 }
 
-// HostWeights returns the function that weighs hosts for work which the fleet shares: the cube
-// of their cores. Callers are spread evenly over hosts, so small hosts have little processor time
-// left for others, and what they do for others takes longer. If the cores of any host are
-// unknown, all weights are equal, as on hosts of earlier versions, so that all hosts agree on who
-// does what.
+// HostWeights returns the function that weighs hosts for work which the fleet shares. Callers are
+// spread evenly over hosts, so small hosts have little processor time left for others, and what
+// they do for others takes longer: weights grow by the power coresExponent. If the cores of any
+// host are unknown, all weights are equal, as on hosts of earlier versions, so that all hosts agree
+// on who does what.
 func HostWeights(hosts map[string]Host) func(h Host) float64 {
 	for _, h := range hosts {
 		if h.Cores <= 0 {
 			return func(Host) float64 { return 1 }
 		}
 	}
-	return func(h Host) float64 { return h.Cores * h.Cores * h.Cores }
+	return func(h Host) float64 { return math.Pow(h.Cores, coresExponent) }
 }
 
+// coresExponent is the exponent of a host's cores in its weight. A host with a fifth of the cores
+// of another has a three-thousandth of its weight.
+const coresExponent = 5
+
 // SecretKey is the key of the fleet secret, which authenticates messages between hosts.
 // The first host to start writes it.
 const SecretKey = "fleet/secret"
