Count load probes by cause

Nobody could say which probes are sent for what. The metric of probes has a label for it now: a request has arrived, no good target was found for it, requests wait, a rate limit, or an idle connection is to carry a request that must not be repeated.

--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -46,7 +46,7 @@
 		extra:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_entry_extra_attempts_total", Help: "Retries and hedges that the retry budget permitted or not."}, []string{labelService, "kind", "permitted"}),
 		latency:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "tamarack_entry_latency_seconds", Help: "Time to the final response.", Buckets: latencyBuckets}, []string{labelService}),
 		tunnels:     prometheus.NewCounter(prometheus.CounterOpts{Name: "tamarack_tunnels_total", Help: "Connections to targets that were opened for other hosts."}),
-		probes:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_entry_questions_total", Help: "Load probes sent to targets."}, []string{labelService}),
+		probes:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_entry_questions_total", Help: "Load probes sent to targets, by cause."}, []string{labelService, "cause"}),
 		updateDelay: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "tamarack_view_wait_seconds", Help: "Time that updates from the store waited to be applied.", Buckets: latencyBuckets}),
 		storeCalls:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_store_calls_total", Help: "Calls to the metadata store by operation."}, []string{"operation"}),
 	}
@@ -200,4 +200,6 @@
 }
 
 // CountProbe counts a load probe sent to a target of the service.
-func (m *metrics) CountProbe(service string) { m.probes.WithLabelValues(service).Inc() }
+func (m *metrics) CountProbe(service string, cause dispatcher.ProbeCause) {
+	m.probes.WithLabelValues(service, string(cause)).Inc()
+}
--- a/internal/traffic/dispatcher/cell.go
+++ b/internal/traffic/dispatcher/cell.go
@@ -324,7 +324,7 @@
 			d.mu.Unlock()
 			return
 		}
-		ids := d.withinProbeBudget(c, d.chooser.PollCandidates(time.Now(), c.id.key, targetsPerPoll))
+		ids := d.withinProbeBudget(c, ForQueue, d.chooser.PollCandidates(time.Now(), c.id.key, targetsPerPoll))
 		d.mu.Unlock()
 		d.probe(ctx, c, ids, func() bool { return false })
 		timer.Sleep(ctx, pollPeriod)
@@ -334,22 +334,43 @@
 // targetsPerPoll bounds the targets probed in one round while requests wait.
 const targetsPerPoll = 6
 
+// ProbeCause is the reason for a load probe.
+type ProbeCause string
+
+// Causes of load probes.
+const (
+	// ForRequest: a request has arrived.
+	ForRequest ProbeCause = "request"
+	// ForSearch: no good target was found for a request.
+	ForSearch ProbeCause = "search"
+	// ForQueue: requests wait.
+	ForQueue ProbeCause = "queue"
+	// ForLimit: a target names a rate limit.
+	ForLimit ProbeCause = "limit"
+	// ForConnection: a request that is not idempotent needs a connection that responds.
+	ForConnection ProbeCause = "connection"
+)
+
 // probeCandidates returns up to n targets to probe for a request, within the probe budget.
 // The caller holds the mutex.
 func (d *Dispatcher) probeCandidates(c *cell, req *Request, n int) []string {
-	return d.withinProbeBudget(c, d.chooser.ProbeCandidates(time.Now(), c.id.key, req.placementRequest(), n))
+	cause := ForSearch
+	if n == probeStages[0] {
+		cause = ForRequest
+	}
+	return d.withinProbeBudget(c, cause, d.chooser.ProbeCandidates(time.Now(), c.id.key, req.placementRequest(), n))
 }
 
 // withinProbeBudget returns the targets that the probe budget permits to probe, and spends
 // the budget for them. The caller holds the mutex.
-func (d *Dispatcher) withinProbeBudget(c *cell, ids []string) []string {
+func (d *Dispatcher) withinProbeBudget(c *cell, cause ProbeCause, ids []string) []string {
 	now := time.Now()
 	return slices.DeleteFunc(ids, func(id string) bool {
 		if !d.probes.Spend(now, id, c.probeDivisor) {
 			return true
 		}
 		d.limits.RecordProbe(now, id)
-		d.cfg.OnProbe(c.id.service)
+		d.cfg.OnProbe(c.id.service, cause)
 		return false
 	})
 }
@@ -361,7 +382,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c := d.cells[d.chooser.Group(target)]
-	return c != nil && d.chooser.MayProbe(time.Now(), target) && len(d.withinProbeBudget(c, []string{target})) > 0
+	return c != nil && d.chooser.MayProbe(time.Now(), target) && len(d.withinProbeBudget(c, ForConnection, []string{target})) > 0
 }
 
 // probe probes targets for their load. It returns when all have responded, when enough
--- a/internal/traffic/dispatcher/dispatcher.go
+++ b/internal/traffic/dispatcher/dispatcher.go
@@ -53,7 +53,7 @@
 	Send func(to netip.AddrPort, m Message) error
 	Log  *logrus.Entry
 	// OnProbe is called for each probe sent to a target of the service.
-	OnProbe func(service string)
+	OnProbe func(service string, cause ProbeCause)
 	// OnEvidence is called with the evidence of crashes that other hosts report. It must not
 	// block, and may be nil.
 	OnEvidence func(e crash.Evidence)
--- a/internal/traffic/dispatcher/dispatcher_test.go
+++ b/internal/traffic/dispatcher/dispatcher_test.go
@@ -111,7 +111,7 @@
 		d := New(Config{
 			Self: fmt.Sprintf("host-%d", n), Prober: f, Placement: cfg, ProbesPerSecond: 1000,
 			Send:    func(to netip.AddrPort, m Message) error { f.send(address(n), to, m); return nil },
-			OnProbe: func(string) {}, Log: logrus.NewEntry(logger),
+			OnProbe: func(string, ProbeCause) {}, Log: logrus.NewEntry(logger),
 		}, g)
 		d.SetSnapshot(s, nil)
 		f.hosts[address(n)] = d
--- a/internal/traffic/dispatcher/limit.go
+++ b/internal/traffic/dispatcher/limit.go
@@ -195,7 +195,7 @@
 		if c.rank != 0 && now.Sub(c.sharesUsed) > standbyCheckTime {
 			continue
 		}
-		if d.limits.CheckDue(now, id) && len(d.withinProbeBudget(c, []string{id})) > 0 {
+		if d.limits.CheckDue(now, id) && len(d.withinProbeBudget(c, ForLimit, []string{id})) > 0 {
 			d.g.Go("check limit", func(ctx context.Context) error {
 				d.probe(ctx, c, []string{id}, func() bool { return true })
 				return nil
--- a/internal/traffic/dispatcher/simulation_test.go
+++ b/internal/traffic/dispatcher/simulation_test.go
@@ -389,7 +389,7 @@
 		for n := range sc.hosts {
 			name := fmt.Sprintf("host-%d", n)
 			s.Hosts[name] = directory.Host{Name: name, Domain: "d", PeerAddress: address(n)}
-			cfg := Config{Self: name, Prober: sim, Placement: placement.DefaultConfig(), ProbesPerSecond: 60, OnProbe: func(string) {}, Log: logrus.NewEntry(logger)}
+			cfg := Config{Self: name, Prober: sim, Placement: placement.DefaultConfig(), ProbesPerSecond: 60, OnProbe: func(string, ProbeCause) {}, Log: logrus.NewEntry(logger)}
 			if !standalone {
 				cfg.Send = func(to netip.AddrPort, m Message) error {
 					from := address(n)
