Let hosts of a large fleet retry refused calls of the store less often

The longest backoff of registrations, and of watches by hosts after the first two, grows by 10 ms a host, up to 5 s, and registrations are spread.

--- a/internal/fleet/directory/registration.go
+++ b/internal/fleet/directory/registration.go
@@ -121,8 +121,8 @@
 		}
 		if err := r.maintain(ctx, &written); err != nil {
 			r.Log.WithError(err).Warn("renewing the entry of this host failed")
-			timer.Sleep(ctx, pause)
-			pause = min(retryMax, pause*2)
+			timer.Sleep(ctx, jitter(pause))
+			pause = min(longestRetry(retryMax, r.State().Hosts), pause*2)
 			continue
 		}
 		pause = retryMin
--- a/internal/fleet/directory/registration_test.go
+++ b/internal/fleet/directory/registration_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,10 +17,12 @@
 
 // fakeLeaser records the writes, and holds the state that a host would read back.
 type fakeLeaser struct {
-	mu      sync.Mutex
-	state   RegistrationState
-	grants  int
-	expired map[uint64]bool
+	mu     sync.Mutex
+	state  RegistrationState
+	grants int
+	// refuseGrants makes all grants fail.
+	refuseGrants bool
+	expired      map[uint64]bool
 	// droppedCommits is the number of commits that fail with an unknown outcome and are not
 	// applied.
 	droppedCommits int
@@ -36,6 +39,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.grants++
+	if l.refuseGrants {
+		return 0, store.ErrUnavailable
+	}
 	return uint64(l.grants), nil
 }
 
@@ -268,3 +274,31 @@
 		})
 	}
 }
+
+// Guards against calls that grow with the fleet while the store refuses them.
+func TestHostsOfALargeFleetRetryRegistrationLessOften(t *testing.T) {
+	tests := []struct {
+		hosts int
+		// maxCalls is the highest number of calls a second of all hosts together: a tenth of the
+		// writes that the store of such a fleet takes.
+		maxCalls float64
+	}{{hosts: 13, maxCalls: 40}, {hosts: 105, maxCalls: 120}, {hosts: 312, maxCalls: 320}}
+	for _, tt := range tests {
+		t.Run(strconv.Itoa(tt.hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const length = 30 * time.Second
+				log := logrus.New()
+				log.SetOutput(io.Discard)
+				l := &fakeLeaser{expired: map[uint64]bool{}, refuseGrants: true, self: Host{Name: "a"}, state: RegistrationState{Loaded: true, Fresh: true, Era: 1, Hosts: tt.hosts, SecretStored: true}}
+				r := &Registration{Self: l.self, Store: l, State: l.registrationState, HostsChanged: func() <-chan struct{} { return nil }, Log: logrus.NewEntry(log)}
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan error)
+				go func() { done <- r.Run(ctx) }()
+				time.Sleep(length)
+				cancel()
+				require.NoError(t, <-done)
+				require.LessOrEqual(t, float64(l.grants*tt.hosts)/length.Seconds(), tt.maxCalls)
+			})
+		})
+	}
+}
--- a/internal/fleet/directory/watch.go
+++ b/internal/fleet/directory/watch.go
@@ -66,6 +66,10 @@
 	retryMax       = 600 * time.Millisecond
 	othersRetryMin = 400 * time.Millisecond
 	othersRetryMax = 1200 * time.Millisecond
+	// retryPerHost is added to the longest backoff for each host, up to retryLimit, except for the
+	// first two: refused calls are billed, too, and those of a large fleet keep the store busy.
+	retryPerHost = 10 * time.Millisecond
+	retryLimit   = 5 * time.Second
 	// allKeys is the prefix of all keys: one watch covers the configuration, targets and
 	// hosts.
 	allKeys = ""
@@ -172,13 +176,21 @@
 		return 0
 	}
 	shortest, longest := retryMin, retryMax
-	if w.d.Snapshot().position.rank > 1 {
-		shortest, longest = othersRetryMin, othersRetryMax
+	if s := w.d.Snapshot(); s.position.rank > 1 {
+		shortest, longest = othersRetryMin, longestRetry(othersRetryMax, s.MaxHosts)
 	}
 	w.pause = min(max(shortest, 2*w.pause), longest)
-	return w.pause/2 + rand.N(w.pause/2)
+	return jitter(w.pause)
 }
 
+// longestRetry returns the longest backoff of one of many hosts.
+func longestRetry(longest time.Duration, hosts int) time.Duration {
+	return max(longest, min(retryLimit, longest+time.Duration(hosts)*retryPerHost))
+}
+
+// jitter returns a random time from half of d to d.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
+
 func (d *Directory) read(ctx context.Context, after store.Revision, wait time.Duration, reload bool) (page store.Page, full bool, err error) {
 	if reload || after.IsZero() {
 		page, err = d.cfg.Source.Range(ctx, allKeys)
