Let the host that watches the store in place of others keep watching

While the store turned away the first two hosts of the ranking, no other host was to watch in their place for longer than one response: its view was new then, so it stopped, while the rest of the fleet, which hears of it only through the first two, grew old and read the store as well, with full reads. 300 hosts made 550 to 722 reads in 9 s, 13 hosts 84 to 91.

Responses between hosts now name the host that read their data from the store. A host that watches because its view was old goes on until another one that should rather watch has sent new data. The first four hosts of the ranking take over one after the other and are polled by all hosts whose view is old.

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -68,6 +68,10 @@
 	codec          *itemCodec
 	// watchJitter is added to othersWatchAge.
 	watchJitter time.Duration
+	// origin is the name of the host that read the data of asOf from the store, and peerData
+	// describes the newest data that another host has sent.
+	origin   atomic.Pointer[string]
+	peerData atomic.Pointer[peerData]
 	// hostsChanged is notified when the hosts, the secrets or the era of the view have changed.
 	hostsChanged *broadcast
 }
@@ -77,13 +81,22 @@
 	page store.Page
 	// full reports whether the items are all keys of the store.
 	full bool
-	// source names the store or the host that sent the update, receivedAt is the time of
-	// receipt, and age is the age of the data at that time.
+	// source names the store or the host that sent the update, and origin the host that read it
+	// from the store; empty if unknown. receivedAt is the time of receipt, and age is the age of
+	// the data at that time.
 	source     string
+	origin     string
 	receivedAt time.Time
 	age        time.Duration
 }
 
+// peerData describes data that another host has sent.
+type peerData struct {
+	asOf time.Duration
+	// origin is the name of the host that read it from the store; empty if unknown.
+	origin string
+}
+
 // appliesTo reports whether the update can be applied to a view at the revision applied.
 // Updates of an earlier era are outdated, and a later era starts with a full read.
 func (u *update) appliesTo(applied store.Revision) bool {
@@ -205,10 +218,33 @@
 	changed := d.apply(now, e.update)
 	d.cache.advance(e.update.page.Revision, asOf)
 	d.publish(changed, e.update.logFields(now))
+	d.recordOrigin(e.update, asOf, last)
 	// The view may report the new age only after it contains the data.
 	d.asOf.Store(int64(max(asOf, last)))
 }
 
+// recordOrigin records where the data of an update that is complete up to asOf comes from. last is
+// the time up to which the view was complete before.
+func (d *Directory) recordOrigin(u *update, asOf, last time.Duration) {
+	if asOf >= last {
+		d.origin.Store(&u.origin)
+	}
+	if u.source == sourceStore {
+		return
+	}
+	if peer := d.peerData.Load(); peer == nil || asOf >= peer.asOf {
+		d.peerData.Store(&peerData{asOf: asOf, origin: u.origin})
+	}
+}
+
+// originName returns the name of the host that read the data of the view; empty if unknown.
+func (d *Directory) originName() string {
+	if name := d.origin.Load(); name != nil {
+		return *name
+	}
+	return ""
+}
+
 // apply applies an update and reports whether the view changed.
 func (d *Directory) apply(now time.Time, u *update) (changed bool) {
 	if u.full {
--- a/internal/fleet/directory/tree.go
+++ b/internal/fleet/directory/tree.go
@@ -30,6 +30,9 @@
 	fallbacks []Host
 }
 
+// watchScore returns the score of a host by which hosts should watch the store, lowest first.
+func watchScore(name string) uint64 { return xxhash.Sum64String("watch\x00" + name) }
+
 // ranking returns the hosts in the order in which they should watch the store.
 func ranking(hosts map[string]Host) []Host {
 	type scored struct {
@@ -38,7 +41,7 @@
 	}
 	list := make([]scored, 0, len(hosts))
 	for _, h := range hosts {
-		list = append(list, scored{host: h, score: xxhash.Sum64String("watch\x00" + h.Name)})
+		list = append(list, scored{host: h, score: watchScore(h.Name)})
 	}
 	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
 	ranked := make([]Host, 0, len(list))
@@ -73,8 +76,8 @@
 	if len(path) > 0 {
 		p.parent, p.fallbacks = path[:1], slices.Clone(path[1:])
 	}
-	// The second host is the first to watch the store if the root fails.
-	for _, h := range ranked[:min(2, len(ranked))] {
+	// These hosts watch the store, one after the other, if those before them fail.
+	for _, h := range ranked[:min(maxWatchRank+1, len(ranked))] {
 		if h.Name != self && !slices.ContainsFunc(path, func(other Host) bool { return other.Name == h.Name }) {
 			p.fallbacks = append(p.fallbacks, h)
 		}
--- a/internal/fleet/directory/watch.go
+++ b/internal/fleet/directory/watch.go
@@ -46,11 +46,14 @@
 	// exceeds the time of watches and polls together.
 	fallbackAge = 900 * time.Millisecond
 	// secondWatchAge and othersWatchAge are the ages of the view above which the second
-	// host and the other hosts watch the store themselves. othersWatchJitter spreads the
+	// host and the other hosts watch the store themselves. Up to maxWatchRank they do so one
+	// after the other, watchAgeStep apart. othersWatchJitter spreads the
 	// others, so that most get updates through the first of them. Together with the time
 	// of a watch these ages stay below the shortest time in which a configuration must be
 	// active on all hosts.
 	secondWatchAge    = time.Second
+	watchAgeStep      = 100 * time.Millisecond
+	maxWatchRank      = 3
 	othersWatchAge    = 1400 * time.Millisecond
 	othersWatchJitter = 300 * time.Millisecond
 	// roleCheckInterval is the pause after a failed call, and the time between two polls of
@@ -82,8 +85,8 @@
 	if len(s.Secrets) == 0 || d.asOf.Load() == 0 || s.position.rank == 0 {
 		return 0
 	}
-	limit := secondWatchAge
-	if s.position.rank > 1 {
+	limit := secondWatchAge + time.Duration(s.position.rank-1)*watchAgeStep
+	if s.position.rank > maxWatchRank {
 		limit = othersWatchAge + d.watchJitter
 	}
 	return max(0, limit-d.Age(now))
@@ -92,6 +95,9 @@
 // watcher is the state of this host's watch of the store.
 type watcher struct {
 	d *Directory
+	// replaces is set if the watch began because the view was old: this host watches in place of
+	// others that get no data of the store.
+	replaces bool
 	// active reports whether this host watches, failed whether the last call failed, and
 	// reload whether the next call must read all keys.
 	active, failed, reload bool
@@ -110,7 +116,7 @@
 	w := &watcher{d: d}
 	for ctx.Err() == nil {
 		hostsChanged := d.hostsChanged.wait()
-		if wait := d.untilWatch(time.Now()); wait > 0 {
+		if wait := d.untilWatch(time.Now()); wait > 0 && !w.isNeeded(time.Now()) {
 			w.active, w.failed = false, false
 			sleepUnless(ctx, hostsChanged, wait)
 			continue
@@ -118,12 +124,27 @@
 		if !w.active {
 			d.cfg.Log.WithField("age-ms", d.Age(time.Now()).Milliseconds()).Info("watching the store")
 			w.active, w.reload = true, true
+			w.replaces = len(d.Snapshot().Secrets) > 0 && d.asOf.Load() > 0
 		}
 		timer.Sleep(ctx, w.step(ctx))
 	}
 	return nil
 }
 
+// isNeeded reports whether this host still watches in place of others: no host that should watch
+// rather than this one has sent new data. Without it, this host would stop after each response
+// and start again, with a full read, when its view is old.
+func (w *watcher) isNeeded(now time.Time) bool {
+	if !w.active || !w.replaces || w.failed {
+		return false
+	}
+	peer := w.d.peerData.Load()
+	if peer == nil || w.d.ageOf(now, peer.asOf) > fallbackAge {
+		return true
+	}
+	return peer.origin != "" && watchScore(peer.origin) >= watchScore(w.d.cfg.Self.Name)
+}
+
 // step makes one call of the store and returns the delay before the next.
 func (w *watcher) step(ctx context.Context) time.Duration {
 	d := w.d
@@ -145,7 +166,7 @@
 		d.cfg.Log.WithField(fieldRevision, page.Revision.String()).Info("store is back")
 	}
 	receivedAt := time.Now()
-	d.submit(ctx, update{page: page, full: full, source: sourceStore, receivedAt: receivedAt, age: responseAge(receivedAt.Sub(start), wait, page, full)})
+	d.submit(ctx, update{page: page, full: full, source: sourceStore, origin: d.cfg.Self.Name, receivedAt: receivedAt, age: responseAge(receivedAt.Sub(start), wait, page, full)})
 	w.failed, w.reload, w.pause = false, false, 0
 	switch {
 	case len(d.Snapshot().Secrets) == 0:
