Count the objective of a request that comes back from its client's first attempt

A client that tries again after a rejection states what is left of its time, and its host took the request for a new one with its whole objective ahead, so that it went before requests that could still be in time. The host now learns how long the clients of a route usually wait, by majority vote, and counts the difference as spent. If clients state all kinds of times, nothing is counted.

--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -119,6 +119,8 @@
 	rng          *rand.Rand
 	retries      *budget.Retries
 	typicalTimes map[string]time.Duration
+	// waits are by route.
+	waits map[string]*clientWait
 }
 
 // New returns a handler. Its goroutines run in g.
@@ -126,7 +128,7 @@
 	return &Handler{
 		cfg: cfg, g: g, started: time.Now(), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		retries:      budget.NewRetries(cfg.Bounds.RetryRatio, cfg.Bounds.RetrySlack, cfg.Bounds.RetryWindow),
-		typicalTimes: map[string]time.Duration{},
+		typicalTimes: map[string]time.Duration{}, waits: map[string]*clientWait{},
 	}
 }
 
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -44,7 +44,7 @@
 	revision store.Revision
 	started  time.Time
 	// deadline is the time by which the final response is sent; objective is the time
-	// by which it should be sent.
+	// by which it should be sent, counted from the client's first attempt.
 	deadline  time.Time
 	objective time.Time
 	body      []byte
@@ -91,14 +91,17 @@
 
 func (req *clientRequest) setDeadlines(now time.Time) {
 	left, ok := req.h.cfg.Dialect.TimeLeft(req.incoming.Header)
-	if !ok {
+	spent := time.Duration(0)
+	if ok {
+		spent = req.h.timeSpent(req.route.Name, left)
+	} else {
 		left = defaultTimeout
 	}
 	if req.route.Timeout > 0 {
 		left = min(left, req.route.Timeout)
 	}
 	req.deadline = now.Add(left - min(responseMargin, left/4))
-	req.objective = now.Add(req.route.Objective)
+	req.objective = now.Add(req.route.Objective - spent)
 	if req.route.Objective <= 0 {
 		req.objective = req.deadline
 	}
