Serve the newest requests in time first while many wait

In an overload that lasts, the queue served requests in the order of their objectives: each one waited until it could hardly be in time, and the targets with capacity, slow ones included, were given to requests that ended late. While the cell is backlogged, targets now go first to requests that meet their objectives there, the newest of a priority first; the others get what is left, as before.

--- a/internal/traffic/dispatcher/cell.go
+++ b/internal/traffic/dispatcher/cell.go
@@ -124,10 +124,13 @@
 // placementRequest returns a queued request in the form that placement takes.
 func (c *cell) placementRequest(w *waiter) placement.Request {
 	r := w.request.placementRequest()
-	r.Backlogged = float64(c.queue.Len()) > backlogRatio*float64(c.targets)
+	r.Backlogged = c.backlogged()
 	return r
 }
 
+// backlogged reports whether many requests wait.
+func (c *cell) backlogged() bool { return float64(c.queue.Len()) > backlogRatio*float64(c.targets) }
+
 // backlogRatio is the number of queued requests per target above which slow targets are
 // used as well.
 const backlogRatio = 0.25
@@ -269,6 +272,9 @@
 		return
 	}
 	d.updateShares(now, c)
+	if c.backlogged() {
+		d.dispatchInTime(now, c)
+	}
 	for _, r := range c.queue.Ordered(now) {
 		if !d.chooser.HasFreeSlot(now, c.id.key) {
 			break
@@ -294,6 +300,20 @@
 	}
 }
 
+// dispatchInTime assigns targets to the queued requests that will meet their objectives there. The
+// caller holds the mutex.
+func (d *Dispatcher) dispatchInTime(now time.Time, c *cell) {
+	for _, r := range c.queue.InTime(now) {
+		if !d.chooser.HasFreeSlot(now, c.id.key) {
+			return
+		}
+		w := c.waiters[r]
+		if choice, ok := d.chooser.Best(now, c.id.key, w.request.placementRequest()); ok && choice.HasCapacity {
+			d.grantQueued(now, c, w, choice)
+		}
+	}
+}
+
 // unservableRetryAfter is the retry delay of a request that was queued and then rejected.
 // The overload lasts longer than that, but the client has little time left.
 const unservableRetryAfter = 400 * time.Millisecond
--- a/internal/traffic/dispatcher/random_test.go
+++ b/internal/traffic/dispatcher/random_test.go
@@ -51,7 +51,7 @@
 			total, oracleTotal := 0.0, 0.0
 			for seed := range uint64(8) {
 				sc := randomScenario(rand.New(rand.NewPCG(seed, 5)), tt.hidesLoad)
-				oracleShare := runOracle(t, sc)["call"].share()
+				oracleShare := runOracle(t, sc, false)["call"].share()
 				if tt.hidesLoad {
 					// Unlike the oracle, hosts cannot see which targets are slow, and use them, too.
 					oracleShare *= 1 - sc.behavior.slowShare
--- a/internal/traffic/dispatcher/simulation_test.go
+++ b/internal/traffic/dispatcher/simulation_test.go
@@ -284,10 +284,12 @@
 // oracle assigns fast targets with capacity to the waiting calls in the order of the queue.
 // It knows the exact state of all targets.
 type oracle struct {
-	sim      *simulation
-	mu       sync.Mutex
-	assigned map[string]int
-	waiting  []*Request
+	sim *simulation
+	// newestFirst makes the newest of equally urgent calls the first.
+	newestFirst bool
+	mu          sync.Mutex
+	assigned    map[string]int
+	waiting     []*Request
 }
 
 func (o *oracle) Place(ctx context.Context, req Request) (Grant, error) {
@@ -324,6 +326,8 @@
 			return 1
 		case a.Priority != b.Priority:
 			return a.Priority - b.Priority
+		case o.newestFirst:
+			return b.Objective.Compare(a.Objective)
 		}
 		return a.Objective.Compare(b.Objective)
 	})
@@ -359,11 +363,11 @@
 }
 
 // runOracle runs a scenario with targets assigned by the oracle.
-func runOracle(t *testing.T, sc scenario) map[string]*tally {
+func runOracle(t *testing.T, sc scenario, newestFirst bool) map[string]*tally {
 	var tallies map[string]*tally
 	synctest.Test(t, func(t *testing.T) {
 		sim := newSimulation(sc, 3)
-		o := &oracle{sim: sim, assigned: map[string]int{}}
+		o := &oracle{sim: sim, newestFirst: newestFirst, assigned: map[string]int{}}
 		sim.sendCalls(t.Context(), []placer{o}, []string{"oracle"})
 		tallies = sim.tallies
 	})
@@ -474,7 +478,7 @@
 			if tt.scenario.hosts == 0 {
 				tt.scenario.hosts, tt.scenario.targets = 4, 16
 			}
-			oracleResult := runOracle(t, tt.scenario)
+			oracleResult := runOracle(t, tt.scenario, false)
 			shared := runDispatchers(t, tt.scenario, false)
 			standalone := runDispatchers(t, tt.scenario, true)
 			for _, k := range tt.scenario.kinds {
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -21,6 +21,7 @@
 // This file defines Queue and Request.
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -120,6 +121,17 @@
 // Ordered returns the waiting requests in the order in which they should start.
 func (q *Queue) Ordered(now time.Time) []*Request { return sorted(now, slices.Clone(q.waiting)) }
 
+// InTime returns the waiting requests that can still meet their objectives, in the order in which
+// they should start while more arrive than the targets carry: by priority, and the newest first.
+// The oldest would start too late to end in time, and so would all behind them.
+func (q *Queue) InTime(now time.Time) []*Request {
+	list := slices.DeleteFunc(slices.Clone(q.waiting), func(r *Request) bool { return r.late(now) })
+	slices.SortFunc(list, func(a, b *Request) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), b.Objective.Compare(a.Objective), cmp.Compare(b.seq, a.seq))
+	})
+	return list
+}
+
 // sorted sorts list in place by the order of starts, and returns it.
 func sorted(now time.Time, list []*Request) []*Request {
 	slices.SortFunc(list, func(a, b *Request) int {
