--- a/internal/traffic/placement/chooser.go
+++ b/internal/traffic/placement/chooser.go
@@ -176,36 +176,48 @@
 // likely to fail. If none has capacity, an idle target where the request meets its objective
 // has, since waiting would gain nothing.
 func (c *Chooser) Best(now time.Time, group string, r Request) (Choice, bool) {
-	var best, trial, idle *target
-	var bestEstimate, trialEstimate, idleEstimate estimate
+	var best, trial, idle candidate
 	for _, t := range c.candidates(now, group, r) {
-		e := t.estimate(now, c.cfg, r)
-		if best == nil || cheaper(e, bestEstimate) || e == bestEstimate && c.rng.IntN(2) == 0 {
-			best, bestEstimate = t, e
+		next := candidate{target: t, estimate: t.estimate(now, c.cfg, r)}
+		if best.target == nil || cheaper(next.estimate, best.estimate) || next.estimate == best.estimate && c.rng.IntN(2) == 0 {
+			best = next
 		}
-		if e.trial && (trial == nil || e.cost < trialEstimate.cost) {
-			trial, trialEstimate = t, e
+		if next.trial {
+			trial.replaceIfCheaper(next)
 		}
-		if e.idle && (idle == nil || e.cost < idleEstimate.cost) {
-			idle, idleEstimate = t, e
+		if next.idle {
+			idle.replaceIfCheaper(next)
 		}
 	}
-	if best == nil {
+	if best.target == nil {
 		return Choice{}, false
 	}
-	if !bestEstimate.hasCapacity && idle != nil {
-		best, bestEstimate = idle, idleEstimate
-		bestEstimate.hasCapacity = true
+	if !best.hasCapacity && idle.target != nil {
+		best = idle
+		best.hasCapacity = true
 	}
 	wanted := r.Backlogged
-	if bestEstimate.hasCapacity {
-		wanted = best.failureRate > likelyFailure && trialEstimate.cost < bestEstimate.cost
+	if best.hasCapacity {
+		wanted = best.failureRate > likelyFailure && trial.cost < best.cost
 	}
-	if trial != nil && wanted && c.trialDue(now, trial.spec.Service) {
-		best, bestEstimate = trial, trialEstimate
-		bestEstimate.hasCapacity = true
+	if trial.target != nil && wanted && c.trialDue(now, trial.spec.Service) {
+		best = trial
+		best.hasCapacity = true
+	}
+	return c.choice(now, best.target, best.estimate, r), true
+}
+
+// candidate is a target with the estimate of a request there. The zero value is none.
+type candidate struct {
+	*target
+	estimate
+}
+
+// replaceIfCheaper replaces the candidate by another one that costs less.
+func (c *candidate) replaceIfCheaper(next candidate) {
+	if c.target == nil || next.cost < c.cost {
+		*c = next
 	}
-	return c.choice(now, best, bestEstimate, r), true
 }
 
 // likelyFailure is the failure rate above which a target is not worth its free slots.
--- a/internal/traffic/targets/refresh_test.go
+++ b/internal/traffic/targets/refresh_test.go
@@ -23,8 +23,8 @@
 // plainReader takes every response for that of the request.
 type plainReader struct{}
 
-func (plainReader) MatchesRequest(http.Header, string) bool        { return true }
-func (plainReader) ReadHeader(res *http.Response) (i ResponseInfo) { return i }
+func (plainReader) MatchesRequest(http.Header, string) bool { return true }
+func (plainReader) ReadHeader(*http.Response) ResponseInfo  { return ResponseInfo{} }
 
 // Guards against a new connection for each request that is not idempotent, while idle ones work.
 func TestRequestThatIsNotIdempotentUsesAnIdleConnectionThatResponds(t *testing.T) {
