Count responses over the size limit against their target, however fast the client

Cause: a streamed response that is cut off counts against its target only if the host waited longer for the target than for the client. A response of 256 MB that arrives within 0.2 s is cut off as too large, and the host waited longer for the client, so that the target was spared and got half of all requests: each took 0.15 to 0.4 s, too fast to look slow. On slower machines the deadline cuts it off first and the duration counts.

Evidence: with a client that sleeps 0.3 ms for each MB, the log of the untouched code shows "response body is too large" with 67 to 120 ms of the target and 106 to 199 ms of the client, not counted in 7 of 8 cut-offs; 35 of 40 served in one of the cases. Ruled out: load alone (8 copies beside 8 busy processes) and fewer cores (GOMAXPROCS 1 to 6), 0 failures each.

The size of a response does not depend on the client.

--- a/internal/traffic/entry/stream.go
+++ b/internal/traffic/entry/stream.go
@@ -42,6 +42,19 @@
 	return n, err
 }
 
+// targetFailed reports whether the target is the reason why the body was not passed on to its
+// end. clientLeft is set if the client closed its connection.
+func (s *stream) targetFailed(clientLeft bool) bool {
+	switch {
+	case errors.Is(s.readErr, errResponseTooLarge):
+		// It is that long however fast the client reads.
+		return true
+	case s.readErr == nil || clientLeft:
+		return false
+	}
+	return s.reading >= s.writing
+}
+
 // streamResponse passes on the buffered part of a response body and then the rest, reports
 // the outcome of the attempt, and returns whether the body was passed on to its end.
 func (req *clientRequest) streamResponse(w http.ResponseWriter, r attempt) bool {
@@ -58,7 +71,7 @@
 	result := r.result(req.incoming.Context())
 	if err != nil {
 		r.outcome, r.cause, result = outcomeUnknown, err, placement.Cancelled
-		if s.readErr != nil && req.incoming.Context().Err() == nil && s.reading >= s.writing {
+		if s.targetFailed(req.incoming.Context().Err() != nil) {
 			result = placement.Failed
 		}
 		req.h.cfg.Log.WithError(err).WithFields(logrus.Fields{
