Tell clients when to come back while no configuration is known

Responses with "no configuration is known yet" and "no route, but the configuration may be old" had no Retry-After, since it is bounded by the deadline of the request, which was not set before the route is known. Clients of hosts that had just started came back at once, or after a time of their own.

The deadline is set from what the client states before anything else. TestRequestsDuringTheFirstReadOfAHost failed before: no Retry-After.

--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -64,7 +64,7 @@
 // prepare finds the route and reads the body. It returns a response if the request can't be
 // sent to a target.
 func (h *Handler) prepare(w http.ResponseWriter, r *http.Request, now time.Time) (*clientRequest, *finalResponse) {
-	req := &clientRequest{h: h, incoming: r, id: h.cfg.Dialect.RequestID(r.Header), started: now, route: &routing.Route{}}
+	req := &clientRequest{h: h, incoming: r, id: h.cfg.Dialect.RequestID(r.Header), started: now, route: &routing.Route{}, deadline: now.Add(h.timeLeft(r))}
 	// Fresh is called before Snapshot: if the snapshot is replaced in between, an outdated
 	// one must not be taken for an up-to-date one.
 	fresh := h.cfg.Fresh(now)
@@ -89,6 +89,14 @@
 	return req, req.readBody(w, s.Table.Config.Limits.BodyBytes)
 }
 
+// timeLeft returns how long the client of a request waits.
+func (h *Handler) timeLeft(r *http.Request) time.Duration {
+	if left, ok := h.cfg.Dialect.TimeLeft(r.Header); ok {
+		return left
+	}
+	return defaultTimeout
+}
+
 func (req *clientRequest) setDeadlines(now time.Time) {
 	left, ok := req.h.cfg.Dialect.TimeLeft(req.incoming.Header)
 	spent := time.Duration(0)
