Hold requests while a host that has just started reads the configuration

A client gets one more try, on another host that has just started as well.

A request is held until the first read has ended or failed, for 0.6 s and a third of the client's time at most. If the store refuses the read it is rejected at once, with a time to come back. TestRequestsDuringTheFirstReadOfAHost/read_takes_a_while failed before (503).

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -74,6 +74,9 @@
 	peerData atomic.Pointer[peerData]
 	// hostsChanged is notified when the hosts, the secrets or the era of the view have changed.
 	hostsChanged *broadcast
+	// firstReadEnded is closed when the first read of the store is part of the view, or has failed.
+	firstReadEnded chan struct{}
+	endFirstRead   sync.Once
 }
 
 // update holds changes received from the store or from another host.
@@ -125,7 +128,7 @@
 func New(cfg Config, g *group.Group) *Directory {
 	d := &Directory{
 		cfg: cfg, g: g, cache: newWatchCache(), largeResponses: make(semaphore, maxLargeResponses), codec: newItemCodec(),
-		baseTime: time.Now().Add(-unknownAge), watchJitter: rand.N(othersWatchJitter), hostsChanged: newBroadcast(),
+		baseTime: time.Now().Add(-unknownAge), watchJitter: rand.N(othersWatchJitter), hostsChanged: newBroadcast(), firstReadEnded: make(chan struct{}),
 	}
 	d.state = NewState(cfg.Self, cfg.Decoder, cfg.ReregisterTimeout, d.cache.add)
 	if cfg.PeerTransport == nil {
@@ -143,6 +146,10 @@
 // Loaded reports whether the view has received data from the store.
 func (d *Directory) Loaded() bool { return d.asOf.Load() > 0 }
 
+// FirstReadEnded returns a channel that is closed when the first read of the store is part of the
+// view, or has failed.
+func (d *Directory) FirstReadEnded() <-chan struct{} { return d.firstReadEnded }
+
 // freshAge is the age below which the view is considered up to date.
 const freshAge = 2 * time.Second
 
--- a/internal/fleet/directory/watch.go
+++ b/internal/fleet/directory/watch.go
@@ -154,6 +154,7 @@
 	// request. The wait of the next one is shortened by the age of the view.
 	wait := min(watchWait, max(minWatchWait, watchWait-d.Age(start)))
 	page, full, err := d.read(ctx, after, wait, w.reload)
+	defer d.endFirstRead.Do(func() { close(d.firstReadEnded) })
 	switch {
 	case errors.Is(err, store.ErrCompacted):
 		d.cfg.Log.WithField("after", after.String()).Info("history is compacted, reading all keys")
--- a/internal/process/entry/start_test.go
+++ b/internal/process/entry/start_test.go
@@ -19,6 +19,8 @@
 		// longest bounds the time until the response.
 		longest time.Duration
 	}{
+		{name: "read takes a while", faults: platformtest.Faults{LatencyMillis: 250}, status: http.StatusOK, longest: 600 * time.Millisecond},
+		{name: "read takes too long for the client", faults: platformtest.Faults{LatencyMillis: 1200}, status: http.StatusServiceUnavailable, longest: 750 * time.Millisecond},
 		{name: "store refuses the read", faults: platformtest.Faults{Down: true}, status: http.StatusServiceUnavailable, longest: 200 * time.Millisecond},
 	}
 	for _, tt := range tests {
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -64,6 +64,9 @@
 	Placer     Placer
 	Links      *targets.Links
 	Snapshot   func() *directory.Snapshot
+	// FirstReadEnded is closed when the first read of the configuration has ended or failed; nil if
+	// it has before New.
+	FirstReadEnded <-chan struct{}
 	// Fresh reports whether the snapshot is up to date.
 	Fresh    func(now time.Time) bool
 	Bounds   settings.Bounds
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -26,6 +26,10 @@
 	defaultTimeout = 30 * time.Second
 	// notReadyRetryAfter is the Retry-After while the host has no configuration.
 	notReadyRetryAfter = 300 * time.Millisecond
+	// maxFirstReadWait bounds the wait of a request for the first configuration, and
+	// firstReadDivisor the part of its time that it may wait.
+	maxFirstReadWait = 600 * time.Millisecond
+	firstReadDivisor = 3
 	// initialTypicalShare is the initial typical service time of a route, as a share of its
 	// objective.
 	initialTypicalShare = 0.4
@@ -65,9 +69,10 @@
 // sent to a target.
 func (h *Handler) prepare(w http.ResponseWriter, r *http.Request, now time.Time) (*clientRequest, *finalResponse) {
 	req := &clientRequest{h: h, incoming: r, id: h.cfg.Dialect.RequestID(r.Header), started: now, route: &routing.Route{}, deadline: now.Add(h.timeLeft(r))}
+	h.awaitFirstRead(r)
 	// Fresh is called before Snapshot: if the snapshot is replaced in between, an outdated
 	// one must not be taken for an up-to-date one.
-	fresh := h.cfg.Fresh(now)
+	fresh := h.cfg.Fresh(time.Now())
 	s := h.cfg.Snapshot()
 	if s.Table == nil {
 		return req, reject(http.StatusServiceUnavailable, "no configuration is known yet", notReadyRetryAfter)
@@ -89,6 +94,27 @@
 	return req, req.readBody(w, s.Table.Config.Limits.BodyBytes)
 }
 
+// awaitFirstRead holds a request that arrives while a process that has just started reads the
+// configuration, which takes less time than a rejected client needs to come back. It returns at once
+// if the read has failed, and early enough for the client to try another host.
+func (h *Handler) awaitFirstRead(r *http.Request) {
+	if h.cfg.FirstReadEnded == nil {
+		return
+	}
+	select {
+	case <-h.cfg.FirstReadEnded:
+		return
+	default:
+	}
+	timer := time.NewTimer(min(maxFirstReadWait, h.timeLeft(r)/firstReadDivisor))
+	defer timer.Stop()
+	select {
+	case <-h.cfg.FirstReadEnded:
+	case <-timer.C:
+	case <-r.Context().Done():
+	}
+}
+
 // timeLeft returns how long the client of a request waits.
 func (h *Handler) timeLeft(r *http.Request) time.Duration {
 	if left, ok := h.cfg.Dialect.TimeLeft(r.Header); ok {
