Start hosts of a large fleet from a checkpoint of the store

Cause: 312 hosts of the large site that start together each read all keys, some 0.4 MB in two calls: 0.9 s of the store's link.

The root writes a compressed copy of all items to fleet/checkpoint, every 5 s if anything changed and if there are more items than one call returns. A host that starts reads it with a read that may be stale, and a watch from its revision returns what changed since: 1.1 calls in place of 2, some tens of KB in place of 400. If there is none, if it cannot be read, is of another era or older than the history of the store, all keys are read as before. A first read logs its targets in one line, as it does for hosts: 257 lines a host before.

--- a/internal/fleet/directory/state.go
+++ b/internal/fleet/directory/state.go
@@ -148,6 +148,10 @@
 	keepUntil time.Time
 	changes   int
 	lines     []LogLine
+	// loading is set during the first full read, and loadedTargets lists the targets that it
+	// found since the last call of TakeLogLines.
+	loading       bool
+	loadedTargets []string
 	// restarted lists the IDs of the targets that restarted since the last call of
 	// TakeRestarted.
 	restarted []string
@@ -175,6 +179,7 @@
 		s.handleRestore(now, page.Revision)
 		changed = true
 	}
+	s.loading = len(s.keys) == 0
 	for _, item := range page.Items {
 		listed[item.Key] = true
 		if s.Apply(now, item) {
@@ -192,6 +197,7 @@
 			changed = s.Apply(now, store.Item{Key: key, Revision: page.Revision, Deleted: true}) || changed
 		}
 	}
+	s.loading = false
 	s.revision = store.MaxRevision(s.revision, page.Revision)
 	return changed
 }
@@ -207,6 +213,10 @@
 // Apply applies an item if it is newer than the known state of its key. It reports whether
 // it did.
 func (s *State) Apply(now time.Time, item store.Item) bool {
+	if item.Key == CheckpointKey {
+		// It only repeats other items, so it is neither kept nor passed on.
+		return false
+	}
 	old, ok := s.keys[item.Key]
 	if ok && !item.Revision.After(old.revision) {
 		return false
@@ -305,6 +315,10 @@
 	if c == roster.Restarted {
 		s.restarted = append(s.restarted, id)
 	}
+	if c == roster.Joined && s.loading {
+		s.loadedTargets = append(s.loadedTargets, id)
+		return
+	}
 	s.log("target "+c.String(), map[string]any{fieldTarget: id, fieldRevision: revision.String(), "targets": s.roster.Len()})
 }
 
@@ -345,11 +359,21 @@
 // TakeLogLines returns the lines to log since the last call.
 func (s *State) TakeLogLines() []LogLine {
 	s.logHosts()
+	s.logLoadedTargets()
 	lines := s.lines
 	s.lines = nil
 	return lines
 }
 
+// logLoadedTargets logs the targets of the first full read in one line: a large fleet has many, and
+// a host that starts has requests waiting.
+func (s *State) logLoadedTargets() {
+	if n := len(s.loadedTargets); n > 0 {
+		s.log("targets joined", map[string]any{"count": n, "ids": s.loadedTargets, "targets": s.roster.Len(), fieldRevision: s.revision.String()})
+	}
+	s.loadedTargets = nil
+}
+
 // TakeRestarted returns the IDs of the targets that restarted since the last call.
 func (s *State) TakeRestarted() []string {
 	ids := slices.Clone(s.restarted)
--- a/internal/fleet/directory/watch.go
+++ b/internal/fleet/directory/watch.go
@@ -101,6 +101,8 @@
 	// active reports whether this host watches, failed whether the last call failed, and
 	// reload whether the next call must read all keys.
 	active, failed, reload bool
+	// checkpointTried is set after the first attempt to start from the checkpoint.
+	checkpointTried bool
 	// pause is the backoff after the last failure; zero after a success.
 	pause time.Duration
 }
@@ -153,7 +155,7 @@
 	// A watch that returns changes proves the view complete only as of the time of the
 	// request. The wait of the next one is shortened by the age of the view.
 	wait := min(watchWait, max(minWatchWait, watchWait-d.Age(start)))
-	page, full, err := d.read(ctx, after, wait, w.reload)
+	page, full, err := w.read(ctx, after, wait)
 	defer d.endFirstRead.Do(func() { close(d.firstReadEnded) })
 	switch {
 	case errors.Is(err, store.ErrCompacted):
@@ -213,8 +215,17 @@
 // jitter returns a random time from half of d to d.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
 
-func (d *Directory) read(ctx context.Context, after store.Revision, wait time.Duration, reload bool) (page store.Page, full bool, err error) {
-	if reload || after.IsZero() {
+func (w *watcher) read(ctx context.Context, after store.Revision, wait time.Duration) (page store.Page, full bool, err error) {
+	d := w.d
+	if after.IsZero() && !d.cfg.FirstStart && !w.checkpointTried {
+		w.checkpointTried = true
+		page, err = d.readCheckpoint(ctx)
+		if err == nil || errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrOutcomeUnknown) {
+			return page, true, err
+		}
+		d.cfg.Log.WithError(err).Info("no checkpoint can be used, reading all keys")
+	}
+	if w.reload || after.IsZero() {
 		page, err = d.cfg.Source.Range(ctx, allKeys)
 		return page, true, err
 	}
--- a/internal/platform/store/items.go
+++ b/internal/platform/store/items.go
@@ -77,6 +77,14 @@
 	// Get returns the item of a key. Errors: ErrNotFound, ErrUnavailable,
 	// ErrOutcomeUnknown.
 	Get(ctx context.Context, key string) (Item, error)
+	StaleGetter
+}
+
+// StaleGetter reads keys at a tenth of the price of other reads.
+type StaleGetter interface {
+	// GetStale returns the item of a key as it was at most some seconds ago. Errors: as for
+	// Service.Get.
+	GetStale(ctx context.Context, key string) (Item, error)
 }
 
 // OpenFunc returns a client of the service at an address. It calls count for each call of
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -215,6 +215,8 @@
 		Self: p.self(), Store: p.store, State: p.directory.RegistrationState, HostsChanged: p.directory.HostsChanged, Log: p.log.For("directory"),
 	}
 	p.g.Go("registration", registration.Run)
+	checkpoints := &directory.Checkpoints{Store: p.store, Due: p.directory.CheckpointDue, Log: p.log.For("directory")}
+	p.g.Go("checkpoints", checkpoints.Run)
 	if err := p.servePeers(ctx); err != nil {
 		return err
 	}
