Do not record changes before the first read has ended

Each item of a first read was searched for among up to 512 recent changes, which are dropped when the read ends.

--- a/internal/fleet/directory/watchcache.go
+++ b/internal/fleet/directory/watchcache.go
@@ -46,6 +46,10 @@
 	} else {
 		c.items[item.Key] = item
 	}
+	if c.revision.IsZero() {
+		// Changes before the end of the first read are not sent one by one, see advance.
+		return
+	}
 	if i := slices.IndexFunc(c.recent, func(old store.Item) bool { return old.Key == item.Key }); i >= 0 {
 		c.recent = slices.Delete(c.recent, i, i+1)
 	}
