Renew leases as often as their duration requires while a fleet grows

Cause: a lease lasts for four periods between renewals, and the period grows by 75 ms a host. The lease was granted while a host knew of few others (10 s for the first ones), and the next renewal was scheduled by the size of the fleet at that time (26 s for 312). The renewal now also follows the period for which the lease was granted. TestEntriesStayWhileTheFleetGrows failed before.

--- a/internal/fleet/directory/registration.go
+++ b/internal/fleet/directory/registration.go
@@ -90,8 +90,10 @@
 
 // writtenEntry describes an entry that was written.
 type writtenEntry struct {
-	// lease is zero if there is no entry.
-	lease uint64
+	// lease is zero if there is no entry. period is the time between renewals for which its duration
+	// was chosen.
+	lease  uint64
+	period time.Duration
 	// era is the era of the store in which the entry was last known to exist, and
 	// writtenAt the time of the write.
 	era       uint64
@@ -127,7 +129,7 @@
 		}
 		pause = retryMin
 		if written.lease != 0 {
-			r.waitForRenewal(ctx, written.era)
+			r.waitForRenewal(ctx, &written)
 		}
 	}
 	return nil
@@ -157,12 +159,13 @@
 
 // waitForRenewal waits until the lease should be renewed, or the store has been restored
 // from a backup. In that case the hosts of a large fleet spread their rewrites. Meanwhile it
-// records the size of the fleet when that is due.
-func (r *Registration) waitForRenewal(ctx context.Context, era uint64) {
-	end := time.Now().Add(r.period())
+// records the size of the fleet when that is due. A lease that was granted while the host knew of few
+// others is short, and must be renewed as often as then.
+func (r *Registration) waitForRenewal(ctx context.Context, written *writtenEntry) {
+	end := time.Now().Add(min(r.period(), written.period))
 	for ctx.Err() == nil && time.Now().Before(end) {
 		changed := r.HostsChanged()
-		if r.State().Era > era {
+		if r.State().Era > written.era {
 			timer.Sleep(ctx, rand.N(min(maxRewriteJitter, time.Millisecond+time.Duration(r.State().Hosts)*rewriteJitterPerHost)))
 			return
 		}
@@ -174,7 +177,8 @@
 }
 
 func (r *Registration) writeEntry(ctx context.Context) (writtenEntry, error) {
-	lease, err := r.Store.Grant(ctx, leasePeriods*r.period())
+	period := r.period()
+	lease, err := r.Store.Grant(ctx, leasePeriods*period)
 	if err != nil {
 		return writtenEntry{}, err
 	}
@@ -187,7 +191,7 @@
 		// The lease has already expired, so nothing was written.
 		return writtenEntry{}, err
 	}
-	return writtenEntry{lease: lease, era: revision.Era, writtenAt: time.Now()}, err
+	return writtenEntry{lease: lease, period: period, era: revision.Era, writtenAt: time.Now()}, err
 }
 
 func (r *Registration) period() time.Duration {
--- a/internal/fleet/directory/registration_test.go
+++ b/internal/fleet/directory/registration_test.go
@@ -302,3 +302,53 @@
 		})
 	}
 }
+
+// expiringLeaser keeps leases for the time for which they were granted.
+type expiringLeaser struct {
+	*fakeLeaser
+	ttls   map[uint64]time.Duration
+	until  map[uint64]time.Time
+	ended  int
+	renews int
+}
+
+func (l *expiringLeaser) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	lease, err := l.fakeLeaser.Grant(ctx, ttl)
+	l.ttls[lease], l.until[lease] = ttl, time.Now().Add(ttl)
+	return lease, err
+}
+
+func (l *expiringLeaser) Renew(_ context.Context, lease uint64) error {
+	l.renews++
+	if time.Now().After(l.until[lease]) {
+		l.ended++
+		return store.ErrNotFound
+	}
+	l.until[lease] = time.Now().Add(l.ttls[lease])
+	return nil
+}
+
+// Guards against hosts that leave a fleet which has grown, since their leases are shorter than the
+// time between renewals.
+func TestEntriesStayWhileTheFleetGrows(t *testing.T) {
+	for _, first := range []int{1, 20, 189, 312} {
+		synctest.Test(t, func(t *testing.T) {
+			l := &expiringLeaser{
+				fakeLeaser: &fakeLeaser{expired: map[uint64]bool{}, self: Host{Name: "a"}, state: RegistrationState{Loaded: true, Fresh: true, Hosts: first, Secret: []byte("s"), SecretStored: true}},
+				ttls:       map[uint64]time.Duration{}, until: map[uint64]time.Time{},
+			}
+			r := &Registration{Self: l.self, Store: l, State: l.registrationState, HostsChanged: func() <-chan struct{} { return nil }, Log: discardLog()}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error)
+			go func() { done <- r.Run(ctx) }()
+			time.Sleep(100 * time.Millisecond)
+			l.change(func() { l.state.Hosts = 312 })
+			time.Sleep(10 * time.Minute)
+			cancel()
+			require.NoError(t, <-done)
+			require.Zero(t, l.ended, "leases that ended, of a host that first knew of %d", first)
+			require.Equal(t, 1, l.grants)
+			require.GreaterOrEqual(t, l.renews, 10)
+		})
+	}
+}
