Repeat refused renewals of leases less often

A lease lasts for four periods, 104 s in a fleet of 312, so its renewal can wait: the backoff starts at its longest, 0.7 s for 13 hosts and 3.7 s for 312, in place of 0.1 s. An entry that is missing is still written with the short backoff.

--- a/internal/fleet/directory/registration.go
+++ b/internal/fleet/directory/registration.go
@@ -123,8 +123,13 @@
 		}
 		if err := r.maintain(ctx, &written); err != nil {
 			r.Log.WithError(err).Warn("renewing the entry of this host failed")
+			longest := longestRetry(retryMax, r.State().Hosts)
+			if written.lease != 0 {
+				// A lease outlasts several periods, so its renewal is less urgent than an entry.
+				pause = longest
+			}
 			timer.Sleep(ctx, jitter(pause))
-			pause = min(longestRetry(retryMax, r.State().Hosts), pause*2)
+			pause = min(longest, pause*2)
 			continue
 		}
 		pause = retryMin
--- a/internal/fleet/directory/registration_test.go
+++ b/internal/fleet/directory/registration_test.go
@@ -310,6 +310,8 @@
 	until  map[uint64]time.Time
 	ended  int
 	renews int
+	// refusedUntil is the time until which the store refuses renewals.
+	refusedUntil time.Time
 }
 
 func (l *expiringLeaser) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
@@ -320,6 +322,9 @@
 
 func (l *expiringLeaser) Renew(_ context.Context, lease uint64) error {
 	l.renews++
+	if time.Now().Before(l.refusedUntil) {
+		return store.ErrUnavailable
+	}
 	if time.Now().After(l.until[lease]) {
 		l.ended++
 		return store.ErrNotFound
@@ -352,3 +357,28 @@
 		})
 	}
 }
+
+// Guards against refused renewals of a large fleet that keep the store busy, though leases last.
+func TestRefusedRenewalsAreRepeatedSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const outage = 9 * time.Second
+		l := &expiringLeaser{
+			fakeLeaser: &fakeLeaser{expired: map[uint64]bool{}, self: Host{Name: "a"}, state: RegistrationState{Loaded: true, Fresh: true, Hosts: 312, Secret: []byte("s"), SecretStored: true}},
+			ttls:       map[uint64]time.Duration{}, until: map[uint64]time.Time{},
+		}
+		r := &Registration{Self: l.self, Store: l, State: l.registrationState, HostsChanged: func() <-chan struct{} { return nil }, Log: discardLog()}
+		period := r.period()
+		l.refusedUntil = time.Now().Add(period + outage)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- r.Run(ctx) }()
+		time.Sleep(period + outage)
+		require.LessOrEqual(t, l.renews, 6, "calls in an outage of 9 s")
+		time.Sleep(retryLimit)
+		renewed := l.until[1].Sub(time.Now())
+		cancel()
+		require.NoError(t, <-done)
+		require.Zero(t, l.ended)
+		require.Greater(t, renewed, leasePeriods*period-retryLimit, "the lease is renewed soon after the outage")
+	})
+}
