--- a/internal/fleet/directory/checkpoint.go
+++ b/internal/fleet/directory/checkpoint.go
@@ -10,6 +10,8 @@
 	"compress/flate"
 	"context"
 	"io"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -90,7 +92,20 @@
 		return store.Page{}, err
 	}
 	d.cfg.Log.WithFields(logrus.Fields{fieldRevision: page.Revision.String(), "reached": changes.Revision.String(), "items": len(page.Items), "changes": len(changes.Items), "bytes": len(item.Value)}).Info("starting from a checkpoint")
-	return store.Page{Items: append(page.Items, changes.Items...), Revision: changes.Revision}, nil
+	return store.Page{Items: mergeItems(page.Items, changes.Items), Revision: changes.Revision}, nil
+}
+
+// mergeItems returns items with later changes applied to them, without deleted ones. Otherwise a
+// host would take what has changed since the checkpoint for changes since its start.
+func mergeItems(items, changes []store.Item) []store.Item {
+	newest := make(map[string]store.Item, len(items))
+	for _, item := range slices.Concat(items, changes) {
+		if old, ok := newest[item.Key]; !ok || item.Revision.After(old.Revision) {
+			newest[item.Key] = item
+		}
+	}
+	maps.DeleteFunc(newest, func(_ string, item store.Item) bool { return item.Deleted })
+	return slices.Collect(maps.Values(newest))
 }
 
 // Checkpoints writes checkpoints while its host is the root.
