Let hosts take turns at the store while those that should watch it respond

A host to which a watcher (the first four of the ranking) responds knows that the fleet still tries. It then waits 25 ms for each host before it, and 100 ms beyond the 16th, and pauses for 100 ms a host after a failure; the first ones find out in time if the store turns only watchers away. A host that hears no watcher reads as before.

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -72,6 +72,9 @@
 	// describes the newest data that another host has sent.
 	origin   atomic.Pointer[string]
 	peerData atomic.Pointer[peerData]
+	// watcherHeard is the time since baseTime, in nanoseconds, at which a watcher last responded to a
+	// poll; 0 means never.
+	watcherHeard atomic.Int64
 	// hostsChanged is notified when the hosts, the secrets or the era of the view have changed.
 	hostsChanged *broadcast
 	// firstReadEnded is closed when the first read of the store is part of the view, or has failed.
--- a/internal/fleet/directory/fleet_test.go
+++ b/internal/fleet/directory/fleet_test.go
@@ -494,16 +494,22 @@
 // Guards against reads that grow with the fleet while the store turns a part of the hosts away.
 func TestStoreReadsDoNotGrowWithFleetWhileTheStoreTurnsHostsAway(t *testing.T) {
 	const (
-		seconds        = 9
-		readsPerSecond = 10
+		seconds = 9
+		all     = 1 << 10
 	)
 	tests := []struct {
 		name string
 		// rejected is the number of hosts that the store turns away, the first of the ranking.
 		rejected int
+		// readsPerSecond bounds the reads of a fleet of any size. While all four watchers are turned
+		// away, their own attempts count too.
+		readsPerSecond int
 	}{
-		{name: "the first", rejected: 1},
-		{name: "the first two", rejected: 2},
+		{name: "the first", rejected: 1, readsPerSecond: 10},
+		{name: "the first two", rejected: 2, readsPerSecond: 10},
+		{name: "the first four", rejected: 4, readsPerSecond: 20},
+		{name: "the first eight", rejected: 8, readsPerSecond: 20},
+		{name: "all", rejected: all, readsPerSecond: 20},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -512,7 +518,7 @@
 					f := newFleet(t, hosts)
 					defer f.stop()
 					f.store.mu.Lock()
-					for _, address := range f.ranked()[:tt.rejected] {
+					for _, address := range f.ranked()[:min(tt.rejected, hosts)] {
 						f.store.rejected[f.hosts[address].cfg.Self.Name] = true
 					}
 					f.store.mu.Unlock()
@@ -520,7 +526,15 @@
 					time.Sleep(seconds * time.Second)
 					reads := f.store.total() - before
 					t.Logf("%d hosts: %d reads in %d s", hosts, reads, seconds)
-					require.LessOrEqual(t, reads, readsPerSecond*seconds)
+					require.LessOrEqual(t, reads, tt.readsPerSecond*seconds)
+					f.store.mu.Lock()
+					clear(f.store.rejected)
+					f.store.mu.Unlock()
+					f.store.put("config", "2")
+					time.Sleep(time.Second)
+					for _, h := range f.hosts {
+						require.EqualValues(t, 2, h.Snapshot().Table.Config.Version, "one second after the store is back")
+					}
 				})
 			}
 		})
--- a/internal/fleet/directory/tree.go
+++ b/internal/fleet/directory/tree.go
@@ -28,6 +28,9 @@
 	parent []Host
 	// fallbacks are polled when the parent has no newer data, best first.
 	fallbacks []Host
+	// watchers holds the names of the hosts up to maxWatchRank, which watch the store one after the
+	// other if those before them fail.
+	watchers []string
 }
 
 // watchScore returns the score of a host by which hosts should watch the store, lowest first.
@@ -76,8 +79,8 @@
 	if len(path) > 0 {
 		p.parent, p.fallbacks = path[:1], slices.Clone(path[1:])
 	}
-	// These hosts watch the store, one after the other, if those before them fail.
 	for _, h := range ranked[:min(maxWatchRank+1, len(ranked))] {
+		p.watchers = append(p.watchers, h.Name)
 		if h.Name != self && !slices.ContainsFunc(path, func(other Host) bool { return other.Name == h.Name }) {
 			p.fallbacks = append(p.fallbacks, h)
 		}
--- a/internal/fleet/directory/watch.go
+++ b/internal/fleet/directory/watch.go
@@ -56,6 +56,17 @@
 	maxWatchRank      = 3
 	othersWatchAge    = 1400 * time.Millisecond
 	othersWatchJitter = 300 * time.Millisecond
+	// watcherTimeout is the time since the last response of a watcher after which this host may be cut
+	// off from all of them. Fallback hosts are polled in turn, so each is polled once in that time.
+	watcherTimeout = 1500 * time.Millisecond
+	// othersWatchStep is the time between the first watches of two hosts beyond the watchers while
+	// these respond, up to nearRank hosts, and distantWatchStep that of those behind: some hosts find
+	// out in time if the store turns only the first ones away, and the rate of calls does not grow
+	// with the fleet if it turns all away. distantWatchStep for each host is also the pause between
+	// two failed calls of one of them.
+	othersWatchStep  = 25 * time.Millisecond
+	nearRank         = 16
+	distantWatchStep = 100 * time.Millisecond
 	// roleCheckInterval is the pause after a failed call, and the time between two polls of
 	// fallback hosts.
 	roleCheckInterval = 100 * time.Millisecond
@@ -88,10 +99,25 @@
 	limit := secondWatchAge + time.Duration(s.position.rank-1)*watchAgeStep
 	if s.position.rank > maxWatchRank {
 		limit = othersWatchAge + d.watchJitter
+		if d.hearsWatchers(now) {
+			limit = othersWatchAge + othersDelay(s.position.rank)
+		}
 	}
 	return max(0, limit-d.Age(now))
 }
 
+// othersDelay returns how much longer than others a host beyond the watchers waits.
+func othersDelay(rank int) time.Duration {
+	return time.Duration(min(rank, nearRank))*othersWatchStep + time.Duration(max(0, rank-nearRank))*distantWatchStep
+}
+
+// hearsWatchers reports whether a host that should watch the store rather than this one has responded
+// a moment ago, even if its data is old.
+func (d *Directory) hearsWatchers(now time.Time) bool {
+	heard := d.watcherHeard.Load()
+	return heard > 0 && now.Sub(d.baseTime)-time.Duration(heard) < watcherTimeout
+}
+
 // watcher is the state of this host's watch of the store.
 type watcher struct {
 	d *Directory
@@ -103,8 +129,10 @@
 	active, failed, reload bool
 	// checkpointTried is set after the first attempt to start from the checkpoint.
 	checkpointTried bool
-	// pause is the backoff after the last failure; zero after a success.
-	pause time.Duration
+	// pause is the backoff after the last failure; zero after a success. The next call is due at
+	// retryAt, or at patientRetryAt while watchers respond.
+	pause                   time.Duration
+	retryAt, patientRetryAt time.Time
 }
 
 // watch watches the store while this host should. It starts with a full read, also after
@@ -123,6 +151,10 @@
 			sleepUnless(ctx, hostsChanged, wait)
 			continue
 		}
+		if wait := w.untilRetry(time.Now()); wait > 0 {
+			sleepUnless(ctx, hostsChanged, wait)
+			continue
+		}
 		if !w.active {
 			d.cfg.Log.WithField("age-ms", d.Age(time.Now()).Milliseconds()).Info("watching the store")
 			w.active, w.reload = true, true
@@ -147,6 +179,15 @@
 	return peer.origin != "" && watchScore(peer.origin) >= watchScore(w.d.cfg.Self.Name)
 }
 
+// untilRetry returns the time until the next call after a failure; zero if it is due.
+func (w *watcher) untilRetry(now time.Time) time.Duration {
+	at := w.retryAt
+	if w.d.Snapshot().position.rank > maxWatchRank && w.d.hearsWatchers(now) {
+		at = w.patientRetryAt
+	}
+	return max(0, at.Sub(now))
+}
+
 // step makes one call of the store and returns the delay before the next.
 func (w *watcher) step(ctx context.Context) time.Duration {
 	d := w.d
@@ -171,6 +212,7 @@
 	receivedAt := time.Now()
 	d.submit(ctx, update{page: page, full: full, source: sourceStore, origin: d.cfg.Self.Name, receivedAt: receivedAt, age: responseAge(receivedAt.Sub(start), wait, page, full)})
 	w.failed, w.reload, w.pause = false, false, 0
+	w.retryAt, w.patientRetryAt = time.Time{}, time.Time{}
 	switch {
 	case len(d.Snapshot().Secrets) == 0:
 		return bootstrapInterval
@@ -204,7 +246,10 @@
 		shortest, longest = othersRetryMin, longestRetry(othersRetryMax, s.MaxHosts)
 	}
 	w.pause = min(max(shortest, 2*w.pause), longest)
-	return jitter(w.pause)
+	now := time.Now()
+	w.retryAt = now.Add(jitter(w.pause))
+	w.patientRetryAt = now.Add(max(jitter(w.pause), jitter(time.Duration(w.d.Snapshot().MaxHosts)*distantWatchStep)))
+	return 0
 }
 
 // longestRetry returns the longest backoff of one of many hosts.
@@ -313,6 +358,9 @@
 	if applied := d.cache.applied(); u.page.Revision.Era < applied.Era {
 		return errors.Wrapf(errBadResponse, "%s: era %d is outdated", host.Name, u.page.Revision.Era)
 	}
+	if slices.Contains(d.Snapshot().position.watchers, host.Name) {
+		d.watcherHeard.Store(int64(time.Since(d.baseTime)))
+	}
 	d.submit(ctx, u)
 	return nil
 }
