Keep a host that knows no hosts alive when the store refuses its first read

A process that started while the store refused all calls ended with "invalid argument to N": since the pause after a failure is a random part of 100 ms for each known host, of which there were none. TestHostThatKnowsNoHostsOutlivesARefusedRead failed before.

--- a/internal/fleet/directory/watch.go
+++ b/internal/fleet/directory/watch.go
@@ -258,7 +258,7 @@
 }
 
 // jitter returns a random time from half of d to d.
-func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(max(1, d/2)) }
 
 func (w *watcher) read(ctx context.Context, after store.Revision, wait time.Duration) (page store.Page, full bool, err error) {
 	d := w.d
