--- a/internal/fleet/directory/hosts.go
+++ b/internal/fleet/directory/hosts.go
@@ -155,7 +155,7 @@
 		names []string
 	}{{"hosts joined", s.joined}, {"hosts left", s.left}} {
 		if n := len(change.names); n > 0 {
-			s.log(change.text, map[string]any{"count": n, "names": change.names[:min(n, maxLoggedNames)], fieldHosts: len(s.hosts), fieldRevision: s.revision.String()})
+			s.log(change.text, map[string]any{fieldCount: n, "names": change.names[:min(n, maxLoggedNames)], fieldHosts: len(s.hosts), fieldRevision: s.revision.String()})
 		}
 	}
 	s.joined, s.left = nil, nil
--- a/internal/fleet/directory/registration_test.go
+++ b/internal/fleet/directory/registration_test.go
@@ -375,7 +375,7 @@
 		time.Sleep(period + outage)
 		require.LessOrEqual(t, l.renews, 6, "calls in an outage of 9 s")
 		time.Sleep(retryLimit)
-		renewed := l.until[1].Sub(time.Now())
+		renewed := time.Until(l.until[1])
 		cancel()
 		require.NoError(t, <-done)
 		require.Zero(t, l.ended)
--- a/internal/fleet/directory/state.go
+++ b/internal/fleet/directory/state.go
@@ -101,6 +101,7 @@
 	fieldHost     = "host"
 	fieldHosts    = "hosts"
 	fieldTarget   = "target"
+	fieldCount    = "count"
 )
 
 // LogLine is a log line.
@@ -190,7 +191,7 @@
 		}
 	}
 	if missed > 0 && len(s.keys) > missed {
-		s.warn("a full read found changes that were not told", map[string]any{"count": missed, fieldRevision: before.String()})
+		s.warn("a full read found changes that were not told", map[string]any{fieldCount: missed, fieldRevision: before.String()})
 	}
 	for key, k := range s.keys {
 		if !listed[key] && !k.deleted && !k.revision.After(page.Revision) {
@@ -369,7 +370,7 @@
 // a host that starts has requests waiting.
 func (s *State) logLoadedTargets() {
 	if n := len(s.loadedTargets); n > 0 {
-		s.log("targets joined", map[string]any{"count": n, "ids": s.loadedTargets, "targets": s.roster.Len(), fieldRevision: s.revision.String()})
+		s.log("targets joined", map[string]any{fieldCount: n, "ids": s.loadedTargets, "targets": s.roster.Len(), fieldRevision: s.revision.String()})
 	}
 	s.loadedTargets = nil
 }
