--- a/internal/fleet/directory/fuzz_test.go
+++ b/internal/fleet/directory/fuzz_test.go
@@ -48,3 +48,21 @@
 		s.TakeLogLines()
 	})
 }
+
+// An arbitrary value of the checkpoint is rejected, or yields items that leave the view usable.
+func FuzzCheckpoint(f *testing.F) {
+	value, err := encodeCheckpoint(store.Page{Items: []store.Item{put("config", "3", 1), put(HostPrefix+"b", "{", 5)}, Revision: store.NewRevision(0, 9)})
+	require.NoError(f, err)
+	f.Add(value)
+	f.Add(value[:len(value)/2])
+	f.Add([]byte("garbage"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		page, err := decodeCheckpoint(data)
+		if err != nil {
+			return
+		}
+		s := newState()
+		s.Load(now, store.Page{Items: mergeItems(page.Items, nil), Revision: page.Revision})
+		s.Snapshot()
+	})
+}
