Let each host read the store when its view is old, also while watchers respond

Since hosts beyond the first four of the ranking waited for their turn at the store, up to 31 s at 312 hosts, as long as one of these responded. TestConfigurationsApplyInTimeWhileTheStoreTurnsHostsAway/100 failed on it, 200 of 200 hosts late; its case 300 covers the return of a store that refused all.

Hosts read again at an age of 1.4 to 1.7 s.

--- a/internal/fleet/directory/fleet_test.go
+++ b/internal/fleet/directory/fleet_test.go
@@ -540,3 +540,42 @@
 		})
 	}
 }
+
+// Guards against hosts that wait for others to read the store, though nobody passes on what these read.
+func TestConfigurationsApplyInTimeWhileTheStoreTurnsHostsAway(t *testing.T) {
+	const configApply = 3 * time.Second
+	for _, rejected := range []int{1, 4, 8, 100, 300} {
+		t.Run(fmt.Sprint(rejected), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 300)
+				defer f.stop()
+				ranked := f.ranked()
+				f.store.mu.Lock()
+				for _, address := range ranked[:rejected] {
+					f.store.rejected[f.hosts[address].cfg.Self.Name] = true
+				}
+				f.store.mu.Unlock()
+				for version := 2; version < 5; version++ {
+					time.Sleep(3 * time.Second)
+					f.store.put("config", fmt.Sprint(version))
+					time.Sleep(configApply)
+					late := 0
+					for _, address := range ranked[rejected:] {
+						if f.hosts[address].Snapshot().Table.Config.Version < uint64(version) {
+							late++
+						}
+					}
+					require.Zero(t, late, "of the hosts that the store serves, version %d", version)
+				}
+				f.store.mu.Lock()
+				clear(f.store.rejected)
+				f.store.mu.Unlock()
+				f.store.put("config", "9")
+				time.Sleep(time.Second)
+				for _, h := range f.hosts {
+					require.EqualValues(t, 9, h.Snapshot().Table.Config.Version, "one second after the store serves all again")
+				}
+			})
+		})
+	}
+}
--- a/internal/fleet/directory/watch.go
+++ b/internal/fleet/directory/watch.go
@@ -59,14 +59,10 @@
 	// watcherTimeout is the time since the last response of a watcher after which this host may be cut
 	// off from all of them. Fallback hosts are polled in turn, so each is polled once in that time.
 	watcherTimeout = 1500 * time.Millisecond
-	// othersWatchStep is the time between the first watches of two hosts beyond the watchers while
-	// these respond, up to nearRank hosts, and distantWatchStep that of those behind: some hosts find
-	// out in time if the store turns only the first ones away, and the rate of calls does not grow
-	// with the fleet if it turns all away. distantWatchStep for each host is also the pause between
-	// two failed calls of one of them.
-	othersWatchStep  = 25 * time.Millisecond
-	nearRank         = 16
-	distantWatchStep = 100 * time.Millisecond
+	// patientRetryPerHost is the pause for each host after two failed calls of a host beyond the
+	// watchers, while these respond: its own calls do not help the fleet if the store refuses all, and
+	// the first failure may have been by chance.
+	patientRetryPerHost = 50 * time.Millisecond
 	// roleCheckInterval is the pause after a failed call, and the time between two polls of
 	// fallback hosts.
 	roleCheckInterval = 100 * time.Millisecond
@@ -99,18 +95,10 @@
 	limit := secondWatchAge + time.Duration(s.position.rank-1)*watchAgeStep
 	if s.position.rank > maxWatchRank {
 		limit = othersWatchAge + d.watchJitter
-		if d.hearsWatchers(now) {
-			limit = othersWatchAge + othersDelay(s.position.rank)
-		}
 	}
 	return max(0, limit-d.Age(now))
 }
 
-// othersDelay returns how much longer than others a host beyond the watchers waits.
-func othersDelay(rank int) time.Duration {
-	return time.Duration(min(rank, nearRank))*othersWatchStep + time.Duration(max(0, rank-nearRank))*distantWatchStep
-}
-
 // hearsWatchers reports whether a host that should watch the store rather than this one has responded
 // a moment ago, even if its data is old.
 func (d *Directory) hearsWatchers(now time.Time) bool {
@@ -245,10 +233,13 @@
 	if s := w.d.Snapshot(); s.position.rank > 1 {
 		shortest, longest = othersRetryMin, longestRetry(othersRetryMax, s.MaxHosts)
 	}
+	repeated := w.pause > 0
 	w.pause = min(max(shortest, 2*w.pause), longest)
-	now := time.Now()
-	w.retryAt = now.Add(jitter(w.pause))
-	w.patientRetryAt = now.Add(max(jitter(w.pause), jitter(time.Duration(w.d.Snapshot().MaxHosts)*distantWatchStep)))
+	w.retryAt = time.Now().Add(jitter(w.pause))
+	w.patientRetryAt = w.retryAt
+	if repeated {
+		w.patientRetryAt = w.retryAt.Add(jitter(time.Duration(w.d.Snapshot().MaxHosts) * patientRetryPerHost))
+	}
 	return 0
 }
 
