Forget the failures of a watch that has ended

A host that had failed twice at the store, and then got its data from others again, kept the time of its next call: in another outage within 15 s it would have waited for that, also if it was one of the few that the store served.

--- a/internal/fleet/directory/watch.go
+++ b/internal/fleet/directory/watch.go
@@ -135,7 +135,7 @@
 	for ctx.Err() == nil {
 		hostsChanged := d.hostsChanged.wait()
 		if wait := d.untilWatch(time.Now()); wait > 0 && !w.isNeeded(time.Now()) {
-			w.active, w.failed = false, false
+			w.stop()
 			sleepUnless(ctx, hostsChanged, wait)
 			continue
 		}
@@ -167,6 +167,17 @@
 	return peer.origin != "" && watchScore(peer.origin) >= watchScore(w.d.cfg.Self.Name)
 }
 
+// stop ends the watch, since others watch again. The next one does not wait for earlier failures.
+func (w *watcher) stop() {
+	w.active = false
+	w.clearFailures()
+}
+
+func (w *watcher) clearFailures() {
+	w.failed, w.pause = false, 0
+	w.retryAt, w.patientRetryAt = time.Time{}, time.Time{}
+}
+
 // untilRetry returns the time until the next call after a failure; zero if it is due.
 func (w *watcher) untilRetry(now time.Time) time.Duration {
 	at := w.retryAt
@@ -199,8 +210,8 @@
 	}
 	receivedAt := time.Now()
 	d.submit(ctx, update{page: page, full: full, source: sourceStore, origin: d.cfg.Self.Name, receivedAt: receivedAt, age: responseAge(receivedAt.Sub(start), wait, page, full)})
-	w.failed, w.reload, w.pause = false, false, 0
-	w.retryAt, w.patientRetryAt = time.Time{}, time.Time{}
+	w.reload = false
+	w.clearFailures()
 	switch {
 	case len(d.Snapshot().Secrets) == 0:
 		return bootstrapInterval
