--- a/internal/fleet/directory/fuzz_test.go
+++ b/internal/fleet/directory/fuzz_test.go
@@ -56,7 +56,7 @@
 	f.Add(value)
 	f.Add(value[:len(value)/2])
 	f.Add([]byte("garbage"))
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		page, err := decodeCheckpoint(data)
 		if err != nil {
 			return
