--- a/internal/fleet/directory/checkpoint.go
+++ b/internal/fleet/directory/checkpoint.go
@@ -32,8 +32,8 @@
 	// minCheckpointItems is the number of items from which on a checkpoint is written: fewer are
 	// read in one call.
 	minCheckpointItems = 500
-	// maxCheckpointBytes bounds a checkpoint that is written, and maxCheckpointItems bytes of items
-	// one that is read.
+	// maxCheckpointBytes bounds the compressed size of a checkpoint that is written, and
+	// maxCheckpointItemsBytes the uncompressed size of one that is read.
 	maxCheckpointBytes      = store.MaxValueBytes / 2
 	maxCheckpointItemsBytes = 16 << 20
 	// checkpointWatchWait is the wait of the watch that returns the changes since a checkpoint.
