--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -237,28 +238,27 @@
 	return fmt.Errorf("%s is not ready", h.name)
 }
 
-// sender returns the name of the host whose process opened a connection to a server, as the kernel's
-// tables of sockets and of open files say.
-func (f *fleet) sender(c net.Conn) string {
-	remote, ok := c.RemoteAddr().(*net.TCPAddr)
-	if !ok {
-		return ""
+// sender returns the name of the host whose process opened the connection from an address, as the
+// kernel's tables of sockets and of open files say.
+func (f *fleet) sender(address string) string {
+	remote, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return "unknown"
 	}
-	ip := remote.IP.To4()
-	local := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], remote.Port)
-	for _, h := range f.hosts {
-		pid := h.cmd.Process.Pid
-		data, err := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", pid))
-		if err != nil {
+	ip := remote.Addr().As4()
+	local := fmt.Sprintf(" %02X%02X%02X%02X:%04X ", ip[3], ip[2], ip[1], ip[0], remote.Port())
+	data, err := os.ReadFile("/proc/self/net/tcp")
+	if err != nil {
+		return "unknown"
+	}
+	for line := range strings.SplitSeq(string(data), "\n") {
+		if at := strings.Index(line, local); at < 0 || at > 8 {
 			continue
 		}
-		for _, line := range strings.Split(string(data), "\n") {
-			fields := strings.Fields(line)
-			if len(fields) < 10 || fields[1] != local {
-				continue
-			}
-			want := "socket:[" + fields[9] + "]"
-			files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
+		fields := strings.Fields(line)
+		want := "socket:[" + fields[9] + "]"
+		for _, h := range f.hosts {
+			files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", h.cmd.Process.Pid))
 			for _, file := range files {
 				if link, err := os.Readlink(file); err == nil && link == want {
 					return h.name
--- a/review/stand/poison.go
+++ b/review/stand/poison.go
@@ -36,8 +36,8 @@
 // startHub starts the service hub, whose servers crash when they run a poison request. They are
 // back after three seconds.
 func (f *fleet) startHub(servers, hosts int, path string, crashes bool) error {
-	f.store.put("op/config", config(1, map[string]any{"prefix": "/up/", "kind": "unsafe", "service": "hub", "timeout_ms": 2500, "target_latency_ms": 600}))
-	err := f.addServers("hub", servers, 2, 100*time.Millisecond, func(s *server) {
+	f.store.put("op/config", config(1, map[string]any{"prefix": "/up/", "kind": "upload", "service": "hub", "timeout_ms": 2500, "target_latency_ms": 600}))
+	err := f.addServers("hub", servers, 2, 300*time.Millisecond, func(s *server) {
 		s.downFor = 3 * time.Second
 		s.crashes = func(r *http.Request) bool { return crashes && r.URL.Path == path }
 	})
--- a/review/stand/restarted.go
+++ b/review/stand/restarted.go
@@ -3,44 +3,72 @@
 // This file defines the cases of servers that start again under the id that they had.
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"time"
 )
 
-// load sends requests to the hosts in turn until stop is closed.
-func (f *fleet) load(path string, perSecond int, stop <-chan struct{}) map[string]int {
+// load sends requests to the hosts until stop is closed, from callers that keep their connections.
+// Each caller sends one request every period. It returns how the requests ended.
+func (f *fleet) load(path string, callers int, period time.Duration, stop <-chan struct{}) map[string]int {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	statuses := map[string]int{}
-	for n := 0; ; n++ {
-		select {
-		case <-stop:
-			wg.Wait()
-			return statuses
-		case <-time.After(time.Second / time.Duration(perSecond)):
-		}
-		h := f.hosts[n%len(f.hosts)]
+	for n := range callers {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			a := once(h, "POST", path, 2500*time.Millisecond, "x=1")
-			f.logf("client: %s to %s, sent %.3f: %s", a.id, h.name, a.sentAt.Sub(f.started).Seconds(), a)
-			mu.Lock()
-			statuses[a.String()]++
-			mu.Unlock()
+			h := f.hosts[n%len(f.hosts)]
+			time.Sleep(period * time.Duration(n) / time.Duration(callers))
+			ticker := time.NewTicker(period)
+			defer ticker.Stop()
+			var c *clientConn
+			for {
+				select {
+				case <-stop:
+					return
+				case <-ticker.C:
+				}
+				a, next := f.keep(c, h, path)
+				c = next
+				f.logf("client: %s to %s, sent %.3f: %s", a.id, h.name, a.sentAt.Sub(f.started).Seconds(), a)
+				mu.Lock()
+				statuses[a.String()]++
+				mu.Unlock()
+			}
 		}()
 	}
+	wg.Wait()
+	return statuses
+}
+
+// keep sends a request on a connection, or on a new one if c is nil, and returns the connection if
+// it can be used again.
+func (f *fleet) keep(c *clientConn, h *host, path string) (answer, *clientConn) {
+	if c == nil {
+		var err error
+		if c, err = connect(h); err != nil {
+			return answer{id: "-", sentAt: time.Now(), problem: "no connection: " + err.Error()}, nil
+		}
+	}
+	a := c.do(context.Background(), "POST", path, 2500*time.Millisecond, "x=1")
+	if a.problem != "" || a.close {
+		c.close()
+		return a, nil
+	}
+	return a, c
 }
 
 // restartedPause restarts the servers of a service one after the other. Later, they turn requests
-// away with 503 and a Retry-After, a quarter of them at a time.
+// away with 503 and a Retry-After, half of them at a time.
 func restartedPause(f *fleet) (bool, error) {
 	const (
-		servers  = 16
+		servers  = 24
 		hosts    = 3
+		groups   = 2
 		gap      = 50 * time.Millisecond
-		pause    = 5 * time.Second
+		pause    = 8 * time.Second
 		notice   = 500 * time.Millisecond
 		maxCount = 2
 	)
@@ -54,7 +82,7 @@
 	}
 	time.Sleep(4 * time.Second)
 	stop, statuses := make(chan struct{}), make(chan map[string]int, 1)
-	go func() { statuses <- f.load("/book/a", 60, stop) }()
+	go func() { statuses <- f.load("/book/a", 24, 250*time.Millisecond, stop) }()
 	time.Sleep(2 * time.Second)
 	for _, s := range f.servers {
 		if trouble() {
@@ -62,18 +90,17 @@
 				return false, err
 			}
 		}
-		time.Sleep(300 * time.Millisecond)
 	}
 	time.Sleep(4 * time.Second)
-	for group := range 4 {
+	for group := range groups {
 		set := func(d time.Duration) {
-			for i := group; i < servers; i += 4 {
+			for i := group; i < servers; i += groups {
 				f.servers[i].mu.Lock()
 				f.servers[i].pause = d
 				f.servers[i].mu.Unlock()
 			}
 		}
-		f.logf("servers %d, %d, ... turn requests away", group+1, group+5)
+		f.logf("servers %d, %d, ... turn requests away", group+1, group+1+groups)
 		set(pause)
 		time.Sleep(pause)
 		set(0)
@@ -100,7 +127,7 @@
 	f.mu.Unlock()
 	broken := 0
 	for p, n := range late {
-		f.logf("%d requests reached %s from %s between 0.5 s after its first 503 with Retry-After 5 and the end of that time", n, p.server, p.machine)
+		f.logf("%d requests reached %s from %s between 0.5 s after its first 503 with Retry-After and the end of that time", n, p.server, p.machine)
 		if n > maxCount {
 			broken++
 		}
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -31,8 +31,9 @@
 	// crashes reports whether a request crashes the server as soon as it begins to run it;
 	// downFor is the time after which it is back.
 	crashes func(r *http.Request) bool
-	// sender names the machine that opened a connection; nil if the case does not need it.
-	sender  func(c net.Conn) string
+	// sender names the machine that opened the connection from an address; nil if the case does
+	// not need it.
+	sender  func(address string) string
 	downFor time.Duration
 	st      *store
 	onRun   func(run)
@@ -113,9 +114,6 @@
 		ConnState: func(c net.Conn, state http.ConnState) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			if state == http.StateNew && s.sender != nil {
-				s.senders[c.RemoteAddr().String()] = s.sender(c)
-			}
 			if state == http.StateClosed {
 				delete(s.conns, c)
 			} else {
@@ -182,6 +180,24 @@
 	}
 }
 
+// from returns the name of the machine that opened the connection from an address.
+func (s *server) from(address string) string {
+	if s.sender == nil {
+		return ""
+	}
+	s.mu.Lock()
+	name, ok := s.senders[address]
+	s.mu.Unlock()
+	if ok {
+		return name
+	}
+	name = s.sender(address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.senders[address] = name
+	return name
+}
+
 func (s *server) load() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -217,8 +233,9 @@
 	}
 	end := time.NewTimer(deadline)
 	defer end.Stop()
+	from := s.from(r.RemoteAddr)
 	s.mu.Lock()
-	from, pause, leaving := s.senders[r.RemoteAddr], s.pause, s.leaving
+	pause, leaving := s.pause, s.leaving
 	s.mu.Unlock()
 	s.onRun(run{time.Now(), id, request, "arrived", from})
 	if leaving {
