Review case 4: evidence on a crashing request goes to a host that is gone

The case shows that a request which crashes servers is not blocked while the host that should collect the evidence is gone but still listed (BUDGET).

--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -177,6 +177,8 @@
 	cmd := exec.Command(h.f.program[0], h.f.program[1:]...)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "TAMARACKTILLER_SETTINGS=" + file}
 	cmd.Stdout, cmd.Stderr = out, out
+	// No host outlives the case. The signal is sent when the thread ends that started it.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 	"time"
 )
@@ -27,6 +28,7 @@
 }
 
 func main() {
+	runtime.LockOSThread()
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand NAME")
 		os.Exit(2)
--- a/review/stand/poison.go
+++ b/review/stand/poison.go
@@ -150,7 +150,7 @@
 // poisonRemoved plays a caller whose request crashes each server that begins to run it, and who
 // sends it again every 0.7 s, while one of four hosts is gone for good.
 func poisonRemoved(f *fleet) (bool, error) {
-	path := "/up/order-1"
+	path := "/up/order-7"
 	if p := os.Getenv("POISON"); p != "" {
 		path = p
 	}
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -6,8 +6,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -160,10 +162,11 @@
 	}
 	s.up = false
 	close(s.stop)
-	h, conns, id, down := s.http, s.conns, s.id, s.downFor
+	h, id, down := s.http, s.id, s.downFor
+	conns := slices.Collect(maps.Keys(s.conns))
 	s.mu.Unlock()
 	_ = h.Close()
-	for c := range conns {
+	for _, c := range conns {
 		if t, ok := c.(*net.TCPConn); ok {
 			_ = t.SetLinger(0)
 		}
