--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -31,6 +31,8 @@
 	started time.Time
 	store   *store
 	hosts   []*host
+	// graceS is the grace period in the settings, in seconds.
+	graceS  int
 	servers []*server
 
 	mu   sync.Mutex
@@ -57,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, program: strings.Fields(os.Getenv("RUN")), record: record, started: time.Now()}
+	f := &fleet{dir: dir, program: strings.Fields(os.Getenv("RUN")), record: record, started: time.Now(), graceS: graceS}
 	f.store, err = newStore("127.0.0.1:0")
 	return f, err
 }
@@ -152,7 +154,7 @@
 		"contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "health", "platform"},
 		"tolerate":  map[string]int{"machines": 1, "zones": 0, "regions": 0},
 		"bounds": map[string]any{
-			"seed_lag_s": 3, "reuse_after_s": 2, "stable_window_ms": 3000, "ack_ms": 4000, "catch_up_s": 4, "drain_ms": 2000, "grace_s": graceS,
+			"seed_lag_s": 3, "reuse_after_s": 2, "stable_window_ms": 3000, "ack_ms": 4000, "catch_up_s": 4, "drain_ms": 2000, "grace_s": h.f.graceS,
 			"lost_slack_ms": 200, "config_apply_ms": 2000, "rollback_slack_ms": 250, "max_skew_ms": 5000, "retry_budget_ratio": 0.2, "budget_window_s": 10,
 			"budget_slack": 60, "recovery_s": 15, "probes_per_s": 60,
 		},
@@ -160,13 +162,23 @@
 	}
 }
 
-func (h *host) start() error {
+func (h *host) file() string { return filepath.Join(h.f.dir, h.name+".json") }
+
+// writeSettings places the settings file.
+func (h *host) writeSettings() error {
 	data, err := json.Marshal(h.settings())
 	if err != nil {
 		return err
 	}
-	file := filepath.Join(h.f.dir, h.name+".json")
-	if err := os.WriteFile(file, data, 0o600); err != nil {
+	next := h.file() + ".next"
+	if err := os.WriteFile(next, data, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, h.file())
+}
+
+func (h *host) start() error {
+	if err := h.writeSettings(); err != nil {
 		return err
 	}
 	out, err := os.OpenFile(filepath.Join(h.f.dir, h.name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
@@ -175,7 +187,7 @@
 	}
 	defer out.Close()
 	cmd := exec.Command(h.f.program[0], h.f.program[1:]...)
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "TAMARACKTILLER_SETTINGS=" + file}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "TAMARACKTILLER_SETTINGS=" + h.file()}
 	cmd.Stdout, cmd.Stderr = out, out
 	// No host outlives the case. The signal is sent when the thread ends that started it.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -212,7 +224,7 @@
 	h.signal(syscall.SIGTERM)
 	select {
 	case <-h.exited:
-	case <-time.After(graceS * time.Second):
+	case <-time.After(time.Duration(h.f.graceS) * time.Second):
 		h.signal(syscall.SIGKILL)
 		<-h.exited
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -25,6 +25,8 @@
 var cases = map[string]func(f *fleet) (bool, error){
 	"queued":        queued,
 	"poison-upload": poisonUpload, "poison-removed": poisonRemoved, "restarted-pause": restartedPause,
+	"longer-grace": longerGrace,
+	"old-beat":     oldBeat,
 	"slow-uploads": slowUploads,
 }
 
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -90,6 +90,17 @@
 	return err
 }
 
+// exit ends the server after it has reported that it leaves. Its entry is removed.
+func (s *server) exit() {
+	s.mu.Lock()
+	id, h := s.id, s.http
+	s.up = false
+	s.mu.Unlock()
+	s.onRun(run{time.Now(), id, "", "left", ""})
+	_ = h.Close()
+	s.st.remove("servers/" + id)
+}
+
 // startAs starts the server under an id. The caller holds the mutex.
 func (s *server) startAs(id string) error {
 	address := s.address
