Log when requests and attempts of a host that shuts down began

While a host shuts down, the lines on requests and attempts now count from the beginning of the shutdown and name the time left, and the process logs its connections when it stops to accept them, and at the end if some are still open. No line is new per request.

--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -431,11 +431,17 @@
 		log.WithError(err).Warn("listener for clients cannot be closed")
 	}
 	p.clientServer.SetKeepAlivesEnabled(false)
+	log.WithFields(p.connectionFields()).Info("no more connections of clients are accepted")
 	for p.clientConns.Busy(time.Now()) && ctx.Err() == nil {
 		timer.Sleep(ctx, finishPollPeriod)
 	}
 }
 
+func (p *Process) connectionFields() logrus.Fields {
+	unused, active := p.clientConns.Count()
+	return logrus.Fields{"connections-unused": unused, "connections-active": active, "open": p.handler.InFlight()}
+}
+
 func (p *Process) shutdown(log *logrus.Entry) {
 	started := time.Now()
 	log.WithField("open", p.handler.InFlight()).Info("closing down")
@@ -449,7 +455,7 @@
 	p.dispatcher.HandOver()
 	p.finishRequests(drainCtx, log)
 	if err := p.clientServer.Shutdown(drainCtx); err != nil {
-		log.WithError(err).WithField("open", p.handler.InFlight()).Warn("requests are still in flight at the end of the grace period")
+		log.WithError(err).WithFields(p.connectionFields()).Warn("connections of clients are still open at the end of the grace period")
 	}
 	if open := p.tunnels.Drain(drainCtx); open > 0 {
 		log.WithField("open", open).Warn("tunnels of other hosts are still open at the end of the grace period")
--- a/internal/process/front/stop.go
+++ b/internal/process/front/stop.go
@@ -102,3 +102,10 @@
 	}
 	return len(c.active) > 0
 }
+
+// Count returns the number of connections that have carried no request yet, and of those that carry one.
+func (c *Connections) Count() (unused, active int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.opened), len(c.active)
+}
--- a/internal/traffic/entry/response.go
+++ b/internal/traffic/entry/response.go
@@ -157,7 +157,7 @@
 	if !h.cfg.Log.Logger.IsLevelEnabled(level) {
 		return
 	}
-	line := h.cfg.Log
+	line := h.cfg.Log.WithFields(h.shutdown.logFields("arrived-after-stop-ms", req.started))
 	if resp.outcome == Denied {
 		line = line.WithFields(logrus.Fields{"host": req.incoming.Host, "path": req.incoming.URL.Path, "revision": req.revision.String()})
 	}
@@ -185,5 +185,5 @@
 	if r.cause != nil {
 		fields["error"] = r.cause.Error()
 	}
-	req.h.cfg.Log.WithFields(fields).Info("send ended")
+	req.h.cfg.Log.WithFields(fields).WithFields(req.h.shutdown.logFields("sent-after-stop-ms", time.Now().Add(-r.elapsed))).Info("send ended")
 }
--- a/internal/traffic/entry/shutdown.go
+++ b/internal/traffic/entry/shutdown.go
@@ -9,6 +9,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,6 +34,8 @@
 	// begun is done once the shutdown has begun.
 	begun context.Context
 	begin context.CancelFunc
+	// begunAt is the time at which it has begun; nil before.
+	begunAt atomic.Pointer[time.Time]
 	// end is the time at which the last responses are due; not set before the shutdown has begun.
 	end *timer.Deadline
 }
@@ -47,9 +50,22 @@
 // the last ones are sent at endsAt. Further calls can only bring that forward.
 func (h *Handler) Drain(endsAt time.Time) {
 	h.shutdown.end.BringForward(endsAt)
+	now := time.Now()
+	h.shutdown.begunAt.CompareAndSwap(nil, &now)
 	h.shutdown.begin()
 }
 
+// logFields returns the fields that relate a time to the shutdown, for the log; none before the
+// shutdown has begun.
+func (s *shutdown) logFields(name string, at time.Time) logrus.Fields {
+	begunAt := s.begunAt.Load()
+	if begunAt == nil {
+		return nil
+	}
+	endsAt, _ := s.end.At()
+	return logrus.Fields{name: at.Sub(*begunAt).Milliseconds(), "stop-left-ms": time.Until(endsAt).Milliseconds()}
+}
+
 // shortens reports whether the shutdown ends before a deadline, and when; false before it has
 // begun.
 func (s *shutdown) shortens(deadline time.Time) (endsAt time.Time, ok bool) {
