--- /dev/null
+++ b/internal/process/entry/stop_late_test.go
@@ -0,0 +1,234 @@
+package entry_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"tamaracktiller.example/tamaracktiller/platform/platformtest"
+)
+
+const (
+	lateGrace = 6 * time.Second
+	// lateUsual is the service time that hosts know, and lateSlow the one that targets have while a host
+	// shuts down.
+	lateUsual = 150 * time.Millisecond
+	lateSlow  = 900 * time.Millisecond
+	// lateFrom is the time after the beginning of a stop from which on a request must not be cut.
+	lateFrom = 3 * time.Second
+)
+
+// newShiftingCluster returns a cluster that knows its targets as fast, with two routes that have the
+// given timeout.
+func newShiftingCluster(t *testing.T, hosts, targets int, timeout time.Duration) *cluster {
+	list := make([]*platformtest.Target, 0, targets)
+	for n := range targets {
+		list = append(list, platformtest.NewTarget(fmt.Sprintf("t-%d", n), "svc", "d", 4, platformtest.Behaviour{ServiceTime: lateUsual}))
+	}
+	cl := newFleet(t, fleet{hosts: hosts, grace: lateGrace}, list...)
+	cl.version += 3
+	cl.store.Put("op/config", platformtest.Config(cl.version, []platformtest.Route{
+		{Host: "shop.example", Prefix: "/book/", Service: "svc", TimeoutMillis: int(timeout.Milliseconds())},
+		{Host: "shop.example", Prefix: "/search/", Service: "svc", Safe: true, TimeoutMillis: int(timeout.Milliseconds())},
+	}))
+	time.Sleep(time.Second)
+	for n := range 40 {
+		path := []string{"/book/x", "/search/x"}[n%2]
+		resp, err := cl.send(t.Context(), cl.hosts[n/2%hosts], fmt.Sprintf("usual-%d", n), path)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.status)
+	}
+	return cl
+}
+
+// setServiceTime changes the service time of all targets without the knowledge of the hosts.
+func (cl *cluster) setServiceTime(d time.Duration) {
+	for _, target := range cl.targets {
+		target.UpdateBehaviour(func(b *platformtest.Behaviour) { b.ServiceTime = d })
+	}
+}
+
+// openConn opens a connection to a host and sends nothing.
+func openConn(t *testing.T, h *host) net.Conn {
+	conn, err := net.Dial("tcp", h.cfg.Callers.String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// exchangeOn sends the first request of a connection and reads the response.
+func exchangeOn(conn net.Conn, h *host, id, path string) answer {
+	a := answer{id: id, host: h, sentAt: time.Now()}
+	head := "GET " + path + " HTTP/1.1\r\n"
+	body := "\r\n"
+	if path == "/book/x" {
+		head, body = "POST "+path+" HTTP/1.1\r\n", "Content-Length: 3\r\n\r\nabc"
+	}
+	_, a.err = io.WriteString(conn, head+"Host: shop.example\r\nX-Request-Id: "+id+"\r\nX-Deadline-Ms: 12000\r\n"+body)
+	var res *http.Response
+	if a.err == nil {
+		res, a.err = http.ReadResponse(bufio.NewReader(conn), nil)
+	}
+	if a.err == nil {
+		a.status, a.retryAfter = res.StatusCode, res.Header.Get("Retry-After")
+		_, a.err = io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+	}
+	a.gone = time.Now()
+	return a
+}
+
+// assertNotCut checks that a request got the response of a target, or was refused at once and has not
+// run.
+func (cl *cluster) assertNotCut(t *testing.T, a answer, stop time.Time) {
+	t.Helper()
+	sent, took := a.sentAt.Sub(stop), a.gone.Sub(a.sentAt)
+	switch {
+	case a.err != nil && cl.runCount(a.id) == 0 && took < 200*time.Millisecond:
+		// The connection was closed before the request was read.
+	case a.err != nil:
+		t.Errorf("%s, sent %s after the stop, got no response after %s: %v", a.id, sent, took, a.err)
+	case a.status == http.StatusOK:
+	case a.status == http.StatusServiceUnavailable:
+		assert.NotEmpty(t, a.retryAfter, a.id)
+		assert.Zero(t, cl.runCount(a.id), "%s was refused and has run", a.id)
+		assert.Less(t, took, 200*time.Millisecond, "%s, sent %s after the stop, was not refused at once", a.id, sent)
+	default:
+		t.Errorf("%s, sent %s after the stop, was cut after %s: status %d", a.id, sent, took, a.status)
+	}
+}
+
+// Guards against requests that arrive late in the grace period, are sent to a target, and are cut at its
+// end.
+func TestPlannedStopDoesNotCutRequestsThatArriveLate(t *testing.T) {
+	tests := []struct {
+		name    string
+		timeout time.Duration
+		path    string
+		// opened is the time after the beginning of the stop at which the connections are opened.
+		opened time.Duration
+		// served is the time until which requests are served, as their timeouts end before the host.
+		served time.Duration
+	}{
+		{name: "not idempotent, long timeout", timeout: 10 * time.Second, path: "/book/x", opened: 2600 * time.Millisecond},
+		{name: "idempotent, long timeout", timeout: 10 * time.Second, path: "/search/x", opened: 2600 * time.Millisecond},
+		{name: "not idempotent, short timeout", timeout: 2 * time.Second, path: "/book/x", opened: 2600 * time.Millisecond, served: 3400 * time.Millisecond},
+		{name: "idempotent, short timeout", timeout: 2 * time.Second, path: "/search/x", opened: 2600 * time.Millisecond, served: 3400 * time.Millisecond},
+		{name: "connections from before the stop", timeout: 10 * time.Second, path: "/book/x", opened: -500 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			cl := newShiftingCluster(t, 2, 6, tt.timeout)
+			h := cl.hosts[0]
+			stop := time.Now().Add(time.Second)
+			time.AfterFunc(time.Until(stop), h.cancel)
+			conns := make([]net.Conn, 13)
+			open := func() {
+				time.Sleep(time.Until(stop.Add(tt.opened)))
+				for n := range conns {
+					conns[n] = openConn(t, h)
+				}
+			}
+			if tt.opened < 0 {
+				open()
+			}
+			time.Sleep(time.Until(stop.Add(2 * time.Second)))
+			var wg sync.WaitGroup
+			// A request that outlasts the host keeps its server running.
+			cl.setServiceTime(lateGrace)
+			wg.Go(func() { exchangeOn(openConn(t, h), h, "long", tt.path) })
+			time.Sleep(300 * time.Millisecond)
+			cl.setServiceTime(lateSlow)
+			if tt.opened > 0 {
+				open()
+			}
+			answers := make([]answer, len(conns))
+			for n, conn := range conns {
+				wg.Go(func() {
+					time.Sleep(time.Until(stop.Add(lateFrom + 50*time.Millisecond + time.Duration(n)*200*time.Millisecond)))
+					answers[n] = exchangeOn(conn, h, fmt.Sprintf("late-%d", n), tt.path)
+				})
+			}
+			require.NoError(t, <-h.done)
+			h.process.Kill()
+			wg.Wait()
+			statuses := map[int]int{}
+			for _, a := range answers {
+				statuses[a.status]++
+				cl.assertNotCut(t, a, stop)
+				if a.sentAt.Sub(stop) < tt.served {
+					assert.Equal(t, http.StatusOK, a.status, "%s, sent %s after the stop", a.id, a.sentAt.Sub(stop))
+				}
+			}
+			t.Log("answers:", statuses)
+			assert.Positive(t, statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable])
+		})
+	}
+}
+
+// Guards against requests that arrive late in the grace period and wait for a target in vain.
+func TestPlannedStopRefusesLateRequestsThatWouldWait(t *testing.T) {
+	tests := []struct {
+		name string
+		// stopped is the host that is stopped.
+		stopped int
+	}{
+		{name: "first of two hosts", stopped: 0},
+		{name: "second of two hosts", stopped: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			cl := newShiftingCluster(t, 2, 1, 10*time.Second)
+			h, other := cl.hosts[tt.stopped], cl.hosts[1-tt.stopped]
+			stop := time.Now()
+			h.cancel()
+			var mu sync.Mutex
+			var answers []answer
+			var wg sync.WaitGroup
+			send := func(to *host, id string, at time.Duration) {
+				conn := openConn(t, to)
+				wg.Go(func() {
+					time.Sleep(time.Until(stop.Add(at)))
+					a := exchangeOn(conn, to, id, "/book/x")
+					mu.Lock()
+					defer mu.Unlock()
+					answers = append(answers, a)
+				})
+			}
+			// A request that outlasts the host keeps its server running.
+			cl.setServiceTime(lateGrace)
+			send(h, "long", 0)
+			time.Sleep(300 * time.Millisecond)
+			// The other host keeps the target busy until 4.6 s after the beginning of the stop.
+			cl.setServiceTime(2 * time.Second)
+			for n := range 6 {
+				send(other, fmt.Sprintf("busy-%d", n), 2600*time.Millisecond)
+			}
+			for n := range 8 {
+				send(h, fmt.Sprintf("wait-%d", n), lateFrom+time.Duration(n)*20*time.Millisecond)
+			}
+			require.NoError(t, <-h.done)
+			h.process.Kill()
+			wg.Wait()
+			answers = slices.DeleteFunc(answers, func(a answer) bool { return a.host != h || a.id == "long" })
+			require.Len(t, answers, 8)
+			statuses := map[int]int{}
+			for _, a := range answers {
+				statuses[a.status]++
+				cl.assertNotCut(t, a, stop)
+			}
+			t.Log("answers:", statuses)
+		})
+	}
+}
