Send no request to a target that may outlast a host which shuts down

What callers saw: requests that came late in the grace period of a host, among them bookings and awards, got 504 at its end while a target was at work on them, so that nobody could say whether they had run.

Cause: until its last moment, a host that shuts down sent each request to a target whose expected time fitted in what was left. The expected time is one of a target of normal speed; one that takes longer is cut with the host. The requests come on connections that were accepted before the listener closed and have carried none; the server runs on as long as any connection carries a request.

Now a request gets its first target only in the first 2.2 s of a shutdown, while the platform still sends new clients, or if its own deadline ends before the host does. That is a bound and no estimate, so it holds for any load of the targets.

A grant that arrives after the end of the host has come forward (a shorter grace period is reloaded) is returned.

Ruled out: a margin on the expected time (targets may take any time); refusing from the SIGTERM on (the platform still sends new clients then, and would send the same ones back).

--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -49,6 +49,9 @@
 	// accepting connections. The platform checks once a second and takes a host out of
 	// service after two failures.
 	drainNotice = 3200 * time.Millisecond
+	// platformNoticeTime is the time between the first failing readiness check and the last new client:
+	// the platform takes a host out of service after two failures, a second apart.
+	platformNoticeTime = 2200 * time.Millisecond
 	// exitMargin is the time before the end of the grace period at which the process
 	// exits, even if requests are still in flight.
 	exitMargin = 300 * time.Millisecond
@@ -339,7 +342,7 @@
 	if earliest := time.Now().Add(finalResponseTime); at.Before(earliest) {
 		at = earliest
 	}
-	p.handler.Drain(at.Add(-finalResponseTime))
+	p.handler.Drain(stopped.Add(min(platformNoticeTime, at.Sub(stopped)/2)), at.Add(-finalResponseTime))
 	if p.end.BringForward(at) {
 		log.WithFields(logrus.Fields{"grace-ms": grace.Milliseconds(), "left-ms": time.Until(at).Milliseconds()}).Info("end of the process is fixed")
 	}
--- a/internal/traffic/entry/body.go
+++ b/internal/traffic/entry/body.go
@@ -76,7 +76,7 @@
 		return reject(http.StatusBadRequest, "the body could not be read: "+err.Error(), 0)
 	}
 	req.bodyLate = true
-	if latest, ok := req.latestStart(); ok && !time.Now().Before(latest) {
+	if latest, ok := req.latestFirstStart(); ok && !time.Now().Before(latest) {
 		return req.rejectForShutdown("its body is not complete")
 	}
 	return reject(http.StatusRequestTimeout, "its body has not arrived in time", 0)
@@ -127,7 +127,7 @@
 	b := &bodyDeadline{rc: http.NewResponseController(w)}
 	b.set(req.deadline)
 	b.stop = context.AfterFunc(req.h.shutdown.begun, func() {
-		if latest, ok := req.latestStart(); ok {
+		if latest, ok := req.latestFirstStart(); ok {
 			b.set(latest)
 		}
 	})
--- a/internal/traffic/entry/retry.go
+++ b/internal/traffic/entry/retry.go
@@ -143,11 +143,16 @@
 }
 
 func (req *clientRequest) assignmentRequest(avoid []string, hedged bool) dispatcher.Request {
+	latest, limited := req.latestStart()
 	req.h.mu.Lock()
 	defer req.h.mu.Unlock()
+	typical, deadline := req.h.typicalTime(req), req.endsAt()
+	if limited && !hedged {
+		deadline = latest.Add(typical)
+	}
 	return dispatcher.Request{
 		ID: req.id, Service: req.service.Name, Domain: req.h.cfg.Domain, Priority: req.route.Priority,
-		Objective: req.objective, Deadline: req.endsAt(), TypicalTime: req.h.typicalTime(req), Avoid: avoid, Hedge: hedged,
+		Objective: req.objective, Deadline: deadline, TypicalTime: typical, Avoid: avoid, Hedge: hedged,
 	}
 }
 
--- a/internal/traffic/entry/shutdown.go
+++ b/internal/traffic/entry/shutdown.go
@@ -3,6 +3,9 @@
 // This file defines what a planned shutdown of the host means for its requests. Those that no
 // target has yet are placed again, with the time that the shutdown leaves them: the dispatcher
 // rejects at once what it cannot start in time, while the client can still go to another host.
+// Once new clients go to other hosts, a request is sent to a target only if it ends before the host
+// whatever the target does, since its deadline does. An expected time is not enough: the load of
+// targets shifts, and a request that is cut may have run.
 // All requests get their final response before the process ends.
 
 import (
@@ -36,19 +39,23 @@
 	begin context.CancelFunc
 	// begunAt is the time at which it has begun; nil before.
 	begunAt atomic.Pointer[time.Time]
-	// end is the time at which the last responses are due; not set before the shutdown has begun.
-	end *timer.Deadline
+	// lastStart is the time until which a request that may outlast the host can still get its first
+	// target, and end the one at which the last responses are due; not set before the shutdown has
+	// begun.
+	lastStart, end *timer.Deadline
 }
 
 func newShutdown() *shutdown {
-	s := &shutdown{end: timer.NewDeadline()}
+	s := &shutdown{lastStart: timer.NewDeadline(), end: timer.NewDeadline()}
 	s.begun, s.begin = context.WithCancel(context.Background())
 	return s
 }
 
 // Drain begins a planned shutdown. Every response closes its client connection from now on, and
-// the last ones are sent at endsAt. Further calls can only bring that forward.
-func (h *Handler) Drain(endsAt time.Time) {
+// the last ones are sent at endsAt. A request that may outlast the host gets its first target by
+// lastStart, or none. Further calls can only bring the two times forward.
+func (h *Handler) Drain(lastStart, endsAt time.Time) {
+	h.shutdown.lastStart.BringForward(lastStart)
 	h.shutdown.end.BringForward(endsAt)
 	now := time.Now()
 	h.shutdown.begunAt.CompareAndSwap(nil, &now)
@@ -97,9 +104,19 @@
 	return req.deadline
 }
 
-// latestStart returns the time until which the request can still be sent to a target and end
+// latestFirstStart returns the time until which the request can get its first target, and false if
+// the host does not end before the deadline.
+func (req *clientRequest) latestFirstStart() (time.Time, bool) {
+	latest, ok := req.latestRetry()
+	if at, set := req.h.shutdown.lastStart.At(); ok && set && at.Before(latest) {
+		latest = at
+	}
+	return latest, ok
+}
+
+// latestRetry returns the time until which the request can be sent again and is expected to end
 // before the host does, and false if the host does not end before the deadline.
-func (req *clientRequest) latestStart() (time.Time, bool) {
+func (req *clientRequest) latestRetry() (time.Time, bool) {
 	endsAt, ok := req.h.shutdown.shortens(req.deadline)
 	if !ok {
 		return time.Time{}, false
@@ -109,6 +126,16 @@
 	return endsAt.Add(-req.h.typicalTime(req)), true
 }
 
+// latestStart returns the time until which the request can be sent to a target, and false if the
+// host does not end before the deadline. Once a target may have run it, another attempt can only
+// make a response more likely.
+func (req *clientRequest) latestStart() (time.Time, bool) {
+	if req.mayHaveRun {
+		return req.latestRetry()
+	}
+	return req.latestFirstStart()
+}
+
 // place waits for a target. A request that waits when a shutdown begins is placed again if the host
 // ends before its deadline.
 func (req *clientRequest) place(ctx context.Context) (dispatcher.Grant, error) {
@@ -116,14 +143,17 @@
 		waitCtx, stop := req.h.shutdown.untilBegun(ctx, req.deadline)
 		grant, err := req.h.cfg.Placer.Place(waitCtx, req.assignmentRequest(req.avoid, false))
 		stop()
-		if err == nil || !errors.Is(err, context.Canceled) || ctx.Err() != nil {
+		if err == nil {
+			return req.returnIfLate(grant)
+		}
+		if !errors.Is(err, context.Canceled) || ctx.Err() != nil {
 			return grant, err
 		}
 	}
 	return req.placeBeforeEnd(ctx)
 }
 
-// placeBeforeEnd waits for a target where the request is expected to end before the host does.
+// placeBeforeEnd waits for a target while the request may still be sent to one.
 func (req *clientRequest) placeBeforeEnd(ctx context.Context) (dispatcher.Grant, error) {
 	latest, _ := req.latestStart()
 	left := time.Until(latest)
@@ -137,15 +167,36 @@
 	if err != nil {
 		return grant, err
 	}
-	if expected := time.Now().Add(grant.ServiceTime + grant.QueueTime); expected.After(req.endsAt()) {
-		req.h.cfg.Placer.Done(grant, dispatcher.Outcome{Result: placement.Cancelled})
-		return grant, &dispatcher.RejectedError{Reason: "the granted target is too slow"}
+	return req.returnIfLate(grant)
+}
+
+// returnIfLate returns a grant to its dispatcher if the request must not be sent any more. The end of
+// the host may have come forward while it waited.
+func (req *clientRequest) returnIfLate(grant dispatcher.Grant) (dispatcher.Grant, error) {
+	latest, ok := req.latestStart()
+	if !ok {
+		return grant, nil
+	}
+	reason, now := "", time.Now()
+	switch {
+	case now.After(latest):
+		reason = "the target was granted too late"
+	case now.Add(grant.ServiceTime + grant.QueueTime).After(req.endsAt()):
+		reason = "the granted target is too slow"
+	default:
+		return grant, nil
 	}
-	return grant, nil
+	req.h.cfg.Placer.Done(grant, dispatcher.Outcome{Result: placement.Cancelled})
+	return grant, &dispatcher.RejectedError{Reason: reason}
 }
 
 // rejectForShutdown returns the response to a request that has not run and cannot end before the
-// host does. Its client can be served by another host at once.
+// host does. Its client can be served by another host at once. Those of requests that waited may be
+// many, and return spread.
 func (req *clientRequest) rejectForShutdown(detail string) *finalResponse {
-	return reject(http.StatusServiceUnavailable, reasonShutdown+": "+detail, shutdownRetryAfter+rand.N(shutdownRetrySpread))
+	retryAfter := shutdownRetryAfter
+	if at, ok := req.h.shutdown.lastStart.At(); !ok || req.started.Before(at) {
+		retryAfter += rand.N(shutdownRetrySpread)
+	}
+	return reject(http.StatusServiceUnavailable, reasonShutdown+": "+detail, retryAfter)
 }
