Close unused connections when a host ends instead of dropping their requests

What callers saw: a request that is the first one on its connection got no response if it was sent while the host waited for its last connections to end. It was read, so a client that must not repeat it could not send it again.

Cause: http.Server.Shutdown waits for connections that have carried no request until they are five seconds old, and closes those from which it reads one meanwhile. The host called Shutdown with such connections open.

Now the host closes them at that moment: a client sees the end of its connection before it sends, and can use another host.

Ruled out: serving until the end of the grace period (the host would stay for as long as anybody holds a connection open).

--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -200,6 +200,7 @@
 		Handler: p.handler, ErrorLog: errorLog, ConnState: p.clientConns.Track,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	p.clientServer.RegisterOnShutdown(p.clientConns.CloseUnused)
 	mux := http.NewServeMux()
 	mux.HandleFunc(p.platform.ReadyPath, p.serveReadiness)
 	p.readinessServer = &http.Server{Handler: mux, ErrorLog: errorLog, ReadHeaderTimeout: headerTimeout}
--- a/internal/process/entry/stop_late_test.go
+++ b/internal/process/entry/stop_late_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -232,3 +235,55 @@
 		})
 	}
 }
+
+// isClosed reports whether the other end has closed a connection that carries no request.
+func isClosed(t *testing.T, conn net.Conn) bool {
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Millisecond)))
+	_, err := conn.Read(make([]byte, 1))
+	require.NoError(t, conn.SetReadDeadline(time.Time{}))
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// Guards against requests that are read and dropped while a host waits for unused connections to end.
+func TestPlannedStopDropsNoFirstRequestOfAConnection(t *testing.T) {
+	t.Parallel()
+	const (
+		conns = 60
+		gap   = 60 * time.Millisecond
+		// latestEnd is the time after the beginning of the stop by which a host without requests has
+		// ended, with a second for connections that were opened just before its listener closed.
+		latestEnd = 4200 * time.Millisecond
+	)
+	cl := newShiftingCluster(t, 2, 2, 2*time.Second)
+	h := cl.hosts[0]
+	var dropped, answered atomic.Int64
+	var wg sync.WaitGroup
+	stop := time.Now().Add(time.Second)
+	time.AfterFunc(time.Until(stop), h.cancel)
+	for n := range conns {
+		time.Sleep(gap)
+		conn, err := net.Dial("tcp", h.cfg.Callers.String())
+		if err != nil {
+			break
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		wg.Go(func() {
+			time.Sleep(time.Until(stop.Add(2600*time.Millisecond + time.Duration(n)*40*time.Millisecond)))
+			if isClosed(t, conn) {
+				return
+			}
+			if a := exchangeOn(conn, h, fmt.Sprintf("first-%d", n), "/book/x"); a.err == nil {
+				answered.Add(1)
+			} else {
+				dropped.Add(1)
+				t.Logf("%s, sent %s after the stop, got no response: %v", a.id, a.sentAt.Sub(stop), a.err)
+			}
+		})
+	}
+	require.NoError(t, <-h.done)
+	require.Less(t, time.Since(stop), latestEnd)
+	h.process.Kill()
+	wg.Wait()
+	t.Log("answered:", answered.Load())
+	require.LessOrEqual(t, dropped.Load(), int64(1), "only a request that crosses the close may get no response")
+}
--- a/internal/process/front/listener.go
+++ b/internal/process/front/listener.go
@@ -16,6 +16,7 @@
 //
 //	l, conns := front.NewStoppableListener(inner), front.NewConnections()
 //	server := &http.Server{Handler: handler, ConnState: conns.Track}
+//	server.RegisterOnShutdown(conns.CloseUnused)
 //	server.Serve(l)
 //	...
 //	l.Stop()
--- a/internal/process/front/stop.go
+++ b/internal/process/front/stop.go
@@ -4,8 +4,10 @@
 // request: http.Server.Shutdown closes connections whose request was read after it was called.
 
 import (
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -103,6 +105,17 @@
 	return len(c.active) > 0
 }
 
+// CloseUnused closes the connections that have carried no request. A server calls it in Shutdown, which
+// would drop the requests that it still reads from them.
+func (c *Connections) CloseUnused() {
+	c.mu.Lock()
+	unused := slices.Collect(maps.Keys(c.opened))
+	c.mu.Unlock()
+	for _, nc := range unused {
+		_ = nc.Close()
+	}
+}
+
 // Count returns the number of connections that have carried no request yet, and of those that carry one.
 func (c *Connections) Count() (unused, active int) {
 	c.mu.Lock()
