Close no connection from which a request is being read when a host ends

What callers saw: a request on a kept connection that a host read 2.85 s after its SIGTERM was passed on to a target, and its connection closed without a response. One was an order that must not be repeated.

Cause: http.Server takes a connection for idle until it has read the whole header of a request. SetKeepAlivesEnabled(false) and Shutdown close idle connections, also between the read of the header and the start of the handler. The handler runs on, and its context ends when a target has begun the request. The class of fault: whether a connection is idle is decided without regard to who reads from it.

Now the host itself closes its idle connections. It counts the requests of which bytes were read, by the validator that knows where they begin, and those that have ended, under the lock that a Read needs to hand bytes to the server. A connection closes only if the two are equal, and nothing that is read later reaches the server. So a request that has begun is served or refused; one that crosses the close is not passed on. Unused connections close a second after they were opened. This replaces CloseUnused, and the host ends when no connection is left.

The tests of late requests send the first bytes early now, as unused connections no longer stay open, and require a response to each request.

--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -200,7 +200,6 @@
 		Handler: p.handler, ErrorLog: errorLog, ConnState: p.clientConns.Track,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	p.clientServer.RegisterOnShutdown(p.clientConns.CloseUnused)
 	mux := http.NewServeMux()
 	mux.HandleFunc(p.platform.ReadyPath, p.serveReadiness)
 	p.readinessServer = &http.Server{Handler: mux, ErrorLog: errorLog, ReadHeaderTimeout: headerTimeout}
@@ -397,9 +396,9 @@
 	}
 	log := p.log.For("front")
 	p.clientListener = front.NewStoppableListener(l)
-	p.serveOn(front.NewStrictListener(p.clientListener, func(caller netip.AddrPort, reason error) {
+	p.serveOn(p.clientConns.Listen(front.NewStrictListener(p.clientListener, func(caller netip.AddrPort, reason error) {
 		log.WithError(reason).WithField("caller", caller.String()).Info("connection is closed for an ambiguous request")
-	}), p.clientServer)
+	})), p.clientServer)
 	return nil
 }
 
@@ -428,16 +427,17 @@
 	})
 }
 
-// finishRequests stops accepting connections and waits until the open ones carry no request any more,
-// or ctx is done.
+// finishRequests stops accepting connections, and closes the open ones when they carry no request, until
+// none is left or ctx is done. Responses of a host that shuts down close their connections.
 func (p *Process) finishRequests(ctx context.Context, log *logrus.Entry) {
 	if err := p.clientListener.Stop(); err != nil {
 		log.WithError(err).Warn("listener for clients cannot be closed")
 	}
-	p.clientServer.SetKeepAlivesEnabled(false)
 	log.WithFields(p.connectionFields()).Info("no more connections of clients are accepted")
-	for p.clientConns.Busy(time.Now()) && ctx.Err() == nil {
+	for open := 1; open > 0 && ctx.Err() == nil; {
+		// The connection that was accepted last may not be tracked yet.
 		timer.Sleep(ctx, finishPollPeriod)
+		open = p.clientConns.CloseIdle(time.Now())
 	}
 }
 
--- a/internal/process/entry/stop_late_test.go
+++ b/internal/process/entry/stop_late_test.go
@@ -68,15 +68,33 @@
 	return conn
 }
 
-// exchangeOn sends the first request of a connection and reads the response.
-func exchangeOn(conn net.Conn, h *host, id, path string) answer {
-	a := answer{id: id, host: h, sentAt: time.Now()}
-	head := "GET " + path + " HTTP/1.1\r\n"
-	body := "\r\n"
+// firstPart is the length of the part of a request that beginOn sends.
+const firstPart = 10
+
+// lateRequest returns the text of a request.
+func lateRequest(id, path string) string {
+	head, body := "GET "+path+" HTTP/1.1\r\n", "\r\n"
 	if path == "/book/x" {
 		head, body = "POST "+path+" HTTP/1.1\r\n", "Content-Length: 3\r\n\r\nabc"
 	}
-	_, a.err = io.WriteString(conn, head+"Host: shop.example\r\nX-Request-Id: "+id+"\r\nX-Deadline-Ms: 12000\r\n"+body)
+	return head + "Host: shop.example\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 12000\r\n" + body
+}
+
+// beginOn sends the first bytes of a request, so that the host keeps the connection open for it.
+func beginOn(t *testing.T, conn net.Conn, id, path string) {
+	_, err := io.WriteString(conn, lateRequest(id, path)[:firstPart])
+	require.NoError(t, err)
+}
+
+// exchangeOn sends the first request of a connection and reads the response.
+func exchangeOn(conn net.Conn, h *host, id, path string) answer {
+	return finishOn(conn, h, id, lateRequest(id, path))
+}
+
+// finishOn sends the rest of a request and reads the response.
+func finishOn(conn net.Conn, h *host, id, rest string) answer {
+	a := answer{id: id, host: h, sentAt: time.Now()}
+	_, a.err = io.WriteString(conn, rest)
 	var res *http.Response
 	if a.err == nil {
 		res, a.err = http.ReadResponse(bufio.NewReader(conn), nil)
@@ -136,21 +154,18 @@
 			stop := time.Now().Add(time.Second)
 			time.AfterFunc(time.Until(stop), h.cancel)
 			conns := make([]net.Conn, 13)
+			id := func(n int) string { return fmt.Sprintf("late-%d", n) }
 			open := func() {
 				time.Sleep(time.Until(stop.Add(tt.opened)))
 				for n := range conns {
 					conns[n] = openConn(t, h)
+					beginOn(t, conns[n], id(n), tt.path)
 				}
 			}
 			if tt.opened < 0 {
 				open()
 			}
-			time.Sleep(time.Until(stop.Add(2 * time.Second)))
 			var wg sync.WaitGroup
-			// A request that outlasts the host keeps its server running.
-			cl.setServiceTime(lateGrace)
-			wg.Go(func() { exchangeOn(openConn(t, h), h, "long", tt.path) })
-			time.Sleep(300 * time.Millisecond)
 			cl.setServiceTime(lateSlow)
 			if tt.opened > 0 {
 				open()
@@ -159,7 +174,7 @@
 			for n, conn := range conns {
 				wg.Go(func() {
 					time.Sleep(time.Until(stop.Add(lateFrom + 50*time.Millisecond + time.Duration(n)*200*time.Millisecond)))
-					answers[n] = exchangeOn(conn, h, fmt.Sprintf("late-%d", n), tt.path)
+					answers[n] = finishOn(conn, h, id(n), lateRequest(id(n), tt.path)[firstPart:])
 				})
 			}
 			require.NoError(t, <-h.done)
@@ -174,7 +189,7 @@
 				}
 			}
 			t.Log("answers:", statuses)
-			assert.Positive(t, statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable])
+			assert.Equal(t, len(conns), statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable])
 		})
 	}
 }
@@ -201,18 +216,15 @@
 			var wg sync.WaitGroup
 			send := func(to *host, id string, at time.Duration) {
 				conn := openConn(t, to)
+				beginOn(t, conn, id, "/book/x")
 				wg.Go(func() {
 					time.Sleep(time.Until(stop.Add(at)))
-					a := exchangeOn(conn, to, id, "/book/x")
+					a := finishOn(conn, to, id, lateRequest(id, "/book/x")[firstPart:])
 					mu.Lock()
 					defer mu.Unlock()
 					answers = append(answers, a)
 				})
 			}
-			// A request that outlasts the host keeps its server running.
-			cl.setServiceTime(lateGrace)
-			send(h, "long", 0)
-			time.Sleep(300 * time.Millisecond)
 			// The other host keeps the target busy until 4.6 s after the beginning of the stop.
 			cl.setServiceTime(2 * time.Second)
 			for n := range 6 {
@@ -224,7 +236,7 @@
 			require.NoError(t, <-h.done)
 			h.process.Kill()
 			wg.Wait()
-			answers = slices.DeleteFunc(answers, func(a answer) bool { return a.host != h || a.id == "long" })
+			answers = slices.DeleteFunc(answers, func(a answer) bool { return a.host != h })
 			require.Len(t, answers, 8)
 			statuses := map[int]int{}
 			for _, a := range answers {
@@ -232,6 +244,7 @@
 				cl.assertNotCut(t, a, stop)
 			}
 			t.Log("answers:", statuses)
+			assert.Equal(t, 8, statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable])
 		})
 	}
 }
--- a/internal/process/front/listener.go
+++ b/internal/process/front/listener.go
@@ -16,12 +16,10 @@
 //
 //	l, conns := front.NewStoppableListener(inner), front.NewConnections()
 //	server := &http.Server{Handler: handler, ConnState: conns.Track}
-//	server.RegisterOnShutdown(conns.CloseUnused)
-//	server.Serve(l)
+//	server.Serve(conns.Listen(front.NewStrictListener(l, logRejected)))
 //	...
 //	l.Stop()
-//	server.SetKeepAlivesEnabled(false)
-//	for conns.Busy(time.Now()) { ... wait ... }
+//	for conns.CloseIdle(time.Now()) > 0 { ... wait; responses close their connections ... }
 //	server.Shutdown(ctx)
 package front
 
--- a/internal/process/front/stop.go
+++ b/internal/process/front/stop.go
@@ -1,7 +1,7 @@
 package front
 
 // This file defines StoppableListener and Connections, with which a server stops without dropping a
-// request: http.Server.Shutdown closes connections whose request was read after it was called.
+// request: http.Server closes connections from which a request is being read when it shuts down.
 
 import (
 	"maps"
@@ -14,8 +14,7 @@
 	"github.com/pkg/errors"
 )
 
-// newConnectionTime is the time after which a connection that has carried no request does not delay
-// the end of its server.
+// newConnectionTime is the time after which a connection that has carried no request is idle.
 const newConnectionTime = time.Second
 
 // StoppableListener is a listener that can stop to accept connections before it is closed.
@@ -64,61 +63,136 @@
 	return err
 }
 
-// Connections tracks the connections of a server. It is safe for concurrent use.
+// Connections tracks the connections of a server and the requests that are read from them. It is safe
+// for concurrent use.
 type Connections struct {
-	mu sync.Mutex
-	// opened holds the times at which connections were opened that have carried no request, and
-	// active those that carry one.
-	opened map[net.Conn]time.Time
-	active map[net.Conn]bool
+	mu   sync.Mutex
+	open map[*trackedConn]bool
 }
 
 // NewConnections returns Connections without any.
-func NewConnections() *Connections {
-	return &Connections{opened: map[net.Conn]time.Time{}, active: map[net.Conn]bool{}}
+func NewConnections() *Connections { return &Connections{open: map[*trackedConn]bool{}} }
+
+// Listen returns a listener whose connections are tracked. The connections of inner are those of a
+// strict listener. The server must call Track.
+func (c *Connections) Listen(inner net.Listener) net.Listener {
+	return &trackingListener{Listener: inner, conns: c}
 }
 
 // Track records the state of a connection. It is a function for http.Server.ConnState.
 func (c *Connections) Track(nc net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.opened, nc)
-	delete(c.active, nc)
+	tc, ok := nc.(*trackedConn)
+	if !ok {
+		return
+	}
 	switch state {
-	case http.StateNew:
-		c.opened[nc] = time.Now()
-	case http.StateActive:
-		c.active[nc] = true
-	case http.StateIdle, http.StateHijacked, http.StateClosed:
+	case http.StateIdle:
+		tc.endRequest()
+	case http.StateHijacked, http.StateClosed:
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.open, tc)
+	case http.StateNew, http.StateActive:
 	}
 }
 
-// Busy reports whether a connection carries a request, or may be about to carry its first one.
-func (c *Connections) Busy(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, at := range c.opened {
-		if now.Sub(at) < newConnectionTime {
-			return true
+// CloseIdle closes the connections from which no byte of a request was read that has not ended, but for
+// those that have carried none and were opened a moment ago. What a client sends meanwhile is not read.
+// It returns the number of connections that were open before.
+func (c *Connections) CloseIdle(now time.Time) int {
+	list := c.list()
+	for _, tc := range list {
+		tc.closeIfIdle(now)
+	}
+	return len(list)
+}
+
+// Count returns the number of connections that have carried no request yet, and of those that carry one.
+func (c *Connections) Count() (unused, active int) {
+	for _, tc := range c.list() {
+		isUnused, isActive := tc.use()
+		if isUnused {
+			unused++
+		}
+		if isActive {
+			active++
 		}
 	}
-	return len(c.active) > 0
+	return unused, active
 }
 
-// CloseUnused closes the connections that have carried no request. A server calls it in Shutdown, which
-// would drop the requests that it still reads from them.
-func (c *Connections) CloseUnused() {
+func (c *Connections) list() []*trackedConn {
 	c.mu.Lock()
-	unused := slices.Collect(maps.Keys(c.opened))
-	c.mu.Unlock()
-	for _, nc := range unused {
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.open))
+}
+
+// trackingListener is the listener that Connections.Listen returns.
+type trackingListener struct {
+	net.Listener
+	conns *Connections
+}
+
+// Accept implements net.Listener.
+func (l *trackingListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	vc, ok := nc.(*validatedConn)
+	if !ok {
 		_ = nc.Close()
+		return nil, errors.Errorf("front: connection of type %T can't be tracked", nc)
 	}
+	tc := &trackedConn{validatedConn: vc, opened: time.Now()}
+	l.conns.mu.Lock()
+	defer l.conns.mu.Unlock()
+	l.conns.open[tc] = true
+	return tc, nil
 }
 
-// Count returns the number of connections that have carried no request yet, and of those that carry one.
-func (c *Connections) Count() (unused, active int) {
+// trackedConn counts the requests of a connection. http.Server takes a connection for idle until it has
+// read the whole header of a request, and would close it meanwhile.
+type trackedConn struct {
+	*validatedConn
+	opened time.Time
+
+	mu sync.Mutex
+	// begun counts the requests of which bytes were read, and ended those whose response was sent.
+	begun, ended int
+	closed       bool
+}
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.validatedConn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.opened), len(c.active)
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	c.begun = c.validator.begun()
+	return n, err
+}
+
+func (c *trackedConn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended++
+}
+
+func (c *trackedConn) use() (unused, active bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.begun == 0, c.begun != c.ended
+}
+
+func (c *trackedConn) closeIfIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.begun != c.ended || c.begun == 0 && now.Sub(c.opened) < newConnectionTime {
+		return
+	}
+	c.closed = true
+	_ = c.Close()
 }
--- a/internal/process/front/validator.go
+++ b/internal/process/front/validator.go
@@ -67,8 +67,8 @@
 	partial []byte
 	// remaining is the number of unread bytes of the body or chunk.
 	remaining int64
-	// sawRequest is set once a request line has been read.
-	sawRequest bool
+	// requests counts the request lines that have been read.
+	requests int
 
 	// The remaining fields describe the current request.
 	method    string
@@ -106,6 +106,14 @@
 	return len(p), nil
 }
 
+// begun returns the number of requests of which bytes have been read.
+func (v *validator) begun() int {
+	if v.state == atRequestLine && len(v.partial) > 0 {
+		return v.requests + 1
+	}
+	return v.requests
+}
+
 // endBody sets the next state if the body or chunk is complete.
 func (v *validator) endBody() {
 	switch {
@@ -165,7 +173,7 @@
 		// The server handles empty lines between requests.
 		return nil
 	}
-	if v.http2 && !v.sawRequest && line == http2Preface {
+	if v.http2 && v.requests == 0 && line == http2Preface {
 		v.state = atFrames
 		return nil
 	}
@@ -173,7 +181,7 @@
 	if len(parts) != 3 || !isToken(parts[0]) || parts[1] == "" || strings.Contains(line, "\t") {
 		return ErrRequestLine
 	}
-	*v = validator{http2: v.http2, partial: v.partial, sawRequest: true, state: atHeader, method: parts[0], version: parts[2]}
+	*v = validator{http2: v.http2, partial: v.partial, requests: v.requests + 1, state: atHeader, method: parts[0], version: parts[2]}
 	if v.method == "CONNECT" {
 		return errors.Wrap(ErrRequestLine, "CONNECT")
 	}
