Test an upload that ends after its request was answered at the timeout

A host answers a request at its timeout while a goroutine still reads the rest of its upload, of more than 1 MiB, for the target. Then the handler reads on too, so that the client gets the response. io.MultiReader is not made for two readers: when the upload ends, the second of them panics. In the handler that closes one connection; in the other goroutine it ends the process with all its requests.

Found while looking for what a stop does to uploads; it needs none.

--- a/internal/process/entry/upload_test.go
+++ b/internal/process/entry/upload_test.go
@@ -165,3 +165,29 @@
 	time.Sleep(time.Second)
 	require.Zero(t, cl.runCount("next")+cl.runCount("late"))
 }
+
+// Guards against a host that ends because two goroutines read the rest of the same upload: the one that
+// sends it to a target, and the handler that has answered it at its timeout.
+func TestUploadThatEndsAfterItsTimeoutDoesNotEndItsHost(t *testing.T) {
+	const size, left = 3 << 20, 1000
+	cl := newCluster(t, 1, target("t-1", platformtest.Behaviour{}))
+	h := cl.hosts[0]
+	conn, err := net.Dial("tcp", h.cfg.Callers.String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /book/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: u-1\r\nX-Deadline-Ms: 8000\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("u", size-left))
+	require.NoError(t, err)
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer res.Body.Close()
+	require.Equal(t, http.StatusGatewayTimeout, res.StatusCode)
+	for range 2 {
+		time.Sleep(100 * time.Millisecond)
+		_, err = io.WriteString(conn, strings.Repeat("u", left/2))
+		require.NoError(t, err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	resp, err := cl.send(t.Context(), h, "r-1", "/search/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.status)
+}
