Entry: let two goroutines read a streamed upload

Callers of a host lost all their requests when it ended with a panic, after the last bytes of an upload that had been answered at its timeout.

The body of a long upload is put together by io.MultiReader, which must have one reader. It has two from the response on until the goroutine that sends the body to the target notices that the exchange has failed, which takes its next 4 KiB. The reads now exclude each other; the bytes are discarded either way. The read deadline that bounds the handler also ends a read of the other goroutine that it waits for.

--- a/internal/traffic/entry/body.go
+++ b/internal/traffic/entry/body.go
@@ -59,16 +59,30 @@
 	}
 	if int64(len(data)) == n {
 		req.streamed, req.prefixHash = true, xxhash.Sum64(data)
-		r.Body = struct {
-			io.Reader
-			io.Closer
-		}{io.MultiReader(bytes.NewReader(data), r.Body), r.Body}
+		r.Body = &streamedBody{rest: io.MultiReader(bytes.NewReader(data), r.Body), Closer: r.Body}
 		return nil
 	}
 	req.body, req.bodyRead = data, true
 	return nil
 }
 
+// streamedBody is a body that is read while it is sent to a target. It is safe for concurrent use, since
+// that may go on after the response.
+type streamedBody struct {
+	io.Closer
+
+	mu sync.Mutex
+	// rest includes the beginning that was read before.
+	rest io.Reader
+}
+
+// Read implements io.Reader.
+func (b *streamedBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rest.Read(p)
+}
+
 // rejectBody returns the response to a request whose body could not be read. One that has not
 // arrived in time is not invalid: the client may send it again.
 func (req *clientRequest) rejectBody(err error) *finalResponse {
