--- /dev/null
+++ b/internal/process/entry/stop_paths_test.go
@@ -0,0 +1,118 @@
+package entry_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamaracktiller.example/tamaracktiller/platform/platformtest"
+)
+
+// setRouteTimeout gives all requests the same timeout.
+func (cl *cluster) setRouteTimeout(timeout time.Duration) {
+	cl.version += 3
+	cl.store.Put("op/config", platformtest.Config(cl.version, []platformtest.Route{
+		{Host: "shop.example", Prefix: "/book/", Service: "svc", TimeoutMillis: int(timeout.Milliseconds())},
+		{Host: "shop.example", Prefix: "/search/", Service: "svc", Safe: true, TimeoutMillis: int(timeout.Milliseconds())},
+	}))
+	time.Sleep(time.Second)
+}
+
+// exchange sends a request on a connection of its own and reads the response.
+func exchange(t *testing.T, h *host, id, path string) answer {
+	return exchangeOn(openConn(t, h), h, id, path)
+}
+
+// Guards against a rejected request that is sent to the next target late in the grace period, and cut.
+func TestPlannedStopDoesNotCutRequestsThatATargetRejectsLate(t *testing.T) {
+	t.Parallel()
+	const rejectedAt = 4400 * time.Millisecond
+	stop := time.Now().Add(4 * time.Second)
+	var requests atomic.Int32
+	respond := func(w io.Writer, id string) bool {
+		if requests.Add(1) == 1 {
+			time.Sleep(time.Until(stop.Add(rejectedAt)))
+			_, err := fmt.Fprintf(w, "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+			return err == nil
+		}
+		time.Sleep(lateGrace)
+		return false
+	}
+	cl := newFleet(t, fleet{hosts: 1, firstStart: true, grace: lateGrace})
+	for _, id := range []string{"t-1", "t-2"} {
+		raw := newRawTarget(t, respond)
+		raw.id = id
+		cl.store.Put("servers/"+id, raw.entry(t))
+	}
+	cl.setRouteTimeout(10 * time.Second)
+	h := cl.hosts[0]
+	time.Sleep(time.Until(stop))
+	h.cancel()
+	answers := make(chan answer, 1)
+	go func() { answers <- exchange(t, h, "r-1", "/book/x") }()
+	require.NoError(t, <-h.done)
+	h.process.Kill()
+	a := <-answers
+	require.NoError(t, a.err)
+	require.Equal(t, http.StatusServiceUnavailable, a.status)
+	require.EqualValues(t, 1, requests.Load())
+	require.InDelta(t, rejectedAt, a.gone.Sub(stop), float64(300*time.Millisecond))
+}
+
+// Guards against uploads that are complete late in the grace period, are sent to a target, and cut.
+func TestPlannedStopDoesNotCutUploadsThatAreCompleteLate(t *testing.T) {
+	const completeAt = 4600 * time.Millisecond
+	tests := []struct {
+		name string
+		// before is sent before the stop, and rest late in the grace period.
+		before, rest string
+		status       int
+	}{
+		{name: "with a length", before: "Content-Length: 6\r\n\r\nabc", rest: "abc", status: http.StatusServiceUnavailable},
+		{name: "in chunks", before: "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", rest: "3\r\nabc\r\n0\r\n\r\n", status: http.StatusServiceUnavailable},
+		{name: "expects 100", before: "Expect: 100-continue\r\nContent-Length: 3\r\n\r\n", rest: "abc", status: http.StatusServiceUnavailable},
+		{name: "3 MB, its beginning is late", before: fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 3<<20, strings.Repeat("u", 1000)), rest: strings.Repeat("u", 1<<20), status: http.StatusServiceUnavailable},
+		{name: "3 MB, stalls at the target", before: fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 3<<20, strings.Repeat("u", 2<<20)), status: http.StatusGatewayTimeout},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			cl := newShiftingCluster(t, 1, 2, 10*time.Second)
+			h := cl.hosts[0]
+			cl.setServiceTime(lateGrace)
+			conn := openConn(t, h)
+			_, err := io.WriteString(conn, "POST /book/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r-1\r\nX-Deadline-Ms: 12000\r\n"+tt.before)
+			require.NoError(t, err)
+			time.Sleep(100 * time.Millisecond)
+			stop := time.Now()
+			h.cancel()
+			statuses := make(chan int, 1)
+			go func() {
+				br := bufio.NewReader(conn)
+				status := http.StatusContinue
+				for status == http.StatusContinue {
+					res, err := http.ReadResponse(br, nil)
+					if err != nil {
+						status = 0
+						break
+					}
+					status = res.StatusCode
+				}
+				statuses <- status
+			}()
+			time.Sleep(time.Until(stop.Add(completeAt)))
+			_, _ = io.WriteString(conn, tt.rest)
+			require.NoError(t, <-h.done)
+			h.process.Kill()
+			require.Equal(t, tt.status, <-statuses)
+			require.Zero(t, cl.runCount("r-1"))
+		})
+	}
+}
