--- a/internal/process/entry/stop_paths_test.go
+++ b/internal/process/entry/stop_paths_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"tamaracktiller.example/tamaracktiller/platform/platformtest"
@@ -66,6 +68,90 @@
 	require.InDelta(t, rejectedAt, a.gone.Sub(stop), float64(300*time.Millisecond))
 }
 
+// Guards against requests that a host sends through another one which has begun to shut down, and that end
+// with it.
+func TestPlannedStopsOfHelpersDoNotCutRequestsOfACutOffHost(t *testing.T) {
+	t.Parallel()
+	const (
+		serviceTime = 4 * time.Second
+		targets     = 24
+	)
+	list := make([]*platformtest.Target, 0, targets)
+	for n := range targets {
+		list = append(list, target(fmt.Sprintf("t-%d", n), platformtest.Behaviour{}))
+	}
+	cl := newFleet(t, fleet{hosts: 4, grace: lateGrace, proxied: true}, list...)
+	t.Cleanup(func() { cl.saveLogs(t.Name()) })
+	cl.setRouteTimeout(10 * time.Second)
+	cl.cut(0, platformtest.LinkReset)
+	require.Eventually(t, func() bool { return exchange(t, cl.hosts[0], "first", "/search/x").status == http.StatusOK }, 5*time.Second, 50*time.Millisecond)
+	cl.setServiceTime(serviceTime)
+	var wg sync.WaitGroup
+	for n := range 24 {
+		if n == 4 || n == 12 {
+			h := cl.hosts[1+n/12]
+			wg.Go(func() {
+				h.cancel()
+				assert.NoError(t, <-h.done)
+				h.process.Kill()
+			})
+		}
+		wg.Go(func() {
+			a := exchange(t, cl.hosts[0], fmt.Sprintf("r-%d", n), []string{"/book/x", "/search/x"}[n%2])
+			assert.NoError(t, a.err, a.id)
+			assert.Equal(t, http.StatusOK, a.status, a.id)
+		})
+		time.Sleep(250 * time.Millisecond)
+	}
+	wg.Wait()
+}
+
+// Guards against requests of other hosts that are lost with the hosts that dispatch them.
+func TestPlannedStopsOfDispatchersKeepRequestsOfOtherHosts(t *testing.T) {
+	tests := []struct {
+		name    string
+		stopped [2]int
+	}{
+		{name: "all but the third", stopped: [2]int{0, 1}},
+		{name: "all but the first", stopped: [2]int{1, 2}},
+		{name: "all but the second", stopped: [2]int{2, 0}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			cl := newBusyCluster(t, 3, 2)
+			t.Cleanup(func() { cl.saveLogs(tt.name) })
+			stop, answers := make(chan struct{}), make(chan []answer, 1)
+			go func() { answers <- cl.callers(40, 200*time.Millisecond, stop) }()
+			time.Sleep(2 * time.Second)
+			var wg sync.WaitGroup
+			for _, n := range tt.stopped {
+				wg.Go(func() { stopWithGrace(t, cl.hosts[n]) })
+				time.Sleep(time.Second)
+			}
+			wg.Wait()
+			close(stop)
+			statuses, stays := map[int]int{}, cl.hosts[3-tt.stopped[0]-tt.stopped[1]]
+			for _, a := range <-answers {
+				if a.host != stays {
+					continue
+				}
+				statuses[a.status]++
+				switch runs := cl.runCount(a.id); a.status {
+				case http.StatusOK:
+					assert.Equal(t, 1, runs, a.id)
+				case http.StatusServiceUnavailable:
+					assert.Zero(t, runs, a.id)
+				default:
+					t.Errorf("%s got status %d after %s: %v", a.id, a.status, a.gone.Sub(a.sentAt), a.err)
+				}
+			}
+			t.Log("answers of the host that stays:", statuses)
+			require.Positive(t, statuses[http.StatusOK])
+		})
+	}
+}
+
 // Guards against uploads that are complete late in the grace period, are sent to a target, and cut.
 func TestPlannedStopDoesNotCutUploadsThatAreCompleteLate(t *testing.T) {
 	const completeAt = 4600 * time.Millisecond
@@ -116,3 +202,47 @@
 		})
 	}
 }
+
+// Guards against a stop that cuts requests because of when it comes.
+func TestPlannedStopAtOddTimesAnswersAllRequests(t *testing.T) {
+	tests := []struct {
+		name string
+		// stop stops a host that is starting or runs.
+		stop   func(cl *cluster) *host
+		status int
+	}{
+		{name: "while it starts", status: http.StatusOK, stop: func(cl *cluster) *host {
+			h := cl.start("host-new")
+			h.cancel()
+			return h
+		}},
+		{name: "while the store is away", status: http.StatusOK, stop: func(cl *cluster) *host {
+			cl.store.SetFaults(platformtest.Faults{Down: true})
+			time.Sleep(500 * time.Millisecond)
+			cl.hosts[0].cancel()
+			return cl.hosts[0]
+		}},
+		{name: "while it starts and the store is away", status: http.StatusServiceUnavailable, stop: func(cl *cluster) *host {
+			cl.store.SetFaults(platformtest.Faults{Down: true})
+			h := cl.start("host-new")
+			h.cancel()
+			return h
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			cl := newFleet(t, fleet{hosts: 1, grace: stopGrace}, target("t-1", platformtest.Behaviour{}))
+			h := tt.stop(cl)
+			stop := time.Now()
+			time.Sleep(200 * time.Millisecond)
+			for n, path := range []string{"/book/x", "/search/x"} {
+				a := exchange(t, h, fmt.Sprintf("r-%d", n), path)
+				require.NoError(t, a.err)
+				require.Equal(t, tt.status, a.status, h.log)
+			}
+			require.NoError(t, <-h.done)
+			require.Less(t, time.Since(stop), stopGrace)
+		})
+	}
+}
