Test uploads of more than 1 MiB that begin after the SIGTERM and end late

Such an upload is sent to a target while it arrives. One that begins 0.5 s after the beginning of a stop gets its target in time, is complete 4.1 s later, and gets 504 at the end of the host, a target at work on it.

--- a/internal/process/entry/stop_paths_test.go
+++ b/internal/process/entry/stop_paths_test.go
@@ -157,7 +157,9 @@
 	const completeAt = 4600 * time.Millisecond
 	tests := []struct {
 		name string
-		// before is sent before the stop, and rest late in the grace period.
+		// begins is the time after the beginning of the stop at which before is sent; zero for before it.
+		// rest is sent late in the grace period.
+		begins       time.Duration
 		before, rest string
 		status       int
 	}{
@@ -165,6 +167,8 @@
 		{name: "in chunks", before: "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", rest: "3\r\nabc\r\n0\r\n\r\n", status: http.StatusServiceUnavailable},
 		{name: "expects 100", before: "Expect: 100-continue\r\nContent-Length: 3\r\n\r\n", rest: "abc", status: http.StatusServiceUnavailable},
 		{name: "3 MB, its beginning is late", before: fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 3<<20, strings.Repeat("u", 1000)), rest: strings.Repeat("u", 1<<20), status: http.StatusServiceUnavailable},
+		{name: "3 MB, begins after the SIGTERM", begins: 500 * time.Millisecond, before: fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 3<<20, strings.Repeat("u", 3<<20-1000)), rest: strings.Repeat("u", 1000), status: http.StatusServiceUnavailable},
+		{name: "in chunks, 2 MB, begins after the SIGTERM", begins: 500 * time.Millisecond, before: fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", 2<<20, strings.Repeat("u", 2<<20)), rest: "0\r\n\r\n", status: http.StatusServiceUnavailable},
 		{name: "3 MB, stalls at the target", before: fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 3<<20, strings.Repeat("u", 2<<20)), status: http.StatusGatewayTimeout},
 	}
 	for _, tt := range tests {
@@ -174,11 +178,13 @@
 			h := cl.hosts[0]
 			cl.setServiceTime(lateGrace)
 			conn := openConn(t, h)
+			stop := time.Now().Add(200 * time.Millisecond)
+			time.AfterFunc(time.Until(stop), h.cancel)
+			if tt.begins > 0 {
+				time.Sleep(time.Until(stop.Add(tt.begins)))
+			}
 			_, err := io.WriteString(conn, "POST /book/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r-1\r\nX-Deadline-Ms: 12000\r\n"+tt.before)
 			require.NoError(t, err)
-			time.Sleep(100 * time.Millisecond)
-			stop := time.Now()
-			h.cancel()
 			statuses := make(chan int, 1)
 			go func() {
 				br := bufio.NewReader(conn)
