Refuse long uploads that wait for a target when a host shuts down

The check moves from the read of the body to the point where requests are placed with the time that the shutdown leaves, so that it holds for both.

Case "body is not complete" of TestRequestsThatWaitWhenAShutdownBegins: it asked for a target before.

--- a/internal/traffic/entry/body.go
+++ b/internal/traffic/entry/body.go
@@ -58,10 +58,6 @@
 		return req.rejectBody(err)
 	}
 	if int64(len(data)) == n {
-		if _, ok := req.latestFirstStart(); ok {
-			// How long the rest takes is up to the client, whenever a target is granted.
-			return req.rejectForShutdown("its body may arrive too late")
-		}
 		req.streamed, req.prefixHash = true, xxhash.Sum64(data)
 		r.Body = &streamedBody{rest: io.MultiReader(bytes.NewReader(data), r.Body), Closer: r.Body}
 		return nil
--- a/internal/traffic/entry/shutdown.go
+++ b/internal/traffic/entry/shutdown.go
@@ -158,8 +158,12 @@
 	latest, _ := req.latestStart()
 	left := time.Until(latest)
 	req.h.cfg.Log.WithFields(logrus.Fields{fieldRequest: req.id, "waited-ms": time.Since(req.started).Milliseconds(), "left-ms": left.Milliseconds()}).Debug("request is placed with the time that the shutdown leaves")
-	if left <= 0 {
+	switch {
+	case left <= 0:
 		return dispatcher.Grant{}, &dispatcher.RejectedError{Reason: "too little time is left"}
+	case req.streamed:
+		// How long the rest of the body takes is up to the client, whenever a target is granted.
+		return dispatcher.Grant{}, &dispatcher.RejectedError{Reason: "its body may arrive too late"}
 	}
 	ctx, cancel := context.WithDeadline(ctx, latest)
 	defer cancel()
--- a/internal/traffic/entry/shutdown_test.go
+++ b/internal/traffic/entry/shutdown_test.go
@@ -65,9 +65,9 @@
 		name     string
 		deadline time.Duration
 		// lastStart is the latest time of a first attempt; 0 means the end.
-		lastStart  time.Duration
-		mayHaveRun bool
-		placer     waitingPlacer
+		lastStart            time.Duration
+		mayHaveRun, streamed bool
+		placer               waitingPlacer
 		// at is the time of the response, and status zero if the request got a target.
 		at         time.Duration
 		status     int
@@ -87,6 +87,7 @@
 		{name: "gets no target before the last start", deadline: unlimited, lastStart: lastStart, placer: waitingPlacer{waits: 2}, at: lastStart, status: http.StatusServiceUnavailable, placements: 2, dispatchedBy: lastStart + typical, retryAfter: shutdownRetryAfter + shutdownRetrySpread},
 		{name: "gets a target before the last start", deadline: unlimited, lastStart: lastStart, placer: waitingPlacer{waits: 1}, at: begin, placements: 2, dispatchedBy: lastStart + typical},
 		{name: "waits again after an attempt that may have run", deadline: unlimited, lastStart: lastStart, mayHaveRun: true, placer: waitingPlacer{waits: 2}, at: end - typical, status: http.StatusGatewayTimeout, placements: 2},
+		{name: "body is not complete", deadline: unlimited, streamed: true, placer: waitingPlacer{waits: 1}, at: begin, status: http.StatusServiceUnavailable, placements: 1, retryAfter: shutdownRetryAfter + shutdownRetrySpread},
 		{name: "deadline before the end, after the last start", deadline: 4 * time.Second, lastStart: lastStart, placer: waitingPlacer{waits: 9}, at: 4 * time.Second, status: http.StatusServiceUnavailable, placements: 1},
 	}
 	for _, tt := range tests {
@@ -97,7 +98,7 @@
 				h := New(Config{Placer: &tt.placer, Log: logrus.NewEntry(logger)}, nil)
 				h.typicalTimes["r"] = typical
 				started := time.Now()
-				req := &clientRequest{h: h, incoming: &http.Request{}, route: &routing.Route{Name: "r"}, started: started, deadline: started.Add(tt.deadline), mayHaveRun: tt.mayHaveRun}
+				req := &clientRequest{h: h, incoming: &http.Request{}, route: &routing.Route{Name: "r"}, started: started, deadline: started.Add(tt.deadline), mayHaveRun: tt.mayHaveRun, streamed: tt.streamed}
 				time.AfterFunc(begin, func() { h.Drain(started.Add(cmp.Or(tt.lastStart, end)), started.Add(end)) })
 				ctx, cancel := context.WithDeadline(t.Context(), req.deadline)
 				defer cancel()
