Serve clients that still arrive at a host which shuts down until 2.8 s

The bound of first attempts of requests that may outlast the host goes from 2.2 to 2.8 s after the beginning of the shutdown, or from half to three quarters of the time of a short grace period. An attempt then has 2.8 s left at a grace period of 6 s, less what opening a connection takes (0.4 s at most).

TestPlannedStopOfAllHostsServesClientsThatStillArrive covers arrivals until 2.45 s.

--- a/internal/process/entry/export_test.go
+++ b/internal/process/entry/export_test.go
@@ -17,3 +17,6 @@
 }
 
 var errKilled = errors.New("entry: killed")
+
+// LastStart is lastStart, for tests.
+var LastStart = lastStart
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -49,9 +49,11 @@
 	// accepting connections. The platform checks once a second and takes a host out of
 	// service after two failures.
 	drainNotice = 3200 * time.Millisecond
-	// platformNoticeTime is the time between the first failing readiness check and the last new client:
-	// the platform takes a host out of service after two failures, a second apart.
-	platformNoticeTime = 2200 * time.Millisecond
+	// lastStartTime is the time from the beginning of a shutdown after which a request that may outlast
+	// the host gets no first target. Most new clients have come by then: the platform takes a host out of
+	// service after two failures. A process with a short grace period uses lastStartShare of its time.
+	lastStartTime  = 2800 * time.Millisecond
+	lastStartShare = 0.75
 	// exitMargin is the time before the end of the grace period at which the process
 	// exits, even if requests are still in flight.
 	exitMargin = 300 * time.Millisecond
@@ -342,12 +344,18 @@
 	if earliest := time.Now().Add(finalResponseTime); at.Before(earliest) {
 		at = earliest
 	}
-	p.handler.Drain(stopped.Add(min(platformNoticeTime, at.Sub(stopped)/2)), at.Add(-finalResponseTime))
+	p.handler.Drain(lastStart(stopped, at), at.Add(-finalResponseTime))
 	if p.end.BringForward(at) {
 		log.WithFields(logrus.Fields{"grace-ms": grace.Milliseconds(), "left-ms": time.Until(at).Milliseconds()}).Info("end of the process is fixed")
 	}
 }
 
+// lastStart returns the time until which a process that shuts down from begun to end sends requests
+// that may outlast it to their first targets.
+func lastStart(begun, end time.Time) time.Time {
+	return begun.Add(min(lastStartTime, time.Duration(lastStartShare*float64(end.Sub(begun)))))
+}
+
 func (p *Process) metricsServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(p.metrics.registry, promhttp.HandlerOpts{}))
--- a/internal/process/entry/stop_late_test.go
+++ b/internal/process/entry/stop_late_test.go
@@ -14,9 +14,11 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"tamaracktiller.example/tamaracktiller/internal/process/entry"
 	"tamaracktiller.example/tamaracktiller/platform/platformtest"
 )
 
@@ -46,9 +48,10 @@
 	time.Sleep(time.Second)
 	for n := range 40 {
 		path := []string{"/book/x", "/search/x"}[n%2]
-		resp, err := cl.send(t.Context(), cl.hosts[n/2%hosts], fmt.Sprintf("usual-%d", n), path)
-		require.NoError(t, err)
-		require.Equal(t, http.StatusOK, resp.status)
+		require.Eventually(t, func() bool {
+			resp, err := cl.send(t.Context(), cl.hosts[n/2%hosts], uuid.NewString(), path)
+			return err == nil && resp.status == http.StatusOK
+		}, 10*time.Second, time.Millisecond, "the host does not serve")
 	}
 	return cl
 }
@@ -244,16 +247,16 @@
 				cl.assertNotCut(t, a, stop)
 			}
 			t.Log("answers:", statuses)
-			assert.Equal(t, 8, statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable])
+			assert.Equal(t, 8, statuses[http.StatusServiceUnavailable])
 		})
 	}
 }
 
 // isClosed reports whether the other end has closed a connection that carries no request.
 func isClosed(t *testing.T, conn net.Conn) bool {
-	require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Millisecond)))
+	assert.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Millisecond)))
 	_, err := conn.Read(make([]byte, 1))
-	require.NoError(t, conn.SetReadDeadline(time.Time{}))
+	assert.NoError(t, conn.SetReadDeadline(time.Time{}))
 	return !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
@@ -263,9 +266,9 @@
 	const (
 		conns = 60
 		gap   = 60 * time.Millisecond
-		// latestEnd is the time after the beginning of the stop by which a host without requests has
-		// ended, with a second for connections that were opened just before its listener closed.
-		latestEnd = 4200 * time.Millisecond
+		// unusedTime is the time after the last connection was opened by which a host without requests has
+		// ended. It closes unused connections after a second.
+		unusedTime = 1500 * time.Millisecond
 	)
 	cl := newShiftingCluster(t, 2, 2, 2*time.Second)
 	h := cl.hosts[0]
@@ -273,8 +276,10 @@
 	var wg sync.WaitGroup
 	stop := time.Now().Add(time.Second)
 	time.AfterFunc(time.Until(stop), h.cancel)
+	var lastOpened time.Time
 	for n := range conns {
 		time.Sleep(gap)
+		lastOpened = time.Now()
 		conn, err := net.Dial("tcp", h.cfg.Callers.String())
 		if err != nil {
 			break
@@ -294,9 +299,90 @@
 		})
 	}
 	require.NoError(t, <-h.done)
-	require.Less(t, time.Since(stop), latestEnd)
+	require.Less(t, time.Since(lastOpened), unusedTime)
 	h.process.Kill()
 	wg.Wait()
 	t.Log("answered:", answered.Load())
 	require.LessOrEqual(t, dropped.Load(), int64(1), "only a request that crosses the close may get no response")
 }
+
+// Guards against clients that are refused while all hosts stop at once and still accept connections.
+func TestPlannedStopOfAllHostsServesClientsThatStillArrive(t *testing.T) {
+	for _, hosts := range []int{1, 3} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			t.Parallel()
+			cl := newShiftingCluster(t, hosts, 6, 10*time.Second)
+			stop := time.Now()
+			for _, h := range cl.hosts {
+				h.cancel()
+			}
+			answers := make([]answer, 50)
+			var wg sync.WaitGroup
+			for n := range answers {
+				wg.Go(func() {
+					time.Sleep(time.Until(stop.Add(time.Duration(n) * 50 * time.Millisecond)))
+					answers[n], _ = exchangeOnce(cl.hosts[n%hosts], fmt.Sprintf("c-%d", n), "POST /book/x HTTP/1.1", "Content-Length: 3\r\n\r\nabc")
+				})
+			}
+			wg.Wait()
+			for _, h := range cl.hosts {
+				require.NoError(t, <-h.done)
+			}
+			for _, a := range answers {
+				assert.Equal(t, http.StatusOK, a.status, "%s, sent %s after the stop: %v", a.id, a.sentAt.Sub(stop), a.err)
+			}
+		})
+	}
+}
+
+// Guards against a late request whose deadline falls together with the end of its host, and gets no
+// response.
+func TestPlannedStopAnswersRequestsWhoseDeadlineIsTheEndOfTheHost(t *testing.T) {
+	t.Parallel()
+	// lastResponses is the time after the beginning of the stop at which a host sends its last responses
+	// to clients whose deadline is then.
+	const lastResponses = 5615 * time.Millisecond
+	cl := newShiftingCluster(t, 2, 8, 10*time.Second)
+	cl.setServiceTime(lateGrace)
+	h := cl.hosts[0]
+	answers := make([]answer, 21)
+	conns := make([]net.Conn, len(answers))
+	for n := range conns {
+		conns[n] = openConn(t, h)
+		beginOn(t, conns[n], "", "/book/x")
+	}
+	stop := time.Now()
+	h.cancel()
+	time.Sleep(time.Until(stop.Add(lateFrom)))
+	var wg sync.WaitGroup
+	for n, conn := range conns {
+		wg.Go(func() {
+			id, left := fmt.Sprintf("end-%d", n), time.Until(stop.Add(lastResponses+time.Duration(n-10)*10*time.Millisecond))
+			text := fmt.Sprintf("POST /book/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: 3\r\n\r\nabc", id, left.Milliseconds())
+			answers[n] = finishOn(conn, h, id, text[firstPart:])
+		})
+	}
+	require.NoError(t, <-h.done)
+	h.process.Kill()
+	wg.Wait()
+	for _, a := range answers {
+		assert.NoError(t, a.err, a.id)
+		if a.status == http.StatusServiceUnavailable {
+			assert.Zero(t, cl.runCount(a.id), a.id)
+			continue
+		}
+		assert.Equal(t, http.StatusGatewayTimeout, a.status, a.id)
+	}
+}
+
+func TestLastStart(t *testing.T) {
+	tests := []struct{ time, want time.Duration }{
+		{time: 5700 * time.Millisecond, want: 2800 * time.Millisecond},
+		{time: 9700 * time.Millisecond, want: 2800 * time.Millisecond},
+		{time: 2700 * time.Millisecond, want: 2025 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		begun := time.Now()
+		require.InDelta(t, tt.want, entry.LastStart(begun, begun.Add(tt.time)).Sub(begun), float64(time.Microsecond))
+	}
+}
--- a/internal/traffic/entry/shutdown_test.go
+++ b/internal/traffic/entry/shutdown_test.go
@@ -112,6 +112,7 @@
 					require.Nil(t, resp)
 					return
 				}
+				require.NotNil(t, resp)
 				final := req.finalize(*resp)
 				require.Equal(t, tt.status, final.status)
 				require.LessOrEqual(t, final.retryAfter, tt.retryAfter)
@@ -168,8 +169,10 @@
 				if tt.status == 0 {
 					require.Nil(t, resp)
 				} else {
+					require.NotNil(t, resp)
 					require.Equal(t, tt.status, resp.status)
-					require.Positive(t, resp.retryAfter)
+					require.Equal(t, tt.at > lastStart, resp.retryAfter == shutdownRetryAfter, "those that come late are few, and need not return spread")
+					require.GreaterOrEqual(t, resp.retryAfter, shutdownRetryAfter)
 				}
 				require.False(t, req.isDone(t.Context()))
 				time.Sleep(time.Until(started.Add(end)))
