Soak: send requests until hosts that are stopped are gone, and judge what they get

Its callers open a connection with a request and leave a host at most 2.3 s after the SIGTERM; only configuration probes go on, up to the close of the listener at 3.2 s. All requests take 20 ms and time out after 1.5 s, so a process was gone shortly after 3.2 s, and nothing was read or cut in the rest of the grace period. A 504 of the host in place of a target's response also passed every check.

Each planned stop now has eight late callers: connections that are opened from 0.5 s before the SIGTERM to 3.3 s after it, a sixth of which carry a request before it, and a request on them at a random time up to the end of the grace period, idempotent or not, with a timeout of 1.5 or 10 s and a service time of up to 4 s that the host doesn't expect. Stops late in a run go without them, so that all hosts are up when the fleet must have recovered. The checks of the recovery and of hosts without links leave these requests out, since they are sent to hosts that are not ready; for all others they are as before.

checkStops verifies that a target's response is passed on. Excused are a timeout that is reached, targets that end the connection, unplanned faults of the host, its links or the target from 3 s before the request on, and the last sixth of the grace period for requests sent within 3 s of the SIGTERM. checkDropped and checkRuns go on to judge requests without a response and those with 503.

Unit tests: each condition of checkStops, taken out or changed by hand (27 changes), fails one of the cases.

--- a/internal/bench/soak/callers.go
+++ b/internal/bench/soak/callers.go
@@ -3,6 +3,7 @@
 // This file defines the callers and the configuration probes.
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -47,7 +48,7 @@
 			if unsafe {
 				path = "/book/x"
 			}
-			if r.send(ctx, client, h, path, unsafe, 0).Status == 0 {
+			if r.send(ctx, client, h, path, Attempt{Unsafe: unsafe}).Status == 0 {
 				break
 			}
 			timer.Sleep(ctx, randomDuration(rng, thinkTime))
@@ -81,20 +82,23 @@
 		if _, ok := h.running(); ok {
 			latest := r.latestVersion()
 			route := max(1, latest-rng.IntN(keptRoutes+2))
-			r.send(ctx, client, h, fmt.Sprintf("/r%d/x", route), false, route)
+			r.send(ctx, client, h, fmt.Sprintf("/r%d/x", route), Attempt{Route: route})
 		}
 		timer.Sleep(ctx, configProbeInterval)
 	}
 }
 
-// send sends a request to a host and adds the attempt to the history, unless ctx is done.
-// route is the number of the probed route, or 0 for other requests.
-func (r *run) send(ctx context.Context, client *http.Client, h *host, path string, unsafe bool, route int) Attempt {
-	a := Attempt{ID: fmt.Sprintf("s%d-%d", r.cfg.Seed, r.lastID.Add(1)), Host: h.index, Unsafe: unsafe, Route: route}
-	a.Incarnation, _ = h.running()
+// send sends a request to a host and adds the attempt to the history, unless ctx is done. a holds
+// what the attempt says of the request; without an incarnation it is sent to the running process,
+// and without a timeout it has requestTimeout.
+func (r *run) send(ctx context.Context, client *http.Client, h *host, path string, a Attempt) Attempt {
+	a.ID, a.Host = fmt.Sprintf("s%d-%d", r.cfg.Seed, r.lastID.Add(1)), h.index
+	if a.Incarnation == 0 {
+		a.Incarnation, _ = h.running()
+	}
 	a.Start = r.sinceStart(time.Now())
-	req := platformtest.Request{ID: a.ID, Host: routeHost, Path: path, TimeLeft: requestTimeout}
-	if unsafe {
+	req := platformtest.Request{ID: a.ID, Host: routeHost, Path: path, TimeLeft: cmp.Or(a.Timeout, requestTimeout), ServiceTime: a.ServiceTime}
+	if a.Unsafe {
 		req.Body = unsafeBody
 	}
 	resp, err := req.Send(ctx, client, h.callerAddress())
--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -4,6 +4,7 @@
 // of the load balancer against it.
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -32,6 +33,12 @@
 	// Route is the number of the route that a configuration probe requested; 0 for other
 	// requests.
 	Route int `json:"route"`
+	// Late is set for requests on connections that are held open in a planned stop.
+	Late bool `json:"late,omitempty"`
+	// Timeout is that of the request, if it is not Bounds.Timeout. ServiceTime is the service time
+	// that it asked for, if not the usual one.
+	Timeout     time.Duration `json:"timeout-ns,omitempty"`
+	ServiceTime time.Duration `json:"service-time-ns,omitempty"`
 }
 
 // TargetEvent is an event that a target recorded.
@@ -74,6 +81,10 @@
 	// Pauses are those that targets named, and LinkFaults the disturbances of links to targets.
 	Pauses     []PauseSpan
 	LinkFaults []LinkSpan
+	// Breaks are the periods in which targets ended connections without responses.
+	Breaks []LinkSpan
+	// Stops maps processes that were stopped as planned to the times of their SIGTERM.
+	Stops map[process]time.Duration
 	// Hosts are the indexes of all hosts.
 	Hosts []int
 	// Cuts are the periods in which hosts were separated from all targets.
@@ -130,6 +141,11 @@
 	// of a host that a target may get in one.
 	PauseNotice time.Duration
 	InPause     int
+	// StableWindow is the time before a request from which on nothing unplanned may disturb its host
+	// for it to be judged by a planned stop of that host, with a grace period of Grace. The end of
+	// that is no reason to break off requests sent later than StopNotice after the SIGTERM.
+	// TimeoutMargin is the time by which a host may respond before the timeout.
+	StableWindow, StopNotice, Grace, TimeoutMargin time.Duration
 	// MinServedShare is the minimum share of requests that are served after all faults ended.
 	MinServedShare float64
 }
@@ -159,6 +175,7 @@
 		c.checkDropped(a)
 		c.checkDuration(a)
 	}
+	c.checkStops()
 	c.checkConfiguration()
 	c.checkDraining()
 	c.checkBudgets()
@@ -240,9 +257,12 @@
 	}
 }
 
+// timeout returns the timeout of a request.
+func (c *checker) timeout(a Attempt) time.Duration { return cmp.Or(a.Timeout, c.b.Timeout) }
+
 // checkDuration verifies that a caller gets a response within the timeout.
 func (c *checker) checkDuration(a Attempt) {
-	if a.End-a.Start > c.b.Timeout+c.b.ResponseSlack && !c.disturbed(a.Host, a.Start, a.End, HostKill, HostPause) {
+	if a.End-a.Start > c.timeout(a)+c.b.ResponseSlack && !c.disturbed(a.Host, a.Start, a.End, HostKill, HostPause) {
 		c.report("response within the timeout", a.End, a.ID, "took %s: status %d %s", a.End-a.Start, a.Status, a.Error)
 	}
 }
@@ -442,7 +462,7 @@
 	const settleTime = 3 * time.Second
 	served, total := 0, 0
 	for _, a := range c.h.Attempts {
-		if a.Route == 0 && a.Start > c.h.Length-recoveryTime+settleTime && a.End < c.h.Length {
+		if a.Route == 0 && !a.Late && a.Start > c.h.Length-recoveryTime+settleTime && a.End < c.h.Length {
 			total++
 			if a.Status == http.StatusOK {
 				served++
--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -15,7 +15,7 @@
 // validHistory returns a history without violations: a safe request is served each second,
 // and the configuration changes once.
 func validHistory() *History {
-	h := &History{Hosts: []int{0, 1}, Length: 20 * time.Second, DrainStarts: map[string]time.Duration{}, Versions: []Version{{Number: 1, Written: -time.Second}, {Number: 2, Written: 8 * time.Second}}}
+	h := &History{Hosts: []int{0, 1}, Length: 20 * time.Second, DrainStarts: map[string]time.Duration{}, Stops: map[process]time.Duration{}, Versions: []Version{{Number: 1, Written: -time.Second}, {Number: 2, Written: 8 * time.Second}}}
 	for n := range 20 {
 		start := time.Duration(n) * time.Second
 		id := fmt.Sprintf("r-%d", n)
@@ -61,7 +61,20 @@
 	}
 }
 
+// stoppedRequest adds a request that ran on target t, and a SIGTERM to its host before it.
+func stoppedRequest(h *History, sent, took time.Duration, status int, modify func(a *Attempt)) {
+	a := unsafeAttempt(status, func(a *Attempt) { a.End, a.Timeout, a.Late = a.Start+took, longTimeout, true })
+	if modify != nil {
+		modify(&a)
+	}
+	h.Attempts = append(h.Attempts, a)
+	h.TargetEvents = append(h.TargetEvents, started("t", a.Start+10*ms))
+	h.Stops[process{0, 1}] = a.Start - sent
+	h.Disturbances = append(h.Disturbances, Span{Kind: HostStop, From: a.Start - sent, To: a.Start + 3*time.Second})
+}
+
 func TestCheck(t *testing.T) {
+	const stopped = "response of the target around a planned stop"
 	probe := func(at time.Duration, status, route int) Attempt {
 		return unsafeAttempt(status, func(a *Attempt) {
 			a.Unsafe, a.Route, a.Start, a.End, a.Signed, a.Body = false, route, at, at+ms, true, "t for x ran 0 bytes"
@@ -213,6 +226,104 @@
 			addAttempts(h, 9)
 			h.Disturbances = append(h.Disturbances, Span{Kind: HostKill, From: 7500 * ms, To: 8 * time.Second})
 		}},
+		{name: "late requests are not served after the faults", modify: func(h *History) {
+			for _, status := range []int{0, 503} {
+				h.Attempts = append(h.Attempts, unsafeAttempt(status, func(a *Attempt) {
+					a.Late, a.Start, a.End, a.Error = true, 19*time.Second, 19*time.Second+20*ms, "EOF"
+				}))
+			}
+		}},
+		{name: "late requests to hosts without links to targets", modify: func(h *History) {
+			cutHost(h, 12, 0)
+			for i := range h.Attempts[20:] {
+				h.Attempts[20+i].Late = true
+			}
+		}},
+		{name: "request with a long timeout", modify: func(h *History) {
+			h.Attempts = append(h.Attempts, unsafeAttempt(504, func(a *Attempt) { a.Timeout, a.End = longTimeout, a.Start+10400*ms }))
+		}},
+		{name: "response after a long timeout", modify: func(h *History) {
+			h.Attempts = append(h.Attempts, unsafeAttempt(504, func(a *Attempt) { a.Timeout, a.End = longTimeout, a.Start+10600*ms }))
+		}, want: "response within the timeout"},
+		{name: "late request is cut", modify: func(h *History) { stoppedRequest(h, 4800*ms, 800*ms, 504, nil) }, want: stopped},
+		{name: "late request is cut after a short time", modify: func(h *History) { stoppedRequest(h, 3010*ms, 50*ms, 502, nil) }, want: stopped},
+		{name: "late request is cut shortly before its timeout", modify: func(h *History) {
+			stoppedRequest(h, 4*time.Second, 1400*ms, 504, func(a *Attempt) { a.Timeout = 0 })
+		}, want: stopped},
+		{name: "late request reaches its timeout", modify: func(h *History) {
+			stoppedRequest(h, 4*time.Second, 1490*ms, 504, func(a *Attempt) { a.Timeout = 0 })
+		}},
+		{name: "late request with the usual timeout reaches the end of the host", modify: func(h *History) {
+			stoppedRequest(h, 4*time.Second, 1490*ms, 502, func(a *Attempt) { a.Timeout = 0 })
+		}, want: stopped},
+		{name: "late request is served", modify: func(h *History) {
+			stoppedRequest(h, 4800*ms, 800*ms, 200, func(a *Attempt) { a.Signed, a.Body = true, "t for x ran 10 bytes" })
+		}},
+		{name: "late request gets the error of its target", modify: func(h *History) {
+			stoppedRequest(h, 4800*ms, 800*ms, 500, func(a *Attempt) { a.Signed = true })
+		}},
+		{name: "late request gets a part of the response", modify: func(h *History) {
+			stoppedRequest(h, 4800*ms, 800*ms, 0, func(a *Attempt) { a.Signed, a.Error = true, "unexpected EOF" })
+		}, want: stopped},
+		{name: "late request gets no response", modify: func(h *History) {
+			stoppedRequest(h, 4800*ms, 100*ms, 0, func(a *Attempt) { a.Error = "EOF" })
+		}, want: "response to every started request"},
+		{name: "late request runs and is refused", modify: func(h *History) { stoppedRequest(h, 4800*ms, 100*ms, 503, nil) }, want: "no run after a not-run status"},
+		{name: "late request is refused", modify: func(h *History) {
+			stoppedRequest(h, 4800*ms, 100*ms, 503, nil)
+			h.TargetEvents = h.TargetEvents[:20]
+		}},
+		{name: "late request that waits reaches the end of the host", modify: func(h *History) {
+			stoppedRequest(h, 4800*ms, 800*ms, 504, nil)
+			h.TargetEvents = h.TargetEvents[:20]
+		}},
+		{name: "early request is cut in the last sixth of the grace period", modify: func(h *History) { stoppedRequest(h, 2900*ms, 2200*ms, 504, nil) }},
+		{name: "early request is cut before the last sixth of the grace period", modify: func(h *History) { stoppedRequest(h, 2900*ms, 2*time.Second, 504, nil) }, want: stopped},
+		{name: "request from before the SIGTERM is cut by it", modify: func(h *History) { stoppedRequest(h, -500*ms, 700*ms, 504, nil) }, want: stopped},
+		{name: "request is cut before the SIGTERM", modify: func(h *History) { stoppedRequest(h, -500*ms, 400*ms, 504, nil) }},
+		{name: "late request to another process is cut", modify: func(h *History) {
+			stoppedRequest(h, 4800*ms, 800*ms, 504, func(a *Attempt) { a.Incarnation = 2 })
+		}},
+		{name: "late request is cut while the host is reloaded", modify: func(h *History) {
+			stoppedRequest(h, 4800*ms, 800*ms, 504, nil)
+			h.Disturbances = append(h.Disturbances, Span{Kind: HostReload, From: 3 * time.Second, To: 6 * time.Second})
+		}, want: stopped},
+		{name: "late request is cut while another host is killed", modify: func(h *History) {
+			stoppedRequest(h, 4800*ms, 800*ms, 504, nil)
+			h.Disturbances = append(h.Disturbances, Span{Kind: HostKill, Host: 1, From: 3 * time.Second, To: 6 * time.Second})
+		}, want: stopped},
+		{name: "late request is cut as the host is killed", modify: func(h *History) {
+			stoppedRequest(h, 4800*ms, 800*ms, 504, nil)
+			h.Disturbances = append(h.Disturbances, Span{Kind: HostKill, From: 5200 * ms, To: 6 * time.Second})
+		}},
+		{name: "late request is cut shortly after a fault of the store", modify: func(h *History) {
+			stoppedRequest(h, 4800*ms, 800*ms, 504, nil)
+			h.Disturbances = append(h.Disturbances, Span{Kind: StoreDown, Host: allHosts, From: time.Second, To: 2100 * ms})
+		}},
+		{name: "late request is cut long after a fault of the store", modify: func(h *History) {
+			stoppedRequest(h, 4800*ms, 800*ms, 504, nil)
+			h.Disturbances = append(h.Disturbances, Span{Kind: StoreDown, Host: allHosts, From: time.Second, To: 1900 * ms})
+		}, want: stopped},
+		{name: "late request is cut as the host is separated from all targets", modify: func(h *History) {
+			stoppedRequest(h, 4800*ms, 800*ms, 504, nil)
+			h.Cuts = append(h.Cuts, &CutSpan{Hosts: []int{0}, From: time.Second, To: 3 * time.Second})
+		}},
+		{name: "late request is cut as the link to its target is disturbed", modify: func(h *History) {
+			stoppedRequest(h, 4800*ms, 800*ms, 504, nil)
+			h.LinkFaults = append(h.LinkFaults, LinkSpan{Target: "t", From: 5200 * ms, To: 6 * time.Second})
+		}},
+		{name: "late request is cut as the link to another target is disturbed", modify: func(h *History) {
+			stoppedRequest(h, 4800*ms, 800*ms, 504, nil)
+			h.LinkFaults = append(h.LinkFaults, LinkSpan{Target: "u", From: 5200 * ms, To: 6 * time.Second})
+		}, want: stopped},
+		{name: "target ends the connection of a late request", modify: func(h *History) {
+			stoppedRequest(h, 4800*ms, 800*ms, 502, nil)
+			h.Breaks = append(h.Breaks, LinkSpan{Target: "t", From: 5200 * ms, To: 6 * time.Second})
+		}},
+		{name: "target ended connections before a late request", modify: func(h *History) {
+			stoppedRequest(h, 4800*ms, 800*ms, 502, nil)
+			h.Breaks = append(h.Breaks, LinkSpan{Target: "t", From: 4 * time.Second, To: 4900 * ms})
+		}, want: stopped},
 		{name: "requests are not served after the faults", modify: func(h *History) { h.Attempts[19].Status = 503; h.TargetEvents = h.TargetEvents[:19] }, want: "recovery after the faults"},
 	}
 	for _, tt := range tests {
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -41,6 +41,8 @@
 	switch {
 	case f.isCut():
 		r.cutHosts(ctx, f)
+	case f.Kind == HostStop:
+		r.stopHost(ctx, r.hosts[f.Index], f)
 	case f.Kind == HostKillSeries:
 		r.killInSeries(ctx)
 	case f.isHostFault():
@@ -81,9 +83,6 @@
 		h.terminate(syscall.SIGKILL)
 		timer.Sleep(ctx, f.Length)
 		r.restart(ctx, h)
-	case HostStop:
-		h.terminate(syscall.SIGTERM)
-		r.restart(ctx, h)
 	case HostPause:
 		h.signal(syscall.SIGSTOP)
 		timer.Sleep(ctx, f.Length)
@@ -215,6 +214,9 @@
 
 func (b *backend) injectFault(ctx context.Context, f Fault) {
 	t, link := b.current()
+	if f.Kind == TargetCrash || f.Kind == TargetDropResponses {
+		defer b.r.recordBreak(t, b.r.sinceStart(time.Now()))
+	}
 	behaviours := map[Kind]platformtest.Behaviour{
 		TargetSlow:          {ServiceTime: slowServiceTime, Slowness: slowness},
 		TargetFail:          {ServiceTime: typicalServiceTime, Fail: true},
--- a/internal/bench/soak/result.go
+++ b/internal/bench/soak/result.go
@@ -23,14 +23,18 @@
 	// Statuses counts the callers' requests by response status; 0 means no complete
 	// response. Configuration probes are counted in Probes instead.
 	Statuses map[int]int `json:"statuses"`
-	Probes   int         `json:"probes"`
-	Versions int         `json:"versions"`
+	// LateStatuses counts the requests on connections that are held open in planned stops.
+	LateStatuses map[int]int `json:"late-statuses"`
+	Probes       int         `json:"probes"`
+	Versions     int         `json:"versions"`
 	// LimitedRequests counts the requests that targets got while they named rate limits.
 	LimitedRequests int `json:"limited-requests"`
 	// JudgedPauses counts the pauses of targets that were judged, and Leavers the targets of
 	// which hosts passed on that they leave.
 	JudgedPauses int `json:"judged-pauses"`
 	Leavers      int `json:"leavers"`
+	// LateRequests counts the judged requests that were sent late in a planned stop and got a response.
+	LateRequests int `json:"late-requests"`
 	// CutRequests counts the requests to hosts separated from all targets that were judged.
 	CutRequests  int         `json:"cut-requests"`
 	Violations   []Violation `json:"violations"`
@@ -39,12 +43,13 @@
 }
 
 func newResult(cfg Config, faults []Fault, h *History, b Bounds) *Result {
-	r := &Result{Seed: cfg.Seed, Hosts: cfg.Hosts, Faults: faults, Statuses: map[int]int{}, Versions: len(h.Versions), Violations: Check(h, b), CutRequests: (&checker{h: h, b: b}).checkCuts(), attempts: h.Attempts, disturbances: h.Disturbances}
+	r := &Result{Seed: cfg.Seed, Hosts: cfg.Hosts, Faults: faults, Statuses: map[int]int{}, LateStatuses: map[int]int{}, Versions: len(h.Versions), Violations: Check(h, b), CutRequests: (&checker{h: h, b: b}).checkCuts(), attempts: h.Attempts, disturbances: h.Disturbances}
 	for _, e := range h.TargetEvents {
 		if e.Kind != platformtest.Probed && slices.ContainsFunc(h.Limits, func(s *LimitSpan) bool { return s.Target == e.Target && e.At >= s.From && (s.To == 0 || e.At <= s.To) }) {
 			r.LimitedRequests++
 		}
 	}
+	r.LateRequests = (&checker{h: h, b: b}).checkStops()
 	r.JudgedPauses = (&checker{h: h, b: b}).checkPauses()
 	leavers := map[string]bool{}
 	for _, a := range h.Attempts {
@@ -54,9 +59,12 @@
 	}
 	r.Leavers = len(leavers)
 	for _, a := range h.Attempts {
-		if a.Route > 0 {
+		switch {
+		case a.Route > 0:
 			r.Probes++
-		} else {
+		case a.Late:
+			r.LateStatuses[a.Status]++
+		default:
 			r.Statuses[a.Status]++
 		}
 	}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -2,7 +2,8 @@
 // faults by a seeded schedule, and verifies the guarantees of the load balancer against
 // what callers and targets observed.
 //
-// Hosts are killed, also in series, paused, stopped and reloaded by signals. Some or most of
+// Hosts are killed, also in series, paused, stopped and reloaded by signals. Callers hold
+// connections to those that are stopped, and send requests until the processes are gone. Some or most of
 // them are separated from all targets. The links to the store and to targets are delayed, blocked in one or both directions, or reset. The store is
 // unavailable or slow, sends no watch events, drops responses, delays writes, compacts
 // its history or is restored from a backup. Targets become slow, fail, shed load, drop
@@ -61,6 +62,7 @@
 	return Bounds{
 		Timeout: requestTimeout, ResponseSlack: 500 * time.Millisecond, DropSlack: 200 * time.Millisecond, ConfigApply: 2500 * time.Millisecond, RollbackGrace: 250 * time.Millisecond, MaxSkew: 5 * time.Second,
 		Drain: 2500 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, ProbesPerSecond: 60, MinServedShare: 0.95,
+		StableWindow: 3 * time.Second, StopNotice: 3 * time.Second, Grace: gracePeriod, TimeoutMargin: 20 * time.Millisecond,
 		LimitNotice: 3 * time.Second, LimitWindow: 4 * time.Second, LimitRatio: 1.5, LimitSlack: 5,
 		Leaving: 2 * time.Second, PauseNotice: 500 * time.Millisecond, InPause: 2,
 		CutNotice: 3 * time.Second, MinCutRatio: 2.0 / 3, CutSlack: 10, CutShare: 1.0 / 50,
@@ -100,7 +102,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r := &run{cfg: cfg, bounds: DefaultBounds(), g: group.New(ctx), store: platformtest.NewStore(), storeFaults: map[Kind]int{}, cuts: map[int]cutState{}, olderSince: map[int]time.Duration{}}
-	r.history.DrainStarts = map[string]time.Duration{}
+	r.history.DrainStarts, r.history.Stops = map[string]time.Duration{}, map[process]time.Duration{}
 	defer r.close()
 	if err := r.startFleet(ctx); err != nil {
 		return nil, err
@@ -268,6 +270,8 @@
 	routes := []platformtest.Route{
 		{Host: routeHost, Prefix: "/read/", Service: serviceName, Safe: true, TimeoutMillis: int(requestTimeout.Milliseconds())},
 		{Host: routeHost, Prefix: "/book/", Service: serviceName, TimeoutMillis: int(requestTimeout.Milliseconds())},
+		{Host: routeHost, Prefix: "/long/read/", Service: serviceName, Safe: true, TimeoutMillis: int(longTimeout.Milliseconds())},
+		{Host: routeHost, Prefix: "/long/book/", Service: serviceName, TimeoutMillis: int(longTimeout.Milliseconds())},
 	}
 	for n := max(1, number-keptRoutes+1); n <= number; n++ {
 		routes = append(routes, platformtest.Route{Host: routeHost, Prefix: fmt.Sprintf("/r%d/", n), Service: serviceName, Safe: true, TimeoutMillis: int(requestTimeout.Milliseconds())})
