--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -32,6 +32,19 @@
 	require.Positive(t, result.CutRequests, "requests at hosts that are separated from all targets")
 }
 
+// TestSoakStopsHosts does a short run with real processes in which hosts are stopped as planned, and
+// nothing else disturbs them.
+func TestSoakStopsHosts(t *testing.T) {
+	dir := t.TempDir()
+	result, err := Run(t.Context(), Config{
+		Seed: 1, Length: 16 * time.Second, Hosts: 3, Targets: 4, Callers: 8, Binary: build(t, dir), Dir: filepath.Join(dir, "run"),
+		Only: []Kind{HostStop},
+	})
+	require.NoError(t, err)
+	require.Empty(t, result.Violations, result.Timeline())
+	require.Positive(t, result.LateRequests, "requests late in planned stops")
+}
+
 // TestSoak does a short run with real processes.
 func TestSoak(t *testing.T) {
 	dir := t.TempDir()
