Soak: keep hosts that are stopped running, and begin late requests early

Once a host that is stopped closes connections that carry no request, or has served all it has, a late caller finds its connection closed.

Half of the late callers that have sent no request send the first byte of theirs when they open the connection, so that the host waits for the rest.

--- a/internal/bench/soak/stop.go
+++ b/internal/bench/soak/stop.go
@@ -40,7 +40,10 @@
 		sigterm = sigterm.Add(holdTime)
 		for n := range lateCallers {
 			rng := rand.New(rand.NewPCG(r.cfg.Seed, uint64(f.At)+uint64(n)))
-			g.Go("late caller", func(ctx context.Context) error { r.runLateCaller(ctx, h, sigterm, rng); return nil })
+			g.Go("late caller", func(ctx context.Context) error {
+				r.runLateCaller(ctx, h, sigterm, rng, n == 0 && rng.IntN(2) == 0)
+				return nil
+			})
 		}
 		timer.Sleep(ctx, holdTime)
 	}
@@ -59,23 +62,28 @@
 }
 
 // runLateCaller opens a connection to the process of a host and sends a request on it at a random
-// time in the grace period, mostly as the first one.
-func (r *run) runLateCaller(ctx context.Context, h *host, sigterm time.Time, rng *rand.Rand) {
+// time in the grace period, mostly as the first one, whose first byte may be sent at once. If outlasts is
+// set, it sends the request early, which takes longer than the grace period.
+func (r *run) runLateCaller(ctx context.Context, h *host, sigterm time.Time, rng *rand.Rand, outlasts bool) {
 	opened := sigterm.Add(-randomDuration(rng, holdTime))
 	if rng.IntN(2) == 0 {
 		opened = opened.Add(randomDuration(rng, openTime))
 	}
 	sent := opened.Add(randomDuration(rng, sigterm.Add(gracePeriod).Sub(opened)))
-	path, a := "/read/x", Attempt{Late: true, Unsafe: rng.IntN(2) == 0}
+	path, method, a := "/read/x", http.MethodGet, Attempt{Late: true, Unsafe: rng.IntN(2) == 0}
 	if a.Unsafe {
-		path = "/book/x"
+		path, method = "/book/x", http.MethodPost
 	}
-	if rng.IntN(2) == 0 {
+	serviceTime := typicalServiceTime + randomDuration(rng, time.Millisecond+randomDuration(rng, maxLateService))
+	if outlasts {
+		opened, sent, serviceTime = sigterm, sigterm.Add(randomDuration(rng, r.bounds.StopNotice)), gracePeriod
+	}
+	if outlasts || rng.IntN(2) == 0 {
 		path, a.Timeout = "/long"+path, longTimeout
 	}
-	serviceTime := typicalServiceTime + randomDuration(rng, time.Millisecond+randomDuration(rng, maxLateService))
 	// Once a host is stopped, its responses close their connections.
 	used := opened.Before(sigterm) && rng.IntN(3) == 0
+	begun := !used && rng.IntN(2) == 0
 	timer.Sleep(ctx, time.Until(opened))
 	dialer := net.Dialer{Timeout: time.Second}
 	conn, err := dialer.DialContext(ctx, "tcp", h.callerAddress().String())
@@ -83,6 +91,10 @@
 		defer conn.Close()
 	}
 	a.Incarnation, _ = h.running()
+	if begun && err == nil {
+		_, err = conn.Write([]byte(method[:1]))
+		conn = &begunConn{Conn: conn}
+	}
 	// A failed dial is the error of the request.
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true, DialContext: func(context.Context, string, string) (net.Conn, error) { return conn, err }}}
 	if used {
@@ -93,6 +105,23 @@
 	r.send(ctx, client, h, path, a)
 }
 
+// begunConn is a connection on which the first byte of a request was sent early. Hosts may close one
+// without that before the request arrives.
+type begunConn struct {
+	net.Conn
+	begun bool
+}
+
+// Write implements net.Conn.
+func (c *begunConn) Write(p []byte) (int, error) {
+	if c.begun || len(p) == 0 {
+		return c.Conn.Write(p)
+	}
+	c.begun = true
+	n, err := c.Conn.Write(p[1:])
+	return n + 1, err
+}
+
 // checkStops verifies that a process which is stopped as planned passes on the complete response
 // of a target that has started a request, unless the timeout of the request is reached. The
 // end of the grace period excuses it only for requests sent within Bounds.StopNotice of the SIGTERM.
