--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -37,7 +37,7 @@
 func TestSoakStopsHosts(t *testing.T) {
 	dir := t.TempDir()
 	result, err := Run(t.Context(), Config{
-		Seed: 1, Length: 16 * time.Second, Hosts: 3, Targets: 4, Callers: 8, Binary: build(t, dir), Dir: filepath.Join(dir, "run"),
+		Seed: 2, Length: 20 * time.Second, Hosts: 3, Targets: 4, Callers: 8, Binary: build(t, dir), Dir: filepath.Join(dir, "run"),
 		Only: []Kind{HostStop},
 	})
 	require.NoError(t, err)
