--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -50,8 +50,8 @@
 	// service after two failures.
 	drainNotice = 3200 * time.Millisecond
 	// lastStartTime is the time from the beginning of a shutdown after which a request that may outlast
-	// the host gets no first target. Most new clients have come by then: the platform takes a host out of
-	// service after two failures. A process with a short grace period uses lastStartShare of its time.
+	// the host gets no first target. By then the platform has taken the host out of service, unless most
+	// hosts of its domain are. A process with a short grace period uses lastStartShare of its time.
 	lastStartTime  = 2800 * time.Millisecond
 	lastStartShare = 0.75
 	// exitMargin is the time before the end of the grace period at which the process
--- a/internal/traffic/entry/shutdown.go
+++ b/internal/traffic/entry/shutdown.go
@@ -3,9 +3,8 @@
 // This file defines what a planned shutdown of the host means for its requests. Those that no
 // target has yet are placed again, with the time that the shutdown leaves them: the dispatcher
 // rejects at once what it cannot start in time, while the client can still go to another host.
-// Once new clients go to other hosts, a request is sent to a target only if it ends before the host
-// whatever the target does, since its deadline does. An expected time is not enough: the load of
-// targets shifts, and a request that is cut may have run.
+// After a while, a request gets its first target only if its deadline ends before the host does. An
+// expected time is not enough: the load of targets shifts, and a request that is cut may have run.
 // All requests get their final response before the process ends.
 
 import (
