Discard what arrives of an answered upload for 1.75 s instead of 2 s

Alone it closes after 3.99 s, on and now, in both cases of 3 MB: 1.49 s until the response, 2 s in which the rest is discarded, and 0.5 s that net/http waits before it closes a connection whose body was not read. So a delay of 13 ms broke the bound.

--- a/internal/traffic/entry/body.go
+++ b/internal/traffic/entry/body.go
@@ -29,7 +29,7 @@
 	skipTime       = 250 * time.Millisecond
 	// lingerTime and maxLingerBytes bound what is read of the rest of a longer body after the response:
 	// a connection that is closed with unread bytes is reset, and the client may lose the response.
-	lingerTime     = 2 * time.Second
+	lingerTime     = 1750 * time.Millisecond
 	maxLingerBytes = 16 << 20
 )
 
