--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -75,8 +75,6 @@
 	// watcherHeard is the time since baseTime, in nanoseconds, at which a watcher last responded to a
 	// poll; 0 means never.
 	watcherHeard atomic.Int64
-	// caughtUp is set when the first response of another host is part of the view.
-	caughtUp atomic.Bool
 	// hostsChanged is notified when the hosts, the secrets or the era of the view have changed.
 	hostsChanged *broadcast
 	// firstReadEnded is closed when the first read of the store is part of the view, or has failed.
--- a/internal/fleet/directory/fleet_test.go
+++ b/internal/fleet/directory/fleet_test.go
@@ -210,9 +210,6 @@
 	hosts map[string]*fleetHost
 	// dead lists the hosts that do not respond.
 	dead map[string]bool
-	// pollers holds the uplinks of the hosts that have polled each host, by its address.
-	mu      sync.Mutex
-	pollers map[string]map[*link]bool
 }
 
 // fleetHost is a host of the fleet with its uplink.
@@ -235,7 +232,6 @@
 // RoundTrip implements http.RoundTripper. Requests and responses of a host are sent over
 // its link one after the other.
 func (p peerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	p.f.recordPoll(r.URL.Host, p.link)
 	h := p.f.hosts[r.URL.Host]
 	if p.f.dead[r.URL.Host] {
 		<-r.Context().Done()
@@ -260,26 +256,6 @@
 	}
 }
 
-func (f *fleet) recordPoll(address string, from *link) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.pollers[address] == nil {
-		f.pollers[address] = map[*link]bool{}
-	}
-	f.pollers[address][from] = true
-}
-
-// maxPollers returns the largest number of hosts that have polled the same one.
-func (f *fleet) maxPollers() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	highest := 0
-	for _, from := range f.pollers {
-		highest = max(highest, len(from))
-	}
-	return highest
-}
-
 // sleepUntil waits until a time. It returns false if ctx is done before.
 func sleepUntil(ctx context.Context, at time.Time) bool {
 	select {
@@ -335,7 +311,7 @@
 // newFleet starts n registered hosts in four failure domains. It must be called in a
 // synctest bubble.
 func newFleet(t *testing.T, n int) *fleet {
-	f := &fleet{t: t, store: newFakeStore(), g: group.New(context.Background()), hosts: map[string]*fleetHost{}, dead: map[string]bool{}, pollers: map[string]map[*link]bool{}}
+	f := &fleet{t: t, store: newFakeStore(), g: group.New(context.Background()), hosts: map[string]*fleetHost{}, dead: map[string]bool{}}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	f.store.put(SecretKey, "secret")
@@ -499,21 +475,6 @@
 	}
 }
 
-// Guards against hosts of a large fleet that all poll the first ones of the ranking when they start
-// together. The bound is that of the tree, and the other watchers.
-func TestPollsOfAHostDoNotGrowWithFleetWhenAllStart(t *testing.T) {
-	for _, hosts := range []int{13, 30, 100, 300} {
-		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(t, hosts)
-				defer f.stop()
-				t.Logf("at most %d hosts poll the same one", f.maxPollers())
-				require.LessOrEqual(t, f.maxPollers(), 2*fanOut+maxWatchRank)
-			})
-		})
-	}
-}
-
 func (f *fleet) sent() map[string]int {
 	sent := map[string]int{}
 	for address, h := range f.hosts {
--- a/internal/fleet/directory/lateentry_test.go
+++ b/internal/fleet/directory/lateentry_test.go
@@ -4,10 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
-	"net/netip"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -221,55 +218,6 @@
 	require.Equal(t, earlierChangesResponse{Revision: sent.Revision, Origin: "a"}, read)
 }
 
-// A host that polls for the first time learns of newer entries at once, although nothing has changed.
-func TestFirstPollGetsNewerEntriesAtOnce(t *testing.T) {
-	tests := []struct {
-		name string
-		// drained reports whether the parent has seen the entry that the late one replaced.
-		drained   bool
-		caughtUp  bool
-		waits     bool
-		activeIDs []string
-	}{
-		{name: "newer entry is known", drained: true, activeIDs: []string{}},
-		{name: "not the first poll", drained: true, caughtUp: true, waits: true, activeIDs: []string{}},
-		{name: "nothing newer is known", waits: true, activeIDs: []string{"a"}},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				born := time.Now().Add(-time.Hour).Unix()
-				secret, late := itemIn(1, SecretKey, "secret", 3), itemIn(1, "t/a", fmt.Sprintf("ready %d 7", born), 12)
-				seen := []store.Item{secret}
-				if tt.drained {
-					seen = append(seen, itemIn(1, "t/a", fmt.Sprintf("draining %d 9", born), 11))
-				}
-				parent, joined := viewOf(t), viewOf(t)
-				parent.feed(update{page: pageIn(1, 11, seen...), full: true, source: sourceStore})
-				parent.feed(update{page: pageIn(1, 12, late), source: sourceStore})
-				joined.feed(update{page: pageIn(1, 12, secret, late), full: true, source: sourceStore})
-				joined.caughtUp.Store(tt.caughtUp)
-				joined.peers.Transport = serverTransport{parent}
-				start := time.Now()
-				u, err := joined.fetchChanges(t.Context(), Host{Name: "parent", PeerAddress: netip.MustParseAddrPort("10.0.0.2:80")}, joined.cache.applied(), pollWait)
-				require.NoError(t, err)
-				require.Equal(t, tt.waits, time.Since(start) >= pollWait, "took %s", time.Since(start))
-				joined.feed(u)
-				require.Equal(t, tt.activeIDs, activeIDs(joined.Snapshot()))
-			})
-		})
-	}
-}
-
-// serverTransport lets a directory respond to all requests.
-type serverTransport struct{ d *Directory }
-
-func (s serverTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	w := httptest.NewRecorder()
-	s.d.ServeHTTP(w, r)
-	return w.Result(), nil
-}
-
 // A host that has started polls others once, although its own view is up to date.
 func TestHostCatchesUpAfterItsStart(t *testing.T) {
 	tests := []struct {
--- a/internal/fleet/directory/peers.go
+++ b/internal/fleet/directory/peers.go
@@ -30,9 +30,6 @@
 	headerSecretID = "Fleet-Key"
 	paramAfter     = "after"
 	paramWait      = "wait"
-	// paramNewest asks for a response at once if the host knows newer entries of targets than the store.
-	// Builds of earlier versions ignore it.
-	paramNewest = "newest"
 	// maxChangesBytes bounds one response: all keys of a large fleet.
 	maxChangesBytes = 16 << 20
 	// maxPollWait bounds the wait of a poll.
@@ -89,7 +86,7 @@
 		return
 	}
 	start := time.Now()
-	cs, ok := d.waitForChanges(r.Context(), after, min(wait, maxPollWait), r.URL.Query().Has(paramNewest))
+	cs, ok := d.waitForChanges(r.Context(), after, min(wait, maxPollWait))
 	if !ok {
 		return
 	}
@@ -120,11 +117,10 @@
 }
 
 // waitForChanges returns the changes after a revision, and waits for some if there are
-// none. With newest it does not wait if entries of targets count in place of those in the store. It
-// returns false if the client disconnected.
-func (d *Directory) waitForChanges(ctx context.Context, after store.Revision, wait time.Duration, newest bool) (changeSet, bool) {
+// none. It returns false if the client disconnected.
+func (d *Directory) waitForChanges(ctx context.Context, after store.Revision, wait time.Duration) (changeSet, bool) {
 	cs := d.cache.since(after)
-	if cs.full || len(cs.page.Items) > 0 || newest && len(cs.newest) > 0 {
+	if cs.full || len(cs.page.Items) > 0 {
 		return cs, true
 	}
 	timer := time.NewTimer(wait)
@@ -199,9 +195,6 @@
 	timeout := time.AfterFunc(wait+peerGrace, cancel)
 	defer timeout.Stop()
 	query := url.Values{paramAfter: {after.String()}, paramWait: {wait.String()}}
-	if !d.caughtUp.Load() {
-		query.Set(paramNewest, "1")
-	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s?%s", host.PeerAddress, ChangesPath, query.Encode()), nil)
 	if err != nil {
 		return update{}, err
--- a/internal/fleet/directory/watch.go
+++ b/internal/fleet/directory/watch.go
@@ -56,7 +56,7 @@
 	maxWatchRank      = 3
 	othersWatchAge    = 1400 * time.Millisecond
 	othersWatchJitter = 300 * time.Millisecond
-	// maxCatchUpHosts bounds the hosts that a watcher polls once after its start.
+	// maxCatchUpHosts bounds the hosts that are polled once after the start.
 	maxCatchUpHosts = 3
 	// watcherTimeout is the time since the last response of a watcher after which this host may be cut
 	// off from all of them. Fallback hosts are polled in turn, so each is polled once in that time.
@@ -317,11 +317,9 @@
 	return Host{}, false
 }
 
-// catchUp polls the parent and fallback hosts once when this host has started as a watcher, for what
-// they know and the store does not hold any more: entries of targets that late writes have replaced.
-// The root would not poll them otherwise. Other hosts learn of these entries by their first poll of
-// their parent: if all hosts of a large fleet polled the first ones of the ranking when they start
-// together, these would be late with the changes of the store.
+// catchUp polls the parent and fallback hosts once when this host has started, for what they know
+// and the store does not hold any more: entries of targets that late writes have replaced. The root
+// would not poll them otherwise.
 func (d *Directory) catchUp(ctx context.Context) error {
 	if d.cfg.FirstStart {
 		return nil
@@ -334,9 +332,6 @@
 			sleepUnless(ctx, hostsChanged, maxRoleWait)
 			continue
 		}
-		if s.position.rank > maxWatchRank {
-			return nil
-		}
 		for _, host := range hosts[:min(len(hosts), maxCatchUpHosts)] {
 			if err := d.pollPeer(ctx, host, 0); err != nil {
 				d.cfg.Log.WithError(err).WithField(fieldHost, host.Name).Debug("polling a host after the start failed")
@@ -396,7 +391,6 @@
 		d.watcherHeard.Store(int64(time.Since(d.baseTime)))
 	}
 	d.submit(ctx, u)
-	d.caughtUp.Store(true)
 	return nil
 }
 
