--- a/internal/contract/routing/table.go
+++ b/internal/contract/routing/table.go
@@ -25,6 +25,23 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Accounts lists the client accounts. If there are any, requests need the key of one, except
+	// on public routes.
+	Accounts []Account
+}
+
+// Account is a client account.
+type Account struct {
+	Name string
+	// Keys are the secrets that identify the account's clients.
+	Keys []string
+	// Priority replaces that of the route if HasPriority is set.
+	Priority    int
+	HasPriority bool
+	// PerSecond and Burst limit the requests of the account, over all hosts; a rate of 0 means no
+	// limit.
+	PerSecond float64
+	Burst     float64
 }
 
 // Route describes how requests with a host name and a path prefix are handled.
@@ -44,6 +61,8 @@
 	MaxAttempts int
 	// Shares lists the services of the route. A route without a traffic split has one.
 	Shares []Share
+	// Public routes need no key of a client account.
+	Public bool
 }
 
 // Share is a service of a route and its weight in the traffic split.
@@ -59,6 +78,10 @@
 	// MaxConnections is the number of connections that one target accepts in total, from
 	// all its clients.
 	MaxConnections int
+	// ColdTime is the time for which a target is cold after it starts, and ColdPerSecond the number
+	// of requests a second that a cold target takes, over all hosts; 0 means no limit.
+	ColdTime      time.Duration
+	ColdPerSecond float64
 }
 
 // Limits bounds the size of client requests and the time that clients may take.
--- a/internal/process/settings/change.go
+++ b/internal/process/settings/change.go
@@ -42,6 +42,7 @@
 		{"source", old.Source != next.Source, AfterRestart},
 		{"first-start", old.FirstStart != next.FirstStart, AfterRestart},
 		{"memory", old.MemoryBytes != next.MemoryBytes, Unused},
+		{"descriptors", old.Descriptors != next.Descriptors, Unused},
 		{"cores", old.Cores != next.Cores, AfterRestart},
 		{"heartbeat", old.Heartbeat != next.Heartbeat, Unused},
 		{"log-level", old.LogLevel != next.LogLevel, AfterRestart},
@@ -54,6 +55,13 @@
 		{"grace", old.Bounds.Grace != next.Bounds.Grace, Immediate},
 		{"reregister-timeout", old.Bounds.ReregisterTimeout != next.Bounds.ReregisterTimeout, AfterRestart},
 		{"min-lease", old.Bounds.MinLease != next.Bounds.MinLease, Unused},
+		{"revoke", old.Bounds.Revoke != next.Bounds.Revoke || old.Bounds.StrictRevoke != next.Bounds.StrictRevoke, Unused},
+		{"quota-window", old.Bounds.QuotaWindow != next.Bounds.QuotaWindow, Unused},
+		{"quota-overage", old.Bounds.QuotaOverage != next.Bounds.QuotaOverage, Unused},
+		{"quota-slack", old.Bounds.QuotaSlack != next.Bounds.QuotaSlack, Unused},
+		{"cold-overage", old.Bounds.ColdOverage != next.Bounds.ColdOverage, Unused},
+		{"cold-slack", old.Bounds.ColdSlack != next.Bounds.ColdSlack, Unused},
+		{"evacuate", old.Bounds.Evacuate != next.Bounds.Evacuate, Unused},
 	}
 	var changes []Change
 	for _, s := range settings {
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -31,6 +31,8 @@
 	FirstStart bool
 	// MemoryBytes is the memory limit of the host.
 	MemoryBytes int64
+	// Descriptors is the number of file descriptors that the host may open; zero if unknown.
+	Descriptors int
 	// Cores is the processor time that the host may use, in cores; zero if unknown.
 	Cores     float64
 	Heartbeat time.Duration
@@ -60,4 +62,22 @@
 	ReregisterTimeout time.Duration
 	// MinLease is the shortest lease duration that the store grants.
 	MinLease time.Duration
+	// Revoke is the maximum time until a key that was removed from its client account is rejected;
+	// if StrictRevoke is set, this holds for hosts that are out of touch, too.
+	Revoke       time.Duration
+	StrictRevoke bool
+	// QuotaOverage and QuotaSlack are the tolerance of the quotas of client accounts: in any
+	// QuotaWindow, the requests of an account may exceed its quota by QuotaOverage times the quota,
+	// plus QuotaSlack, over all hosts.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
+	// ColdOverage and ColdSlack are the tolerance of the rate of cold targets: in any second, a
+	// cold target may get ColdOverage times the requests that it takes a second, plus ColdSlack,
+	// over all hosts.
+	ColdOverage float64
+	ColdSlack   float64
+	// Evacuate is the maximum time until the targets of an evacuated failure domain get no new
+	// requests.
+	Evacuate time.Duration
 }
--- a/internal/traffic/dispatcher/request.go
+++ b/internal/traffic/dispatcher/request.go
@@ -40,6 +40,8 @@
 	// Domain is the failure domain from which the request is sent.
 	Domain   string
 	Priority int
+	// Account is the client account of the request; empty for none.
+	Account string
 	// A response has its full value until Objective, and none after Deadline.
 	Objective time.Time
 	Deadline  time.Time
@@ -202,6 +204,9 @@
 	Pause   time.Duration `cbor:"36,keyasint,omitempty"`
 	Through string        `cbor:"37,keyasint,omitempty"`
 
+	// Account is the client account of a request.
+	Account string `cbor:"38,keyasint,omitempty"`
+
 	// Evidence is set only in messages of kindEvidence.
 	Evidence *crash.Evidence `cbor:"26,keyasint,omitempty"`
 }
@@ -224,13 +229,13 @@
 	return Message{
 		Kind: kindRequest, ID: id, Cell: cell, RequestID: r.ID, Domain: r.Domain, Priority: r.Priority,
 		ObjectiveLeft: r.Objective.Sub(now), DeadlineLeft: r.Deadline.Sub(now), TypicalTime: r.TypicalTime,
-		Avoid: r.Avoid, Hedge: r.Hedge, Redirected: r.Redirected,
+		Avoid: r.Avoid, Hedge: r.Hedge, Redirected: r.Redirected, Account: r.Account,
 	}
 }
 
 func (m *Message) request(now time.Time) Request {
 	return Request{
-		ID: m.RequestID, Domain: m.Domain, Priority: m.Priority, TypicalTime: m.TypicalTime, Avoid: m.Avoid, Hedge: m.Hedge, Redirected: m.Redirected,
+		ID: m.RequestID, Account: m.Account, Domain: m.Domain, Priority: m.Priority, TypicalTime: m.TypicalTime, Avoid: m.Avoid, Hedge: m.Hedge, Redirected: m.Redirected,
 		Paused: pausedTargets(now, m.Pauses), Objective: now.Add(m.ObjectiveLeft), Deadline: now.Add(m.DeadlineLeft),
 	}
 }
