Entry: requests need the key of a client account, and targets get its name

If the configuration has accounts, a request on a route that is not public needs a known key. Others get 401 from a host whose view is up to date, and else 503 with a Retry-After of 20 ms. The key is checked when a request arrives, and again directly before each attempt is written, so that a removed key is refused at once; there the key is removed and the account's name set, for retries, hedges and tunnels alike. The account's priority and name go to the dispatcher.

401 after an attempt that may have run becomes 502, as for 503.

Not changed: without accounts both headers pass, and no request reads the clock or the index.

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -156,11 +156,11 @@
 // view, or has failed.
 func (d *Directory) FirstReadEnded() <-chan struct{} { return d.firstReadEnded }
 
-// freshAge is the age below which the view is considered up to date.
-const freshAge = 2 * time.Second
+// FreshAge is the age below which the view is considered up to date.
+const FreshAge = 2 * time.Second
 
 // Fresh reports whether the view is up to date.
-func (d *Directory) Fresh(now time.Time) bool { return d.Age(now) < freshAge }
+func (d *Directory) Fresh(now time.Time) bool { return d.Age(now) < FreshAge }
 
 // Age returns the age of the view: it contains every write to the store before now minus
 // the age.
--- a/internal/fleet/directory/state.go
+++ b/internal/fleet/directory/state.go
@@ -25,6 +25,7 @@
 	"strings"
 	"time"
 
+	"tamaracktiller.example/tamaracktiller/internal/account/keyring"
 	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/roster"
 	"tamaracktiller.example/tamaracktiller/internal/platform/store"
@@ -46,6 +47,8 @@
 type Snapshot struct {
 	// Table is the routing table; nil while no configuration is known.
 	Table *routing.Table
+	// Keys is the index of the keys of client accounts; nil if the configuration has no accounts.
+	Keys *keyring.Keyring
 	// Targets lists the targets that may get new requests, by service.
 	Targets map[string][]roster.ActiveTarget
 	// Hosts holds the hosts with an entry, by name, and HostChanges counts the changes to
@@ -136,6 +139,7 @@
 	onItem   func(store.Item)
 	roster   *roster.Roster
 	table    *routing.Table
+	keyring  *keyring.Keyring
 	hosts    map[string]Host
 	maxHosts int
 	// last is the latest snapshot. The next one shares its maps unless hostsChanged or
@@ -290,8 +294,17 @@
 		s.log("configuration is not newer", map[string]any{"version": c.Version, "in-force": s.table.Config.Version, fieldRevision: item.Revision.String()})
 		return
 	}
+	var before []routing.Account
+	if s.table != nil {
+		before = s.table.Config.Accounts
+	}
+	s.keyring = keyring.Update(s.keyring, before, c.Accounts)
 	s.table = routing.NewTable(c)
-	s.log("configuration is in force", map[string]any{"version": c.Version, "routes": len(c.Routes), fieldRevision: item.Revision.String()})
+	fields := map[string]any{"version": c.Version, "routes": len(c.Routes), fieldRevision: item.Revision.String()}
+	if s.keyring != nil {
+		fields["accounts"], fields["account-keys"] = s.keyring.Len()
+	}
+	s.log("configuration is in force", fields)
 }
 
 func (s *State) applyTarget(now time.Time, id string, item store.Item, old keyState) {
@@ -398,6 +411,7 @@
 // Snapshot returns a snapshot of the state.
 func (s *State) Snapshot() *Snapshot {
 	next := *s.last
+	next.Keys = s.keyring
 	next.Table, next.MaxHosts, next.Revision, next.TargetChanges = s.table, s.maxHosts, s.revision, s.changes
 	next.Secrets, next.SecretStored, next.Entry = s.secrets, s.secretStored, s.entry
 	next.Founder, next.RecordedHosts, next.SizeRevision = s.isFounder(), s.recordedHosts, s.sizeRevision
--- /dev/null
+++ b/internal/process/entry/account_test.go
@@ -0,0 +1,202 @@
+package entry_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tamaracktiller.example/tamaracktiller/platform/platformtest"
+)
+
+const (
+	goodKey  = "k-4f1c9a77"
+	otherKey = "k-90b2e6d3"
+)
+
+// configureAccounts writes a configuration with the routes of configure, a public one, and accounts.
+func (cl *cluster) configureAccounts(accounts ...platformtest.Account) {
+	cl.version += 3
+	routes := []platformtest.Route{
+		{Host: "shop.example", Prefix: "/search/", Service: "svc", Safe: true, TimeoutMillis: 1500, ObjectiveMillis: 200},
+		{Host: "shop.example", Prefix: "/book/", Service: "svc", TimeoutMillis: 1500},
+		{Host: "shop.example", Prefix: "/open/", Service: "svc", Safe: true, TimeoutMillis: 1500, Public: true},
+	}
+	cl.store.Put("op/config", platformtest.ConfigWithAccounts(cl.version, routes, accounts))
+	for _, h := range cl.hosts {
+		require.Eventually(cl.t, func() bool {
+			return strings.Contains(string(cl.metrics(h, "/metrics")), fmt.Sprintf("tamarack_config_version %d\n", cl.version))
+		}, 3*time.Second, 10*time.Millisecond, "%s", h.log)
+	}
+}
+
+func shopAccounts() []platformtest.Account {
+	return []platformtest.Account{{Name: "alder", Keys: []string{goodKey, "k-second"}}, {Name: "birch", Keys: []string{otherKey}}}
+}
+
+// sendWith sends a request with headers. A body that is not empty makes it a POST.
+func (cl *cluster) sendWith(h *host, id, path, body string, header http.Header) response {
+	cl.t.Helper()
+	method, reader := http.MethodGet, io.Reader(nil)
+	if body != "" {
+		method, reader = http.MethodPost, strings.NewReader(body)
+	}
+	req, err := http.NewRequestWithContext(cl.t.Context(), method, "http://"+h.cfg.Callers.String()+path, reader)
+	require.NoError(cl.t, err)
+	req.Host, req.Header = "shop.example", header.Clone()
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("X-Deadline-Ms", "2000")
+	res, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	require.NoError(cl.t, err)
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	require.NoError(cl.t, err)
+	return response{status: res.StatusCode, body: string(data), header: res.Header}
+}
+
+// accountHeaders returns the account headers of all sends of a request.
+func (cl *cluster) accountHeaders(id string) []platformtest.AccountHeaders {
+	all := make([]platformtest.AccountHeaders, 0, len(cl.targets))
+	for _, target := range cl.targets {
+		all = append(all, target.AccountHeaders(id)...)
+	}
+	return all
+}
+
+func credential(values ...string) http.Header { return http.Header{"X-Credential": values} }
+
+// Guards against requests that run without a known key, and against keys and account names of clients
+// that reach a target.
+func TestRequestsNeedTheKeyOfAnAccount(t *testing.T) {
+	cl := newCluster(t, 1, target("t-1", platformtest.Behaviour{}))
+	h := cl.hosts[0]
+	cl.configureAccounts(shopAccounts()...)
+	upload := strings.Repeat("0123456789abcdef", 3<<16)
+	tests := []struct {
+		name, path, body string
+		header           http.Header
+		status           int
+		tenant           []string
+	}{
+		{name: "known key", path: "/search/x", header: credential(goodKey), status: http.StatusOK, tenant: []string{"alder"}},
+		{name: "second key", path: "/search/x", header: credential("k-second"), status: http.StatusOK, tenant: []string{"alder"}},
+		{name: "key of another account", path: "/book/x", body: "two nights", header: credential(otherKey), status: http.StatusOK, tenant: []string{"birch"}},
+		{name: "streamed body", path: "/book/x", body: upload, header: credential(goodKey), status: http.StatusOK, tenant: []string{"alder"}},
+		{name: "account name of the client", path: "/search/x", header: http.Header{"X-Credential": {goodKey}, "X-Tenant": {"birch", "cedar"}}, status: http.StatusOK, tenant: []string{"alder"}},
+		{name: "account name as a header of the connection", path: "/search/x", header: http.Header{"X-Credential": {goodKey}, "Connection": {"X-Tenant, X-Credential"}}, status: http.StatusOK, tenant: []string{"alder"}},
+		{name: "no key", path: "/search/x", header: http.Header{}, status: http.StatusUnauthorized},
+		{name: "empty key", path: "/search/x", header: credential(""), status: http.StatusUnauthorized},
+		{name: "unknown key", path: "/search/x", header: credential("k-unknown"), status: http.StatusUnauthorized},
+		{name: "beginning of a key", path: "/search/x", header: credential(goodKey[:len(goodKey)-1]), status: http.StatusUnauthorized},
+		{name: "repeated key", path: "/search/x", header: credential(goodKey, goodKey), status: http.StatusUnauthorized},
+		{name: "two keys", path: "/search/x", header: credential(goodKey, otherKey), status: http.StatusUnauthorized},
+		{name: "only an account name", path: "/search/x", header: http.Header{"X-Tenant": {"alder"}}, status: http.StatusUnauthorized},
+		{name: "upload without a key", path: "/book/x", body: upload, header: http.Header{}, status: http.StatusUnauthorized},
+		{name: "public route without a key", path: "/open/x", header: http.Header{"X-Tenant": {"alder"}}, status: http.StatusOK},
+		{name: "public route with a key", path: "/open/x", header: credential(goodKey), status: http.StatusOK, tenant: []string{"alder"}},
+		{name: "public route with an unknown key", path: "/open/x", header: http.Header{"X-Credential": {"k-unknown"}, "X-Tenant": {"alder"}}, status: http.StatusOK},
+		{name: "no route", path: "/other/x", header: credential(goodKey), status: http.StatusNotFound},
+	}
+	for n, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			id := fmt.Sprintf("r-%d", n)
+			resp := cl.sendWith(h, id, tt.path, tt.body, tt.header)
+			require.Equal(t, tt.status, resp.status, "%s", h.log)
+			sends := cl.accountHeaders(id)
+			if tt.status != http.StatusOK {
+				require.Empty(t, sends)
+				return
+			}
+			require.Len(t, sends, 1)
+			require.Empty(t, sends[0].Credential)
+			require.Equal(t, tt.tenant, sends[0].Tenant)
+		})
+	}
+	require.Contains(t, string(cl.metrics(h, "/metrics")), `tamarack_entry_key_refusals_total{reason="unknown-key"} 8`)
+}
+
+// Guards against a change for deployments without accounts: both headers belong to their clients.
+func TestWithoutAccountsTheirHeadersPassUnchanged(t *testing.T) {
+	cl := newCluster(t, 1, target("t-1", platformtest.Behaviour{}))
+	header := http.Header{"X-Credential": {"a", "b"}, "X-Tenant": {"c", ""}}
+	require.Equal(t, http.StatusOK, cl.sendWith(cl.hosts[0], "r-1", "/search/x", "", header).status)
+	require.Equal(t, []platformtest.AccountHeaders{{Credential: []string{"a", "b"}, Tenant: []string{"c", ""}}}, cl.accountHeaders("r-1"))
+	cl.configureAccounts(shopAccounts()...)
+	require.Equal(t, http.StatusUnauthorized, cl.sendWith(cl.hosts[0], "r-2", "/search/x", "", header).status)
+	cl.configureAccounts()
+	require.Equal(t, http.StatusOK, cl.sendWith(cl.hosts[0], "r-3", "/search/x", "", header).status)
+}
+
+// Guards against keys that reach a target with an attempt other than the first.
+func TestKeysReachNoTargetInRetriesAndHedges(t *testing.T) {
+	tests := []struct {
+		name string
+		b    platformtest.Behaviour
+	}{
+		{name: "retry", b: platformtest.Behaviour{Shed: true}},
+		{name: "hedge", b: platformtest.Behaviour{ServiceTime: 1200 * time.Millisecond}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			cl := newFirstCluster(t, 1, target("t-1", tt.b), target("t-2", platformtest.Behaviour{}))
+			cl.configureAccounts(shopAccounts()...)
+			header := http.Header{"X-Credential": {goodKey}, "X-Tenant": {"birch"}}
+			for n := range 40 {
+				id := fmt.Sprintf("r-%d", n)
+				_ = cl.sendWith(cl.hosts[0], id, "/search/x", "", header)
+				sends := cl.accountHeaders(id)
+				for _, h := range sends {
+					require.Equal(t, platformtest.AccountHeaders{Tenant: []string{"alder"}}, h)
+				}
+				if len(sends) > 1 {
+					return
+				}
+			}
+			t.Fatal("no request was sent twice")
+		})
+	}
+}
+
+// Guards against keys that reach a target through another host.
+func TestKeysReachNoTargetThroughOtherHosts(t *testing.T) {
+	cl := newFleet(t, fleet{hosts: 3, proxied: true}, target("t-1", platformtest.Behaviour{}), target("t-2", platformtest.Behaviour{}), target("t-3", platformtest.Behaviour{}))
+	cl.configureAccounts(shopAccounts()...)
+	time.Sleep(time.Second) // The hosts must have discovered each other.
+	cl.cut(0, platformtest.LinkReset)
+	header := http.Header{"X-Credential": {goodKey}, "X-Tenant": {"birch"}}
+	n := 0
+	require.Eventually(t, func() bool {
+		n++
+		id := fmt.Sprintf("r-%d", n)
+		resp := cl.sendWith(cl.hosts[0], id, "/search/x", "", header)
+		for _, h := range cl.accountHeaders(id) {
+			require.Equal(t, platformtest.AccountHeaders{Tenant: []string{"alder"}}, h)
+		}
+		return resp.status == http.StatusOK && strings.Contains(string(cl.metrics(cl.hosts[0], "/metrics")), "tamarack_cut_off 1")
+	}, 8*time.Second, 50*time.Millisecond, "%s", cl.hosts[0].log)
+}
+
+// Guards against a refusal for good by a host that may not know a key yet.
+func TestHostWithAnOldViewDoesNotDenyKeys(t *testing.T) {
+	cl := newCluster(t, 1, target("t-1", platformtest.Behaviour{}))
+	h := cl.hosts[0]
+	cl.configureAccounts(shopAccounts()...)
+	cl.store.SetFaults(platformtest.Faults{Down: true})
+	time.Sleep(2500 * time.Millisecond)
+	for n, key := range []string{"k-unknown", ""} {
+		resp := cl.sendWith(h, fmt.Sprintf("r-%d", n), "/search/x", "", credential(key))
+		require.Equal(t, http.StatusServiceUnavailable, resp.status)
+		require.Equal(t, "0.020", resp.header.Get("Retry-After"))
+	}
+	resp := cl.sendWith(h, "r-2", "/search/x", "", credential(goodKey))
+	require.Equal(t, http.StatusOK, resp.status, "without strict revocation the last known configuration counts")
+	cl.store.SetFaults(platformtest.Faults{})
+	require.Eventually(t, func() bool {
+		return cl.sendWith(h, "r-3", "/search/x", "", credential("k-unknown")).status == http.StatusUnauthorized
+	}, 3*time.Second, 50*time.Millisecond)
+}
--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -28,6 +28,7 @@
 	storeCalls  *prometheus.CounterVec
 	updateDelay prometheus.Histogram
 	burnRate    *burn.Meter
+	keyRefusals *prometheus.CounterVec
 }
 
 var _ entry.Observer = (*metrics)(nil)
@@ -47,10 +48,11 @@
 		latency:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "tamarack_entry_latency_seconds", Help: "Time to the final response.", Buckets: latencyBuckets}, []string{labelService}),
 		tunnels:     prometheus.NewCounter(prometheus.CounterOpts{Name: "tamarack_tunnels_total", Help: "Connections to targets that were opened for other hosts."}),
 		probes:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_entry_questions_total", Help: "Load probes sent to targets, by cause."}, []string{labelService, "cause"}),
+		keyRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_entry_key_refusals_total", Help: "Requests refused because of the key of their client account, by reason."}, []string{"reason"}),
 		updateDelay: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "tamarack_view_wait_seconds", Help: "Time that updates from the store waited to be applied.", Buckets: latencyBuckets}),
 		storeCalls:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_store_calls_total", Help: "Calls to the metadata store by operation."}, []string{"operation"}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.extra, m.latency, m.tunnels, m.probes, m.storeCalls, m.updateDelay)
+	m.registry.MustRegister(m.requests, m.attempts, m.extra, m.latency, m.tunnels, m.probes, m.storeCalls, m.updateDelay, m.keyRefusals)
 	return m
 }
 
@@ -79,6 +81,14 @@
 		return float64(n)
 	})
 	gauge("tamarack_hosts", "Hosts with an entry in the store.", func() float64 { return float64(len(snapshot().Hosts)) })
+	gauge("tamarack_accounts", "Client accounts of the active configuration.", func() float64 {
+		accounts, _ := snapshot().Keys.Len()
+		return float64(accounts)
+	})
+	gauge("tamarack_account_keys", "Keys of the client accounts of the active configuration.", func() float64 {
+		_, keys := snapshot().Keys.Len()
+		return float64(keys)
+	})
 	gauge("tamarack_store_age_seconds", "Age of this host's view of the store.", func() float64 { return age().Seconds() })
 }
 
@@ -149,6 +159,9 @@
 func (m *metrics) Finished(o entry.Observation) {
 	m.requests.WithLabelValues(o.Service, string(o.Outcome), strconv.Itoa(o.Status)).Inc()
 	m.attempts.Add(float64(o.Attempts))
+	if o.KeyRefusal != "" {
+		m.keyRefusals.WithLabelValues(string(o.KeyRefusal)).Inc()
+	}
 	m.latency.WithLabelValues(o.Service).Observe(o.Latency.Seconds())
 	if fault, good, counts := classify(o); counts {
 		m.burnRate.Add(time.Now(), burn.Sample{Service: o.Service, Weight: 1, Good: good, Fault: fault, Target: o.Target})
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -176,7 +176,7 @@
 	p.metrics.registerDispatcher(p.dispatcher)
 	p.handler = entry.New(entry.Config{
 		Domain: cfg.Domain, FirstStart: cfg.FirstStart, Dialect: platform.Dialect, Placer: p.dispatcher, Links: p.links,
-		Snapshot: p.directory.Snapshot, FirstReadEnded: p.directory.FirstReadEnded(), Fresh: p.directory.Fresh, Bounds: cfg.Bounds, Log: p.log.For("entry"), Observer: p.metrics, CrashTracker: crashes,
+		Snapshot: p.directory.Snapshot, FirstReadEnded: p.directory.FirstReadEnded(), Fresh: p.directory.Fresh, SoundAge: func() time.Duration { return p.directory.Age(time.Now()) }, Bounds: cfg.Bounds, Log: p.log.For("entry"), Observer: p.metrics, CrashTracker: crashes,
 	}, p.g)
 	p.services.Provide("directory", p.directory)
 	timers.Every("trim", closeIdlePeriod, p.links.CloseIdle)
--- /dev/null
+++ b/internal/traffic/entry/account.go
@@ -0,0 +1,222 @@
+package entry
+
+// This file defines how the key of a client account is checked: when a request arrives, and before
+// each send.
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"tamaracktiller.example/tamaracktiller/internal/account/keyring"
+	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
+	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
+	"tamaracktiller.example/tamaracktiller/internal/process/settings"
+)
+
+const (
+	// otherHostRetryAfter is the Retry-After of a request that another host may admit. It is short,
+	// since a client uses it only up to a third of the time that it has left.
+	otherHostRetryAfter = 20 * time.Millisecond
+	// revokeMargin is the time before the end of settings.Bounds.Revoke from which on keys are not
+	// used. It covers clocks of different hosts that run at different rates along the chain by which
+	// the view is updated: 250 ms of 5 s are a hundred times what crystals deviate.
+	revokeMargin = 250 * time.Millisecond
+)
+
+// KeyRefusal is why a request was refused that needs the key of a client account.
+type KeyRefusal string
+
+// Reasons for refusals.
+const (
+	// KeyUnknown: the key is unknown, missing, empty or repeated.
+	KeyUnknown KeyRefusal = "unknown-key"
+	// KeyUnconfirmed: as KeyUnknown, but the view is not up to date.
+	KeyUnconfirmed KeyRefusal = "unknown-key-old-view"
+	// ViewTooOld: the view is too old to use a key that may have been removed.
+	ViewTooOld KeyRefusal = "view-too-old"
+)
+
+// authorization is the result of the check of a key.
+type authorization struct {
+	// keys is the index that was used; nil if the configuration has no accounts.
+	keys *keyring.Keyring
+	// account is the account of the key; nil for none.
+	account *routing.Account
+}
+
+// apply sets the headers of a request to a target. Without accounts they pass unchanged.
+func (a authorization) apply(d Dialect, h http.Header) {
+	if a.keys == nil {
+		return
+	}
+	name := ""
+	if a.account != nil {
+		name = a.account.Name
+	}
+	d.SetAccount(h, name)
+}
+
+// refusedError reports that a request was refused directly before it was sent.
+type refusedError struct{ response *finalResponse }
+
+// Error implements error.
+func (e *refusedError) Error() string { return e.response.reason }
+
+// refusal returns the response to a request whose attempt was refused before it was sent; nil if the
+// attempt was not.
+func (r *attempt) refusal() *finalResponse {
+	var refused *refusedError
+	if r.cause != nil && errors.As(r.cause, &refused) {
+		return refused.response
+	}
+	return nil
+}
+
+// authenticate checks the key of a request that has arrived. It returns a response if the request is
+// refused.
+func (req *clientRequest) authenticate(s *directory.Snapshot) *finalResponse {
+	if s.Keys == nil {
+		return nil
+	}
+	a, rejection := req.h.checkKey(req.incoming.Header, req.route.Public)
+	req.keys, req.account = a.keys, a.account
+	return rejection
+}
+
+// recheck checks the key once more, directly before a send: the request may have waited, and its key
+// may have been removed meanwhile.
+func (req *clientRequest) recheck() (authorization, *finalResponse) {
+	h := req.h
+	if req.keys == nil && h.cfg.Snapshot().Keys == nil {
+		return authorization{}, nil
+	}
+	current := h.viewIsCurrent()
+	s := h.cfg.Snapshot()
+	if current && s.Keys == req.keys {
+		return authorization{keys: req.keys, account: req.account}, nil
+	}
+	public := req.route.Public
+	if route, ok := s.Table.Match(stripPort(req.incoming.Host), req.incoming.URL.Path); ok {
+		public = route.Public
+	}
+	return h.checkKey(req.incoming.Header, public)
+}
+
+// beforeSend returns a function that checks the key directly before a request to a target is written,
+// and sets its headers.
+func (req *clientRequest) beforeSend(out *http.Request) func() error {
+	return func() error {
+		a, rejection := req.recheck()
+		if rejection != nil {
+			return &refusedError{rejection}
+		}
+		a.apply(req.h.cfg.Dialect, out.Header)
+		return nil
+	}
+}
+
+// checkKey finds the account of a request. It returns a response if the request is refused.
+func (h *Handler) checkKey(header http.Header, public bool) (authorization, *finalResponse) {
+	// The age is read before the snapshot: if the snapshot is replaced in between, it only contains
+	// more than the age says.
+	current := h.viewIsCurrent()
+	s := h.cfg.Snapshot()
+	a := authorization{keys: s.Keys}
+	if s.Keys == nil {
+		return a, nil
+	}
+	if !current {
+		if public {
+			// The key may have been removed, so the request counts as one without a key.
+			return a, nil
+		}
+		return a, h.rejectKey(ViewTooOld)
+	}
+	if a.find(h.cfg.Dialect, header) || public {
+		return a, nil
+	}
+	fresh := h.viewIsFresh()
+	a.keys = h.cfg.Snapshot().Keys
+	if a.keys == nil || a.find(h.cfg.Dialect, header) {
+		return a, nil
+	}
+	if !fresh {
+		return a, h.rejectKey(KeyUnconfirmed)
+	}
+	return a, h.rejectKey(KeyUnknown)
+}
+
+// find sets the account of the key in a header, and reports whether there is one.
+func (a *authorization) find(d Dialect, header http.Header) bool {
+	key, ok := d.Credential(header)
+	if ok {
+		a.account, ok = a.keys.Find(key)
+	}
+	return ok
+}
+
+// viewIsCurrent reports whether keys may be used: with strict revocation, the view must contain every
+// removal that is as old as the bound allows.
+func (h *Handler) viewIsCurrent() bool {
+	limit := time.Duration(h.maxKeyAge.Load())
+	return limit == 0 || h.soundAge() < limit
+}
+
+// viewIsFresh reports whether the view is up to date, also by a clock that counts suspensions.
+func (h *Handler) viewIsFresh() bool {
+	return h.soundAge() < directory.FreshAge && h.cfg.Fresh(time.Now())
+}
+
+func (h *Handler) soundAge() time.Duration { return h.cfg.SoundAge() }
+
+// CanCheckKeys reports whether the requests on all routes can be admitted. With strict revocation they
+// cannot while the view is too old.
+func (h *Handler) CanCheckKeys() bool {
+	current := h.viewIsCurrent()
+	s := h.cfg.Snapshot()
+	return current || s.Table == nil || !s.Table.Config.NeedsKeys()
+}
+
+// setRevocation sets the age of the view from which on keys are not used.
+func (h *Handler) setRevocation(b settings.Bounds) {
+	limit := time.Duration(0)
+	if b.StrictRevoke {
+		limit = b.Revoke - min(revokeMargin, b.Revoke/2)
+	}
+	h.maxKeyAge.Store(int64(limit))
+}
+
+// rejectKey returns the response to a request that is refused because of its key.
+func (h *Handler) rejectKey(why KeyRefusal) *finalResponse {
+	var resp *finalResponse
+	switch why {
+	case KeyUnknown:
+		resp = reject(http.StatusUnauthorized, "the key is unknown, missing or repeated", 0)
+	case KeyUnconfirmed:
+		resp = reject(http.StatusServiceUnavailable, "the key is not known, but the configuration may be old", otherHostRetryAfter)
+	default:
+		resp = reject(http.StatusServiceUnavailable, "the configuration is too old to use keys", otherHostRetryAfter)
+		resp.closeConnection = true
+	}
+	resp.keyRefusal, resp.fields = why, logrus.Fields{"view-age-ms": h.soundAge().Milliseconds(), "max-age-ms": time.Duration(h.maxKeyAge.Load()).Milliseconds()}
+	return resp
+}
+
+// priority returns the priority of a request: that of its account, or else of its route.
+func (req *clientRequest) priority() int {
+	if req.account != nil && req.account.HasPriority {
+		return req.account.Priority
+	}
+	return req.route.Priority
+}
+
+// accountName returns the name of the account of a request; empty for none.
+func (req *clientRequest) accountName() string {
+	if req.account == nil {
+		return ""
+	}
+	return req.account.Name
+}
--- a/internal/traffic/entry/attempt.go
+++ b/internal/traffic/entry/attempt.go
@@ -119,8 +119,9 @@
 	if !req.route.Idempotent && !newConnection && grant.Through() == "" {
 		req.h.cfg.Links.Refresh(w.ctx, l)
 	}
-	res, err := l.Pool.RoundTrip(targets.WithRequestID(w.ctx, req.id), req.targetRequest(grant.ID, time.Until(req.endsAt())), relay.Options{
-		Idempotent: req.route.Idempotent, AllowCloseDelimited: true, Connected: w.connected, Dial: req.dialThrough(grant),
+	out := req.targetRequest(grant.ID, time.Until(req.endsAt()))
+	res, err := l.Pool.RoundTrip(targets.WithRequestID(w.ctx, req.id), out, relay.Options{
+		Idempotent: req.route.Idempotent, AllowCloseDelimited: true, Connected: w.connected, Dial: req.dialThrough(grant), BeforeSend: req.beforeSend(out),
 		// A late copy of the response to the first attempt has the same ID.
 		NewConnection:  newConnection,
 		MatchesRequest: func(header http.Header) bool { return req.h.cfg.Dialect.MatchesRequest(header, req.id) },
@@ -207,7 +208,7 @@
 	case rejected:
 		return placement.Rejected
 	case notSent, outcomeUnknown:
-		if r.req.isDone(ctx) {
+		if r.req.isDone(ctx) || r.refusal() != nil {
 			return placement.Cancelled
 		}
 		if errors.Is(r.cause, errLinkLost) || r.outcome == notSent && r.grant.Through() != "" {
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -41,6 +41,11 @@
 	TimeLeft(h http.Header) (time.Duration, bool)
 	// SetTarget sets the only target that may run the request, and the time left.
 	SetTarget(h http.Header, target string, left time.Duration)
+	// Credential returns the key of a client account; ok only for exactly one value that is not
+	// empty.
+	Credential(h http.Header) (key string, ok bool)
+	// SetAccount removes the key, and sets the name of the client account; an empty name removes it.
+	SetAccount(h http.Header, name string)
 	// SetRejection sets the headers of a response that the load balancer generates itself.
 	SetRejection(h http.Header, id string, retryAfter time.Duration)
 }
@@ -68,7 +73,10 @@
 	// it has before New.
 	FirstReadEnded <-chan struct{}
 	// Fresh reports whether the snapshot is up to date.
-	Fresh    func(now time.Time) bool
+	Fresh func(now time.Time) bool
+	// SoundAge returns the age of the snapshot by a clock that counts the time in which the machine
+	// was suspended.
+	SoundAge func() time.Duration
 	Bounds   settings.Bounds
 	Log      *logrus.Entry
 	Observer Observer
@@ -107,6 +115,9 @@
 	Target string
 	// RateLimited is set if the request was rejected because of the rate limits of targets.
 	RateLimited bool
+	// KeyRefusal is why a request was refused that needs the key of a client account; empty if it
+	// was not.
+	KeyRefusal KeyRefusal
 }
 
 // Handler serves client requests. It is safe for concurrent use.
@@ -116,6 +127,9 @@
 	started  time.Time
 	shutdown *shutdown
 	inFlight atomic.Int64
+	// maxKeyAge is the age of the view, in nanoseconds, from which on keys are not used; 0 means no
+	// limit.
+	maxKeyAge atomic.Int64
 
 	// mu guards the fields below.
 	mu           sync.Mutex
@@ -128,15 +142,18 @@
 
 // New returns a handler. Its goroutines run in g.
 func New(cfg Config, g *group.Group) *Handler {
-	return &Handler{
+	h := &Handler{
 		cfg: cfg, g: g, started: time.Now(), shutdown: newShutdown(), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		retries:      budget.NewRetries(cfg.Bounds.RetryRatio, cfg.Bounds.RetrySlack, cfg.Bounds.RetryWindow),
 		typicalTimes: map[string]time.Duration{}, waits: map[string]*clientWait{},
 	}
+	h.setRevocation(cfg.Bounds)
+	return h
 }
 
-// SetBounds applies changed bounds of the retry budget.
+// SetBounds applies changed bounds of the retry budget and of the revocation of keys.
 func (h *Handler) SetBounds(b settings.Bounds) {
+	h.setRevocation(b)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.retries.SetBounds(b.RetryRatio, b.RetrySlack)
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"tamaracktiller.example/tamaracktiller/internal/account/keyring"
 	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
 	"tamaracktiller.example/tamaracktiller/internal/platform/store"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
@@ -40,7 +41,11 @@
 	incoming *http.Request
 	id       string
 	route    *routing.Route
-	service  routing.Service
+	// account is the client account of the key; nil for none. keys is the index in which it was
+	// found; nil if the configuration has no accounts.
+	account *routing.Account
+	keys    *keyring.Keyring
+	service routing.Service
 	// version is the version of the configuration, and revision the store revision of
 	// the snapshot that holds it.
 	version  uint64
@@ -91,6 +96,9 @@
 		return req, reject(http.StatusBadRequest, "the path contains bytes that a URL must not contain", 0)
 	}
 	req.route = route
+	if rejection := req.authenticate(s); rejection != nil {
+		return req, rejection
+	}
 	h.mu.Lock()
 	u := h.rng.Float64()
 	h.mu.Unlock()
--- a/internal/traffic/entry/response.go
+++ b/internal/traffic/entry/response.go
@@ -51,6 +51,12 @@
 	attempt    attempt
 	// rateLimited is set if the rate limits of the targets are the reason.
 	rateLimited bool
+	// closeConnection is set if the client should go to another host.
+	closeConnection bool
+	// keyRefusal is set if the request was refused because of its key, and fields holds the inputs of
+	// that decision, for the log.
+	keyRefusal KeyRefusal
+	fields     logrus.Fields
 }
 
 // reject returns the response to a request that has not run.
@@ -65,7 +71,7 @@
 // finish reports the final response and sends it.
 func (h *Handler) finish(w http.ResponseWriter, req *clientRequest, resp finalResponse) {
 	h.report(req, resp)
-	if h.shutdown.begun.Err() != nil {
+	if h.shutdown.begun.Err() != nil || resp.closeConnection {
 		w.Header().Set("Connection", "close")
 	}
 	switch resp.outcome {
@@ -147,7 +153,7 @@
 	if h.cfg.Observer != nil {
 		h.cfg.Observer.Finished(Observation{
 			Service: req.service.Name, Route: req.route.Name, Outcome: resp.outcome, Status: resp.status,
-			Attempts: req.attempts, Latency: now.Sub(req.started), MetObjective: metObjective, Target: req.target, RateLimited: resp.rateLimited,
+			Attempts: req.attempts, Latency: now.Sub(req.started), MetObjective: metObjective, Target: req.target, RateLimited: resp.rateLimited, KeyRefusal: resp.keyRefusal,
 		})
 	}
 	level := logrus.InfoLevel
@@ -161,7 +167,10 @@
 	if resp.outcome == Denied {
 		line = line.WithFields(logrus.Fields{"host": req.incoming.Host, "path": req.incoming.URL.Path, "revision": req.revision.String()})
 	}
-	line.WithFields(logrus.Fields{
+	if req.account != nil {
+		line = line.WithField("account", req.account.Name)
+	}
+	line.WithFields(resp.fields).WithFields(logrus.Fields{
 		fieldRequest: req.id, "route": req.route.Name, "service": req.service.Name, "version": req.version,
 		"outcome": resp.outcome, "status": resp.status, "reason": resp.reason, "sends": req.attempts, fieldTarget: req.target,
 		"ms": now.Sub(req.started).Milliseconds(), "retry-after-ms": resp.retryAfter.Milliseconds(),
--- a/internal/traffic/entry/retry.go
+++ b/internal/traffic/entry/retry.go
@@ -66,7 +66,7 @@
 
 // mayRetry reports whether the request may be sent to another target.
 func (req *clientRequest) mayRetry(last attempt, retries int) bool {
-	if req.streamed || retries >= maxRetries || time.Until(req.endsAt()) < minTimeLeft {
+	if req.streamed || last.refusal() != nil || retries >= maxRetries || time.Until(req.endsAt()) < minTimeLeft {
 		return false
 	}
 	if last.outcome == notSent {
@@ -80,6 +80,9 @@
 
 // failureResponse returns the final response after a failed attempt that is not retried.
 func (req *clientRequest) failureResponse(last attempt, detail string) finalResponse {
+	if refusal := last.refusal(); refusal != nil {
+		return *refusal
+	}
 	reason := last.outcome.String()
 	if detail != "" {
 		reason += ", " + detail
@@ -118,7 +121,7 @@
 
 // finalize replaces a rejection by an unknown outcome if an earlier attempt may have run.
 func (req *clientRequest) finalize(resp finalResponse) finalResponse {
-	if resp.outcome == Refused && req.mayHaveRun {
+	if (resp.outcome == Refused || resp.outcome == Denied) && req.mayHaveRun {
 		resp.outcome, resp.status = Unknown, http.StatusBadGateway
 	}
 	return resp
@@ -151,7 +154,7 @@
 		deadline = latest.Add(typical)
 	}
 	return dispatcher.Request{
-		ID: req.id, Service: req.service.Name, Domain: req.h.cfg.Domain, Priority: req.route.Priority,
+		ID: req.id, Service: req.service.Name, Domain: req.h.cfg.Domain, Priority: req.priority(), Account: req.accountName(),
 		Objective: req.objective, Deadline: deadline, TypicalTime: typical, Avoid: avoid, Hedge: hedged,
 	}
 }
--- a/internal/traffic/relay/roundtrip.go
+++ b/internal/traffic/relay/roundtrip.go
@@ -23,6 +23,9 @@
 	Informational func(status int, header http.Header)
 	// Connected is called with the connection before the request is sent. It may be nil.
 	Connected func(nc net.Conn)
+	// BeforeSend is called directly before the request is written, and may change its header. If it
+	// returns an error, the request is not sent. It may be nil.
+	BeforeSend func() error
 	// Dial opens the connection for this request only; nil for one of the pool.
 	Dial func(ctx context.Context) (net.Conn, error)
 	// NewConnection requires a connection that has carried no request before, and IdleOnly one
@@ -88,6 +91,12 @@
 	if o.Connected != nil {
 		o.Connected(c.nc)
 	}
+	if o.BeforeSend != nil {
+		if err := o.BeforeSend(); err != nil {
+			p.discard(c)
+			return nil, &Error{Address: p.address, Reused: c.reused, Cause: err}
+		}
+	}
 	c.attachBuffers()
 	x := &exchange{pool: p, c: c, req: req, writeDone: make(chan struct{}), closeDelimited: o.AllowCloseDelimited}
 	before := c.written.n.Load()
