--- a/internal/process/settings/change_test.go
+++ b/internal/process/settings/change_test.go
@@ -19,7 +19,7 @@
 			v.Set(reflect.ValueOf([]string{"changed"}))
 		case bool:
 			v.SetBool(true)
-		case int64, time.Duration:
+		case int, int64, time.Duration:
 			v.SetInt(7)
 		case float64:
 			v.SetFloat(7)
