Strict revocation: use keys only while the view is certainly recent enough

With strict_revoke a removed key must not work anywhere from revoke_ms after the store acknowledged the removal.

The age by the monotonic clock does not grow while a machine is suspended. The view now has a second age by CLOCK_BOOTTIME. Each step takes the earliest time at which the data can have been complete: the time of the call for reads and changes, that and the wait for an empty watch which this host has waited out by the clock that stands still in a suspension, and for a poll the time at which it was sent plus the hold time less the age, both by the clock since boot of the other host. Of a host that does not send these, the hold time is not added.

The two fields are sent only if the configuration has accounts; messages of other deployments stay the same.

--- a/internal/fleet/directory/age_test.go
+++ b/internal/fleet/directory/age_test.go
@@ -53,6 +53,10 @@
 		age, revision := h.Age(now), h.Snapshot().Revision
 		expected := w.latestBefore(now.Add(-age))
 		require.False(f.t, expected.After(revision), "%s reports an age of %s, but has revision %s instead of %s", h.cfg.Self.Name, age, revision, expected)
+		soundAge, revision := h.SoundAge(), h.Snapshot().Revision
+		expected = w.latestBefore(now.Add(-soundAge))
+		require.False(f.t, expected.After(revision), "%s reports a sound age of %s, but has revision %s instead of %s", h.cfg.Self.Name, soundAge, revision, expected)
+		require.Less(f.t, soundAge, age+time.Second, "%s: without suspensions both ages hardly differ", h.cfg.Self.Name)
 	}
 }
 
@@ -61,10 +65,15 @@
 	tests := []struct {
 		name string
 		// size is the size of a configuration in bytes.
-		size  int
-		fault func(f *fleet)
+		size int
+		// accounts is set if the configurations have client accounts.
+		accounts bool
+		fault    func(f *fleet)
 	}{
 		{name: "no fault", size: 12_000},
+		{name: "client accounts", size: 12_000, accounts: true},
+		{name: "client accounts, one in six hosts applies changes slowly", size: 12_000, accounts: true, fault: slowHosts},
+		{name: "client accounts, large configurations saturate the links", size: 100_000, accounts: true},
 		{name: "one in six hosts applies changes slowly", size: 12_000, fault: slowHosts},
 		{name: "large configurations saturate the links", size: 100_000},
 		{name: "responses of the store to the first host are slow", size: 12_000, fault: delayStoreResponses},
@@ -85,7 +94,11 @@
 				w := writeTimes{}
 				for n := range periods {
 					if n < burst {
-						w[f.store.put("config", paddedConfig(2+n, tt.size))] = time.Now()
+						config := paddedConfig(2+n, tt.size)
+						if tt.accounts {
+							config = accountsPrefix + config
+						}
+						w[f.store.put("config", config)] = time.Now()
 					}
 					time.Sleep(period)
 					f.checkAges(w)
--- a/internal/fleet/directory/checkpoint_test.go
+++ b/internal/fleet/directory/checkpoint_test.go
@@ -108,7 +108,7 @@
 	page, full, err := w.read(context.Background(), store.Revision{}, 0)
 	if err == nil && full {
 		d.state.Load(time.Now(), page)
-		d.cache.advance(page.Revision, 1)
+		d.cache.advance(page.Revision, 1, 0)
 	}
 	return d
 }
@@ -176,7 +176,7 @@
 	require.False(t, ok, "a checkpoint is no change")
 	s.put(SizeKey, []byte("312"), false)
 	d.state.Apply(time.Now(), s.items[SizeKey])
-	d.cache.advance(s.revision, 2)
+	d.cache.advance(s.revision, 2, 0)
 	_, ok = d.CheckpointDue(page.Revision)
 	require.True(t, ok)
 	d.snapshot.Store(&Snapshot{position: treePosition{rank: 1}})
--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"tamaracktiller.example/tamaracktiller/internal/kernel/clock"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/control"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/dial"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
@@ -46,6 +47,9 @@
 	// OnQueueWait is called with the time that each update waited for the control
 	// goroutine. It may be nil.
 	OnQueueWait func(wait time.Duration)
+	// SinceBoot returns the time since the machine was started, with the time in which it was
+	// suspended; nil means that of the system.
+	SinceBoot func() time.Duration
 }
 
 // Directory maintains the view of the fleet on one host. It is safe for concurrent use.
@@ -61,8 +65,12 @@
 	baseTime time.Time
 	// asOf is the time since baseTime, in nanoseconds, up to which the view contains
 	// every write to the store; 0 means never.
-	asOf  atomic.Int64
-	peers *http.Client
+	asOf atomic.Int64
+	// baseBoot is the origin of soundAsOf, by the time since boot. soundAsOf is the time since
+	// baseBoot, in nanoseconds, up to which the view contains every write to the store; 0 means never.
+	baseBoot  time.Duration
+	soundAsOf atomic.Int64
+	peers     *http.Client
 	// largeResponses and codec are used for responses to other hosts.
 	largeResponses semaphore
 	codec          *itemCodec
@@ -97,6 +105,8 @@
 	origin     string
 	receivedAt time.Time
 	age        time.Duration
+	// soundAsOf is the time since Directory.baseBoot up to which the data is complete; 0 if unknown.
+	soundAsOf time.Duration
 }
 
 // peerData describes data that another host has sent.
@@ -132,9 +142,12 @@
 
 // New returns a directory that is not started yet. Its goroutines run in g.
 func New(cfg Config, g *group.Group) *Directory {
+	if cfg.SinceBoot == nil {
+		cfg.SinceBoot = clock.SinceBoot
+	}
 	d := &Directory{
 		cfg: cfg, g: g, cache: newWatchCache(), largeResponses: make(semaphore, maxLargeResponses), codec: newItemCodec(),
-		baseTime: time.Now().Add(-unknownAge), watchJitter: rand.N(othersWatchJitter), hostsChanged: newBroadcast(), firstReadEnded: make(chan struct{}),
+		baseTime: time.Now().Add(-unknownAge), baseBoot: cfg.SinceBoot() - unknownAge, watchJitter: rand.N(othersWatchJitter), hostsChanged: newBroadcast(), firstReadEnded: make(chan struct{}),
 	}
 	d.state = NewState(cfg.Self, cfg.Decoder, cfg.ReregisterTimeout, d.cache.add)
 	if cfg.PeerTransport == nil {
@@ -231,11 +244,12 @@
 	}
 	changed := d.apply(now, e.update)
 	d.cache.setNewest(d.state.newestEntries())
-	d.cache.advance(e.update.page.Revision, asOf)
+	d.cache.advance(e.update.page.Revision, asOf, e.update.soundAsOf)
 	d.publish(changed, e.update.logFields(now))
 	d.recordOrigin(e.update, asOf, last)
 	// The view may report the new age only after it contains the data.
 	d.asOf.Store(int64(max(asOf, last)))
+	d.soundAsOf.Store(max(int64(e.update.soundAsOf), d.soundAsOf.Load()))
 }
 
 // recordOrigin records where the data of an update that is complete up to asOf comes from. last is
--- a/internal/fleet/directory/fleet_test.go
+++ b/internal/fleet/directory/fleet_test.go
@@ -324,7 +324,8 @@
 		h.Directory = New(Config{
 			Self: Host{Name: name, Domain: fmt.Sprintf("d-%d", i%4)}, Source: storeClient{f.store, name, &h.link}, Decoder: plainDecoder{}, Timer: timer.New(),
 			Log: logrus.NewEntry(log), ReregisterTimeout: time.Second, PeerTransport: peerTransport{f, &h.link},
-			OnChange: func(*Snapshot, []string) { time.Sleep(time.Duration(h.applyTime.Load())) },
+			OnChange:  func(*Snapshot, []string) { time.Sleep(time.Duration(h.applyTime.Load())) },
+			SinceBoot: virtualBoot(time.Duration(i) * time.Hour),
 		}, f.g)
 		f.hosts[address.String()] = h
 	}
--- a/internal/fleet/directory/peers.go
+++ b/internal/fleet/directory/peers.go
@@ -69,6 +69,10 @@
 	// Newest holds the entries of targets that count in place of those that the store holds. Builds
 	// of earlier versions neither send nor read it.
 	Newest []newestEntry `cbor:"7,keyasint,omitempty"`
+	// SoundAge and SoundHeld are Age and Held by the time since boot of the server. Builds of earlier
+	// versions neither send nor read them, and hosts without client accounts don't send them.
+	SoundAge  *time.Duration `cbor:"8,keyasint,omitempty"`
+	SoundHeld time.Duration  `cbor:"9,keyasint,omitempty"`
 }
 
 // ServeHTTP serves the changes after a revision to another host, and waits for some if
@@ -85,7 +89,7 @@
 		http.Error(w, "the secret is not known yet", http.StatusServiceUnavailable)
 		return
 	}
-	start := time.Now()
+	start, bootStart := time.Now(), d.bootNow()
 	cs, ok := d.waitForChanges(r.Context(), after, min(wait, maxPollWait))
 	if !ok {
 		return
@@ -103,10 +107,12 @@
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(responseTimeout))
 	}
 	now := time.Now()
-	body, err := cbor.Marshal(changesResponse{
+	response := changesResponse{
 		Items: items, Revision: cs.page.Revision, Full: cs.full, Age: d.ageOf(now, cs.asOf), Held: now.Sub(start), Origin: d.originName(),
 		Newest: encodeNewest(now, cs.newest),
-	})
+	}
+	d.addSoundAge(&response, bootStart, cs.soundAsOf)
+	body, err := cbor.Marshal(response)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
@@ -189,7 +195,7 @@
 // fetchChanges requests the changes after a revision from another host. The age of the
 // update includes the transit time.
 func (d *Directory) fetchChanges(ctx context.Context, host Host, after store.Revision, wait time.Duration) (update, error) {
-	start := time.Now()
+	start, sent := time.Now(), d.bootNow()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timeout := time.AfterFunc(wait+peerGrace, cancel)
@@ -229,5 +235,8 @@
 	// The clocks of hosts differ, so the transit time is the time of the request minus
 	// its hold time.
 	transit := max(0, receivedAt.Sub(start)-max(0, c.Held))
-	return update{page: store.Page{Items: decoded, Revision: c.Revision}, full: c.Full, newest: c.Newest, source: host.Name, origin: c.Origin, receivedAt: receivedAt, age: max(0, c.Age) + transit}, nil
+	return update{
+		page: store.Page{Items: decoded, Revision: c.Revision}, full: c.Full, newest: c.Newest, source: host.Name, origin: c.Origin,
+		receivedAt: receivedAt, age: max(0, c.Age) + transit, soundAsOf: c.peerSoundAsOf(sent, d.bootNow()),
+	}, nil
 }
--- a/internal/fleet/directory/restore_test.go
+++ b/internal/fleet/directory/restore_test.go
@@ -189,13 +189,13 @@
 func TestCacheServesAllItemsToFollowersOfAnotherEra(t *testing.T) {
 	c := newWatchCache()
 	c.add(itemIn(1, "a", "1", 5))
-	c.advance(store.NewRevision(1, 100), 0)
+	c.advance(store.NewRevision(1, 100), 0, 0)
 	c.add(itemIn(2, "a", "0", 4))
-	c.advance(store.NewRevision(2, 80), 0)
+	c.advance(store.NewRevision(2, 80), 0, 0)
 	require.True(t, c.since(store.NewRevision(1, 90)).full)
 	require.False(t, c.since(store.NewRevision(2, 80)).full)
 	c.add(itemIn(2, "b", "1", 81))
-	c.advance(store.NewRevision(2, 81), 0)
+	c.advance(store.NewRevision(2, 81), 0, 0)
 	require.Equal(t, []store.Item{itemIn(2, "b", "1", 81)}, c.since(store.NewRevision(2, 80)).page.Items)
 }
 
--- a/internal/fleet/directory/state_test.go
+++ b/internal/fleet/directory/state_test.go
@@ -17,6 +17,9 @@
 	"tamaracktiller.example/tamaracktiller/internal/platform/store"
 )
 
+// accountsPrefix precedes configurations that have a client account. The whole rest is its key.
+const accountsPrefix = "accounts "
+
 // plainDecoder decodes configurations that end with a version, and targets without any
 // fields but the ID.
 type plainDecoder struct{}
@@ -28,7 +31,11 @@
 func (plainDecoder) Config(data []byte) (*routing.Config, error) {
 	text := string(data)
 	version, err := strconv.ParseUint(text[strings.LastIndexByte(text, ' ')+1:], 10, 64)
-	return &routing.Config{Version: version}, err
+	c := &routing.Config{Version: version}
+	if key, ok := strings.CutPrefix(text, accountsPrefix); ok {
+		c.Accounts = []routing.Account{{Name: "a", Keys: []string{key}}}
+	}
+	return c, err
 }
 
 func (plainDecoder) TargetID(key string) (string, bool) { return strings.CutPrefix(key, "t/") }
@@ -183,7 +190,7 @@
 func TestCacheServesChangesOrAllItems(t *testing.T) {
 	c := newWatchCache()
 	c.add(put("a", "1", 5))
-	c.advance(store.NewRevision(0, 5), 0)
+	c.advance(store.NewRevision(0, 5), 0, 0)
 	cs := c.since(store.NewRevision(0, 0))
 	require.True(t, cs.full, "changes before the first full read are not known")
 	require.Len(t, cs.page.Items, 1)
@@ -191,25 +198,25 @@
 	require.False(t, cs.full)
 	require.Empty(t, cs.page.Items)
 	c.add(store.Item{Key: "a", Revision: store.NewRevision(0, 8), Deleted: true})
-	c.advance(store.NewRevision(0, 8), 0)
+	c.advance(store.NewRevision(0, 8), 0, 0)
 	<-cs.changed
 	cs = c.since(store.NewRevision(0, 5))
 	require.False(t, cs.full)
 	require.Equal(t, []store.Item{{Key: "a", Revision: store.NewRevision(0, 8), Deleted: true}}, cs.page.Items)
 	for n := range uint64(maxRecentChanges + 1) {
 		c.add(put("b"+strconv.FormatUint(n, 10), "", 9+n))
-		c.advance(store.NewRevision(0, 9+n), 0)
+		c.advance(store.NewRevision(0, 9+n), 0, 0)
 	}
 	require.True(t, c.since(store.NewRevision(0, 8)).full, "the first change after revision 8 was dropped")
 }
 
 func TestCacheServesNewestItemOfEachKey(t *testing.T) {
 	c := newWatchCache()
-	c.advance(store.NewRevision(0, 1), 0)
+	c.advance(store.NewRevision(0, 1), 0, 0)
 	for _, item := range []store.Item{put("a", "", 2), put("b", "", 5), put("a", "", 4), put("c", "", 3)} {
 		c.add(item)
 	}
-	c.advance(store.NewRevision(0, 5), 0)
+	c.advance(store.NewRevision(0, 5), 0, 0)
 	cs := c.since(store.NewRevision(0, 1))
 	require.False(t, cs.full)
 	require.Equal(t, []store.Item{put("b", "", 5), put("a", "", 4), put("c", "", 3)}, cs.page.Items)
@@ -220,9 +227,9 @@
 	c := newWatchCache()
 	s := NewState(Host{}, plainDecoder{}, time.Second, c.add)
 	s.Load(now, store.Page{Revision: store.NewRevision(0, 3), Items: []store.Item{put("t/a", "", 1), put("t/b", "", 2), put("t/c", "", 3)}})
-	c.advance(store.NewRevision(0, 3), 0)
+	c.advance(store.NewRevision(0, 3), 0, 0)
 	s.Load(now, store.Page{Revision: store.NewRevision(0, 7), Items: []store.Item{put("t/a", "", 1), put("t/c", "", 6)}})
-	c.advance(store.NewRevision(0, 7), 0)
+	c.advance(store.NewRevision(0, 7), 0, 0)
 	cs := c.since(store.NewRevision(0, 3))
 	require.False(t, cs.full)
 	require.ElementsMatch(t, []store.Item{put("t/c", "", 6), {Key: "t/b", Revision: store.NewRevision(0, 7), Deleted: true}}, cs.page.Items)
--- a/internal/fleet/directory/watch.go
+++ b/internal/fleet/directory/watch.go
@@ -193,7 +193,7 @@
 func (w *watcher) step(ctx context.Context) time.Duration {
 	d := w.d
 	after := d.cache.applied()
-	start := time.Now()
+	start, sent := time.Now(), d.bootNow()
 	// A watch that returns changes proves the view complete only as of the time of the
 	// request. The wait of the next one is shortened by the age of the view.
 	wait := min(watchWait, max(minWatchWait, watchWait-d.Age(start)))
@@ -211,7 +211,11 @@
 		d.cfg.Log.WithField(fieldRevision, page.Revision.String()).Info("store is back")
 	}
 	receivedAt := time.Now()
-	d.submit(ctx, update{page: page, full: full, source: sourceStore, origin: d.cfg.Self.Name, receivedAt: receivedAt, age: responseAge(receivedAt.Sub(start), wait, page, full)})
+	took := receivedAt.Sub(start)
+	d.submit(ctx, update{
+		page: page, full: full, source: sourceStore, origin: d.cfg.Self.Name, receivedAt: receivedAt,
+		age: responseAge(took, wait, page, full), soundAsOf: storeSoundAsOf(sent, took, wait, page, full),
+	})
 	w.reload = false
 	w.clearFailures()
 	switch {
--- a/internal/fleet/directory/watchcache.go
+++ b/internal/fleet/directory/watchcache.go
@@ -32,6 +32,8 @@
 	// asOf is the time, since some fixed origin, up to which the items are complete.
 	// notifiedAsOf is its value when the followers were last notified.
 	asOf, notifiedAsOf time.Duration
+	// soundAsOf is asOf by the time since boot; 0 means never.
+	soundAsOf time.Duration
 	// changed is closed at the next change or renewal of asOf.
 	changed chan struct{}
 }
@@ -75,7 +77,7 @@
 // origin. Changes before the first read, or before the first read of an era, are unknown, so
 // a follower that lacks them gets all items. A later full read adds the changes that it
 // finds, including deleted keys.
-func (c *watchCache) advance(revision store.Revision, asOf time.Duration) {
+func (c *watchCache) advance(revision store.Revision, asOf, soundAsOf time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.revision.IsZero() || revision.Era > c.revision.Era {
@@ -85,6 +87,7 @@
 	changed := revision.After(c.revision)
 	c.revision = store.MaxRevision(c.revision, revision)
 	c.asOf = max(c.asOf, asOf)
+	c.soundAsOf = max(c.soundAsOf, soundAsOf)
 	if changed || c.asOf-c.notifiedAsOf >= freshnessStep {
 		c.notify()
 	}
@@ -106,6 +109,8 @@
 	newest []protectedEntry
 	// asOf is the time up to which the items are complete.
 	asOf time.Duration
+	// soundAsOf is asOf by the time since boot; 0 means never.
+	soundAsOf time.Duration
 	// changed is closed at the next change or renewal of asOf.
 	changed <-chan struct{}
 }
@@ -115,7 +120,7 @@
 func (c *watchCache) since(after store.Revision) changeSet {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	cs := changeSet{page: store.Page{Revision: c.revision}, newest: c.newest, asOf: c.asOf, changed: c.changed}
+	cs := changeSet{page: store.Page{Revision: c.revision}, newest: c.newest, asOf: c.asOf, soundAsOf: c.soundAsOf, changed: c.changed}
 	if !c.compactRevision.After(after) {
 		for _, item := range c.recent {
 			if item.Revision.After(after) {
--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -63,7 +63,7 @@
 }
 
 // registerDirectory registers gauges for the host's view of the fleet.
-func (m *metrics) registerDirectory(snapshot func() *directory.Snapshot, age func() time.Duration) {
+func (m *metrics) registerDirectory(snapshot func() *directory.Snapshot, age, soundAge func() time.Duration) {
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
@@ -89,6 +89,7 @@
 		_, keys := snapshot().Keys.Len()
 		return float64(keys)
 	})
+	gauge("tamarack_store_sound_age_seconds", "Age of this host's view of the store, with the time in which machines were suspended.", func() float64 { return soundAge().Seconds() })
 	gauge("tamarack_store_age_seconds", "Age of this host's view of the store.", func() float64 { return age().Seconds() })
 }
 
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -18,6 +18,7 @@
 	"os"
 	"os/signal"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -119,8 +120,10 @@
 	readinessServer *http.Server
 	peerServer      *http.Server
 	draining        chan struct{}
-	reload          Reload
-	incarnation     string
+	// keysUnusable is set if the last readiness check failed because the view was too old to use keys.
+	keysUnusable atomic.Bool
+	reload       Reload
+	incarnation  string
 	// end is the time at which the process exits; not set before it shuts down.
 	end *timer.Deadline
 
@@ -143,7 +146,7 @@
 		return nil, err
 	}
 	p.metrics.registerLogs(p.logWriter)
-	p.metrics.registerDirectory(func() *directory.Snapshot { return p.directory.Snapshot() }, func() time.Duration { return p.directory.Age(time.Now()) })
+	p.metrics.registerDirectory(func() *directory.Snapshot { return p.directory.Snapshot() }, func() time.Duration { return p.directory.Age(time.Now()) }, func() time.Duration { return p.directory.SoundAge() })
 	p.store = store.NewEraGuard(platform.OpenStore(cfg.Store, p.metrics.CountStoreCall))
 	timers := timer.New()
 	p.services.Provide("timer", timers)
@@ -176,7 +179,7 @@
 	p.metrics.registerDispatcher(p.dispatcher)
 	p.handler = entry.New(entry.Config{
 		Domain: cfg.Domain, FirstStart: cfg.FirstStart, Dialect: platform.Dialect, Placer: p.dispatcher, Links: p.links,
-		Snapshot: p.directory.Snapshot, FirstReadEnded: p.directory.FirstReadEnded(), Fresh: p.directory.Fresh, SoundAge: func() time.Duration { return p.directory.Age(time.Now()) }, Bounds: cfg.Bounds, Log: p.log.For("entry"), Observer: p.metrics, CrashTracker: crashes,
+		Snapshot: p.directory.Snapshot, FirstReadEnded: p.directory.FirstReadEnded(), Fresh: p.directory.Fresh, SoundAge: p.directory.SoundAge, Bounds: cfg.Bounds, Log: p.log.For("entry"), Observer: p.metrics, CrashTracker: crashes,
 	}, p.g)
 	p.services.Provide("directory", p.directory)
 	timers.Every("trim", closeIdlePeriod, p.links.CloseIdle)
@@ -212,8 +215,8 @@
 	return directory.Host{Name: p.cfg.Name, Domain: p.cfg.Domain, PeerAddress: p.cfg.Peers, Incarnation: p.incarnation, Cores: p.cfg.Cores}
 }
 
-// serveReadiness responds to readiness checks: a host is ready when it has a configuration
-// and is not draining.
+// serveReadiness responds to readiness checks: a host is ready when it has a configuration, can use
+// the keys of accounts if some route needs one, and is not draining.
 func (p *Process) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	select {
 	case <-p.draining:
@@ -221,11 +224,26 @@
 		return
 	default:
 	}
-	if p.directory.Snapshot().Table == nil {
+	if p.directory.Snapshot().Table == nil || !p.checksKeys() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+// checksKeys reports whether this host can admit requests that need a key, and logs when that changes.
+func (p *Process) checksKeys() bool {
+	ok := p.handler.CanCheckKeys()
+	if p.keysUnusable.Swap(!ok) == !ok {
+		return ok
+	}
+	log := p.log.For("process").WithField("view-age-ms", p.directory.SoundAge().Milliseconds())
+	if ok {
+		log.Info("the view is recent enough again to use keys of accounts")
+	} else {
+		log.Warn("not ready: the view is too old to use keys of accounts")
+	}
+	return ok
+}
+
 // Run starts the process and serves until ctx ends. It then shuts down gracefully: the
 // readiness check fails, the host keeps serving until the platform has noticed, and
 // requests in flight may finish within the grace period.
--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -42,6 +42,10 @@
 	// grace is the grace period of planned stops; 0 means 6 s.
 	grace   time.Duration
 	proxies []*platformtest.Proxy
+	// storeProxies holds the proxies between hosts and the store, by host; nil for none.
+	storeProxies map[string]*platformtest.Proxy
+	// revoke is the bound of strict revocation; 0 means that revocation is not strict.
+	revoke time.Duration
 
 	// mu guards hosts, to which tests add while others send requests.
 	mu    sync.Mutex
@@ -106,11 +110,17 @@
 	proxied bool
 	// grace is the grace period of planned stops; 0 means 6 s.
 	grace time.Duration
+	// revoke is the bound of strict revocation; 0 means that revocation is not strict. Each host has a
+	// proxy before the store then.
+	revoke time.Duration
 }
 
 func newFleet(t *testing.T, f fleet, targets ...*platformtest.Target) *cluster {
 	t.Helper()
-	cl := &cluster{t: t, store: platformtest.NewStore(), targets: targets, firstStart: f.firstStart, domains: max(1, f.domains), grace: f.grace}
+	cl := &cluster{t: t, store: platformtest.NewStore(), targets: targets, firstStart: f.firstStart, domains: max(1, f.domains), grace: f.grace, revoke: f.revoke}
+	if f.revoke > 0 {
+		cl.storeProxies = map[string]*platformtest.Proxy{}
+	}
 	t.Cleanup(cl.store.Close)
 	for _, target := range targets {
 		t.Cleanup(target.Close)
@@ -180,6 +190,12 @@
 			ConfigApply: 2 * time.Second, Drain: 2 * time.Second, Grace: cmp.Or(cl.grace, 6*time.Second), ReregisterTimeout: 2 * time.Second,
 		},
 	}
+	if cl.revoke > 0 {
+		cfg.Bounds.StrictRevoke, cfg.Bounds.Revoke = true, cl.revoke
+		proxy, err := platformtest.NewProxy(cl.t.Context(), cfg.Store, group.New(cl.t.Context()))
+		require.NoError(cl.t, err)
+		cl.storeProxies[name], cfg.Store = proxy, proxy.Address()
+	}
 	h := &host{cfg: cfg, log: &lockedBuffer{}, done: make(chan error, 1)}
 	h.settings.Store(cfg)
 	p, err := entry.New(cfg, entry.Platform{
