--- a/internal/account/keyring/keyring.go
+++ b/internal/account/keyring/keyring.go
@@ -45,8 +45,8 @@
 
 // Keyring is an immutable index of keys. It is safe for concurrent use.
 type Keyring struct {
-	// entries are by name.
-	entries map[string]*entry
+	// entries are in the order of the accounts.
+	entries []*entry
 	shards  []shard
 	keys    int
 }
@@ -84,49 +84,37 @@
 	if len(accounts) == 0 {
 		return nil
 	}
-	if old != nil && slices.EqualFunc(before, accounts, func(a, b routing.Account) bool { return a.Equal(&b) }) {
-		return old
-	}
-	next := &Keyring{entries: make(map[string]*entry, len(accounts))}
-	earlier := make(map[string]*routing.Account, len(before))
-	for i := range before {
-		earlier[before[i].Name] = &before[i]
-	}
-	for i := range accounts {
-		a := &accounts[i]
-		next.entries[a.Name] = newEntry(old, earlier[a.Name], a)
-		next.keys += len(a.Keys)
-	}
-	if old == nil || len(old.shards) != shardCount(next.keys) {
+	if old == nil {
+		next := &Keyring{entries: make([]*entry, 0, len(accounts))}
+		for i := range accounts {
+			next.entries = append(next.entries, newEntry(&accounts[i], nil))
+		}
 		next.build()
-	} else {
-		next.change(old)
+		return next
 	}
-	return next
+	c := compare(before, accounts)
+	if c.isEmpty() {
+		return old
+	}
+	return old.change(c)
 }
 
-// newEntry returns the entry of an account. It is that of the account before if that is the same, and
-// uses its digests if the keys are.
-func newEntry(old *Keyring, before, a *routing.Account) *entry {
-	var known *entry
-	if old != nil && before != nil && slices.Equal(before.Keys, a.Keys) {
-		known = old.entries[a.Name]
-	}
-	if known != nil && before.Equal(a) {
-		return known
-	}
+// newEntry returns the entry of an account. known holds the digests of its keys; nil if they must be
+// computed.
+func newEntry(a *routing.Account, known []digest) *entry {
 	account := *a
 	account.Keys = nil
-	if known != nil {
-		return &entry{account: &account, digests: known.digests}
-	}
-	e := &entry{account: &account, digests: make([]digest, 0, len(a.Keys))}
-	for _, key := range a.Keys {
-		e.digests = append(e.digests, digestOf(key))
+	e := &entry{account: &account, digests: known}
+	if known == nil {
+		e.digests = make([]digest, 0, len(a.Keys))
+		for _, key := range a.Keys {
+			e.digests = append(e.digests, digestOf(key))
+		}
 	}
 	return e
 }
 
+// shardCount returns the number of shards of an index.
 func shardCount(keys int) int {
 	if keys > maxUnsharded {
 		return manyShards
@@ -134,8 +122,16 @@
 	return 1
 }
 
-// build fills the shards.
+func (k *Keyring) countKeys() {
+	k.keys = 0
+	for _, e := range k.entries {
+		k.keys += len(e.digests)
+	}
+}
+
+// build fills the shards from the entries.
 func (k *Keyring) build() {
+	k.countKeys()
 	k.shards = make([]shard, shardCount(k.keys))
 	for i := range k.shards {
 		k.shards[i] = make(shard, k.keys/len(k.shards))
@@ -147,10 +143,44 @@
 	}
 }
 
-// change takes over the shards of an earlier index, and copies those in which keys change. A key may
+// change returns the index after a change. It shares the shards in which no key changes. A key may
 // move from one account to another, so keys are removed before others are added.
-func (k *Keyring) change(old *Keyring) {
-	k.shards = slices.Clone(old.shards)
+func (k *Keyring) change(c comparison) *Keyring {
+	end := len(k.entries) - c.suffix
+	removed := slices.Clone(k.entries[c.prefix:end])
+	added := make([]*entry, 0, len(c.accounts))
+	next := &Keyring{entries: make([]*entry, 0, c.prefix+len(c.accounts)+c.suffix)}
+	next.entries = append(next.entries, k.entries[:c.prefix]...)
+	for i := range c.accounts {
+		a := &c.accounts[i]
+		n, ok := c.find(i)
+		if !ok || !slices.Equal(c.before[n].Keys, a.Keys) {
+			added = append(added, newEntry(a, nil))
+			next.entries = append(next.entries, added[len(added)-1])
+			continue
+		}
+		e := k.entries[c.prefix+n]
+		if c.before[n].Equal(a) {
+			removed[n] = nil
+		} else {
+			e = newEntry(a, e.digests)
+			added = append(added, e)
+		}
+		next.entries = append(next.entries, e)
+	}
+	next.entries = append(next.entries, k.entries[end:]...)
+	next.countKeys()
+	if shardCount(next.keys) != len(k.shards) {
+		next.build()
+		return next
+	}
+	next.shards = slices.Clone(k.shards)
+	next.replace(removed, added)
+	return next
+}
+
+// replace removes the keys of some entries and adds those of others, in copies of the shards.
+func (k *Keyring) replace(removed, added []*entry) {
 	copied := make([]bool, len(k.shards))
 	shardFor := func(d digest) shard {
 		n := k.shardOf(d)
@@ -159,18 +189,58 @@
 		}
 		return k.shards[n]
 	}
-	for name, e := range old.entries {
-		if k.entries[name] != e {
-			for _, d := range e.digests {
-				delete(shardFor(d), d)
-			}
+	for _, e := range removed {
+		if e == nil {
+			continue
+		}
+		for _, d := range e.digests {
+			delete(shardFor(d), d)
+		}
+	}
+	for _, e := range added {
+		for _, d := range e.digests {
+			shardFor(d)[d] = e.account
 		}
 	}
-	for name, e := range k.entries {
-		if old.entries[name] != e {
-			for _, d := range e.digests {
-				shardFor(d)[d] = e.account
-			}
+}
+
+// comparison is what differs between two lists of accounts: before and accounts are what lies between
+// a prefix and a suffix that are the same.
+type comparison struct {
+	prefix, suffix   int
+	before, accounts []routing.Account
+	// positions are those in before, by name; nil until they are needed.
+	positions map[string]int
+}
+
+func compare(before, accounts []routing.Account) comparison {
+	c := comparison{before: before, accounts: accounts}
+	for len(c.before) > 0 && len(c.accounts) > 0 && c.before[0].Equal(&c.accounts[0]) {
+		c.prefix++
+		c.before, c.accounts = c.before[1:], c.accounts[1:]
+	}
+	for len(c.before) > 0 && len(c.accounts) > 0 && c.before[len(c.before)-1].Equal(&c.accounts[len(c.accounts)-1]) {
+		c.suffix++
+		c.before, c.accounts = c.before[:len(c.before)-1], c.accounts[:len(c.accounts)-1]
+	}
+	return c
+}
+
+func (c *comparison) isEmpty() bool { return len(c.before) == 0 && len(c.accounts) == 0 }
+
+// find returns the position in before of the account at position i of accounts. Most are at the same
+// position.
+func (c *comparison) find(i int) (int, bool) {
+	name := c.accounts[i].Name
+	if i < len(c.before) && c.before[i].Name == name {
+		return i, true
+	}
+	if c.positions == nil {
+		c.positions = make(map[string]int, len(c.before))
+		for n := range c.before {
+			c.positions[c.before[n].Name] = n
 		}
 	}
+	n, ok := c.positions[name]
+	return n, ok
 }
--- a/internal/account/keyring/keyring_test.go
+++ b/internal/account/keyring/keyring_test.go
@@ -39,6 +39,17 @@
 			if round%20 == 0 {
 				next = accounts(rng.IntN(most))
 			}
+			switch rng.IntN(6) {
+			case 0:
+				rng.Shuffle(len(next), func(i, j int) { next[i], next[j] = next[j], next[i] })
+			case 1:
+				if len(next) > 0 {
+					n := rng.IntN(len(next))
+					next = slices.Delete(next, n, n+1)
+				}
+			case 2:
+				next = slices.Insert(next, rng.IntN(len(next)+1), routing.Account{Name: fmt.Sprintf("new-%d", round)})
+			}
 			free := slices.Clone(all)
 			rng.Shuffle(len(free), func(i, j int) { free[i], free[j] = free[j], free[i] })
 			used := map[string]bool{}
@@ -50,6 +61,7 @@
 			for range min(len(next), 3) {
 				a := &next[rng.IntN(len(next))]
 				a.Priority = rng.IntN(4)
+				a.HasPriority = true
 				a.Keys = slices.Clone(a.Keys)
 				if len(a.Keys) > 0 && rng.IntN(2) == 0 {
 					used[a.Keys[0]] = false
