Quotas: charge requests at their start, messages between hosts, metrics

Requests of an account with a rate are charged once, before their first target is assigned, and refunded if they have not run. Messages travel as field 39 of dispatcher.Message with kind 11; older builds ignore it. The Retry-After of a 429 is not cut to the time that the client has left, since it says when credit will be available.

--- a/internal/account/credit/fleet_test.go
+++ b/internal/account/credit/fleet_test.go
@@ -66,9 +66,11 @@
 	members []*member
 	quotas  []quota
 	queue   deliveries
-	loss    float64
-	delay   time.Duration
-	jitter  time.Duration
+	byName  map[string]*member
+	// loss and repeated are the shares of messages that are lost or arrive twice.
+	loss, repeated float64
+	delay          time.Duration
+	jitter         time.Duration
 	// cut reports whether no message gets from one host to another.
 	cut func(from, to string) bool
 	// unrun is the share of charged requests that do not run, and are refunded after refundTime.
@@ -80,9 +82,10 @@
 	failed   map[string][]time.Duration
 	messages int
 	entries  int
-	largest  int
 	runs     uint64
 	refunds  []refund
+	// onSend is called with each message that goes over the network; nil for nothing.
+	onSend func(m Message)
 }
 
 // refund is a charged request that will not run.
@@ -95,11 +98,12 @@
 }
 
 func newFleet(seed uint64, hosts int, quotas ...quota) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), quotas: quotas, delay: ms / 2, jitter: ms, charges: map[string][]time.Duration{}, refused: map[string][]time.Duration{}, failed: map[string][]time.Duration{}}
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), quotas: quotas, byName: map[string]*member{}, delay: ms / 2, jitter: ms, charges: map[string][]time.Duration{}, refused: map[string][]time.Duration{}, failed: map[string][]time.Duration{}}
 	for n := range hosts {
 		f.members = append(f.members, &member{name: fmt.Sprintf("host-%d", n), offset: time.Duration(f.rng.Int64N(int64(time.Hour)))})
 	}
 	for _, m := range f.members {
+		f.byName[m.name] = m
 		f.restart(m)
 	}
 	return f
@@ -127,10 +131,6 @@
 	m.issuer.SetView(now, m.view)
 }
 
-func (f *fleet) member(name string) *member {
-	return f.members[slices.IndexFunc(f.members, func(m *member) bool { return m.name == name })]
-}
-
 func (f *fleet) send(from *member, to string, msg Message) {
 	if from.name == to {
 		f.receive(from, msg)
@@ -138,10 +138,18 @@
 	}
 	f.messages++
 	f.entries += len(msg.Items)
+	if f.onSend != nil {
+		f.onSend(msg)
+	}
 	if f.rng.Float64() < f.loss || f.cut != nil && f.cut(from.name, to) {
 		return
 	}
-	heap.Push(&f.queue, delivery{at: f.now + f.delay + time.Duration(f.rng.Int64N(int64(f.jitter))), to: to, msg: msg})
+	for copies := 1; copies > 0; copies-- {
+		if f.rng.Float64() < f.repeated {
+			copies++
+		}
+		heap.Push(&f.queue, delivery{at: f.now + f.delay + time.Duration(f.rng.Int64N(int64(f.jitter))), to: to, msg: msg})
+	}
 }
 
 func (f *fleet) receive(m *member, msg Message) {
@@ -202,7 +210,7 @@
 	for end := f.now + length; f.now < end; f.now += ms {
 		for len(f.queue) > 0 && f.queue[0].at <= f.now {
 			d := heap.Pop(&f.queue).(delivery)
-			switch m := f.member(d.to); {
+			switch m := f.byName[d.to]; {
 			case m.dead:
 			case m.stopped:
 				m.inbox = append(m.inbox, d)
@@ -267,9 +275,9 @@
 	}
 }
 
-// excess returns by how many requests an account exceeds a bound in the worst span of 5 s that ends
-// after from; negative if it stays below.
-func excess(charges []time.Duration, from time.Duration, limit Limit) float64 {
+// excess returns by how many requests an account exceeds its bound in the worst span of 5 s;
+// negative if it stays below.
+func excess(charges []time.Duration, limit Limit) float64 {
 	const window = 5 * time.Second
 	allowed := (limit.PerSecond*window.Seconds()+limit.Burst)*1.1 + 20
 	worst, first := -allowed, 0
@@ -277,9 +285,7 @@
 		for at-charges[first] > window {
 			first++
 		}
-		if at >= from {
-			worst = max(worst, float64(n-first+1)-allowed)
-		}
+		worst = max(worst, float64(n-first+1)-allowed)
 	}
 	return worst
 }
--- a/internal/account/credit/message.go
+++ b/internal/account/credit/message.go
@@ -51,9 +51,9 @@
 	// followTime is the time for which a follower counts. It covers two heartbeat periods and a
 	// repetition, so that one lost message does not end it.
 	followTime = 600 * time.Millisecond
-	// maxItems bounds the accounts in a message, which must fit a datagram of 1,400 bytes. An item
+	// MaxItems bounds the accounts in a message, which must fit a datagram of 1,400 bytes. An item
 	// takes at most 37 bytes.
-	maxItems = 24
+	MaxItems = 24
 )
 
 // AccountID identifies an account in messages. It is a hash of the name, so that long names fit a
--- a/internal/account/credit/spender.go
+++ b/internal/account/credit/spender.go
@@ -447,7 +447,7 @@
 func (s *Spender) requests(now time.Duration, v View, c *contact, follow bool, items []Item) []Outgoing {
 	var out []Outgoing
 	for first := true; first || len(items) > 0; first = false {
-		n := min(len(items), maxItems)
+		n := min(len(items), MaxItems)
 		s.lastStamp = max(now, s.lastStamp+1)
 		out = append(out, Outgoing{To: c.name, Message: Message{
 			Sender: s.self, Run: s.run, ReceiverRun: c.run, Stamp: s.lastStamp, Echo: c.stamp, Follow: follow,
--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"tamaracktiller.example/tamaracktiller/internal/account/quota"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/process/logs"
 	"tamaracktiller.example/tamaracktiller/internal/report/burn"
@@ -26,11 +27,18 @@
 	tunnels     prometheus.Counter
 	probes      *prometheus.CounterVec
 	storeCalls  *prometheus.CounterVec
+	charges     *prometheus.CounterVec
+	exceeded    *prometheus.CounterVec
+	refunds     prometheus.Counter
+	credit      *prometheus.CounterVec
 	updateDelay prometheus.Histogram
 	burnRate    *burn.Meter
 }
 
-var _ entry.Observer = (*metrics)(nil)
+var (
+	_ entry.Observer = (*metrics)(nil)
+	_ quota.Observer = (*metrics)(nil)
+)
 
 // labelService is the label for the name of a service.
 const labelService = "service"
@@ -49,8 +57,12 @@
 		probes:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_entry_questions_total", Help: "Load probes sent to targets, by cause."}, []string{labelService, "cause"}),
 		updateDelay: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "tamarack_view_wait_seconds", Help: "Time that updates from the store waited to be applied.", Buckets: latencyBuckets}),
 		storeCalls:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_store_calls_total", Help: "Calls to the metadata store by operation."}, []string{"operation"}),
+		charges:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_quota_charges_total", Help: "Requests that were charged to a client account with a quota, or not, by result."}, []string{"result"}),
+		exceeded:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_quota_exceeded_total", Help: "Requests beyond the quota of their client account."}, []string{"account"}),
+		refunds:     prometheus.NewCounter(prometheus.CounterOpts{Name: "tamarack_quota_refunds_total", Help: "Charged requests that have not run."}),
+		credit:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_quota_messages_total", Help: "Messages on credit from and to other hosts, by direction."}, []string{"direction"}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.extra, m.latency, m.tunnels, m.probes, m.storeCalls, m.updateDelay)
+	m.registry.MustRegister(m.requests, m.attempts, m.extra, m.latency, m.tunnels, m.probes, m.storeCalls, m.updateDelay, m.charges, m.exceeded, m.refunds, m.credit)
 	return m
 }
 
@@ -82,6 +94,41 @@
 	gauge("tamarack_store_age_seconds", "Age of this host's view of the store.", func() float64 { return age().Seconds() })
 }
 
+// registerQuotas registers the gauges of the credit host.
+func (m *metrics) registerQuotas(status func() quota.Status) {
+	gauge := func(name, help string, value func(quota.Status) float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return value(status()) }))
+	}
+	gauge("tamarack_quota_share", "Part of the quotas of client accounts that this host issues, from 0 to 1.", func(s quota.Status) float64 { return s.Share })
+	gauge("tamarack_quota_followers", "Hosts that follow this host as credit host, with itself.", func(s quota.Status) float64 { return float64(s.Followers) })
+	gauge("tamarack_quota_following", "Whether this host follows a credit host.", func(s quota.Status) float64 {
+		if s.Following {
+			return 1
+		}
+		return 0
+	})
+}
+
+// Charge implements quota.Observer.
+func (m *metrics) Charge(account string, result quota.Result) {
+	m.charges.WithLabelValues(string(result)).Inc()
+	if result == quota.Exceeded {
+		m.exceeded.WithLabelValues(account).Inc()
+	}
+}
+
+// Refund implements quota.Observer.
+func (m *metrics) Refund(string) { m.refunds.Inc() }
+
+// CreditMessage implements quota.Observer.
+func (m *metrics) CreditMessage(sent bool) {
+	direction := "received"
+	if sent {
+		direction = "sent"
+	}
+	m.credit.WithLabelValues(direction).Inc()
+}
+
 // registerReachability registers the gauge that tells whether this host has lost its links to
 // the targets.
 func (m *metrics) registerReachability(cutOff func() bool) {
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -26,8 +26,11 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
+	"tamaracktiller.example/tamaracktiller/internal/account/credit"
+	"tamaracktiller.example/tamaracktiller/internal/account/quota"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/packet"
+	"tamaracktiller.example/tamaracktiller/internal/kernel/clock"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/registry"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
@@ -111,6 +114,7 @@
 	links           *targets.Links
 	tunnels         *tunnel.Server
 	dispatcher      *dispatcher.Dispatcher
+	quotas          *quota.Service
 	packets         *packet.Conn[dispatcher.Message]
 	metrics         *metrics
 	clientServer    *http.Server
@@ -169,18 +173,23 @@
 		Self: cfg.Name, Hosts: func() map[string]directory.Host { return p.directory.Snapshot().Hosts },
 		Send: p.sendEvidence, ConnectionRefused: p.links.RefusesConnections, Log: p.log.For("crashes"),
 	}, p.g)
+	p.quotas = quota.New(quota.Config{
+		Self: p.self(), Send: p.sendCredit, ViewAge: func() time.Duration { return p.directory.Age(time.Now()) }, SinceBoot: clock.SinceBoot, Observer: p.metrics, Log: p.log.For("quota"),
+	})
+	p.metrics.registerQuotas(p.quotas.Status)
 	p.dispatcher = dispatcher.New(dispatcher.Config{
 		Self: cfg.Name, Prober: p.links, Placement: placement.DefaultConfig(), ProbesPerSecond: cfg.Bounds.ProbesPerSecond,
-		Send: p.send, Fresh: p.directory.Fresh, Log: p.log.For("dispatcher"), OnProbe: p.metrics.CountProbe, OnEvidence: crashes.HandleEvidence,
+		Send: p.send, Fresh: p.directory.Fresh, Log: p.log.For("dispatcher"), OnProbe: p.metrics.CountProbe, OnEvidence: crashes.HandleEvidence, OnCredit: p.quotas.Receive,
 	}, p.g)
 	p.metrics.registerDispatcher(p.dispatcher)
 	p.handler = entry.New(entry.Config{
 		Domain: cfg.Domain, FirstStart: cfg.FirstStart, Dialect: platform.Dialect, Placer: p.dispatcher, Links: p.links,
-		Snapshot: p.directory.Snapshot, FirstReadEnded: p.directory.FirstReadEnded(), Fresh: p.directory.Fresh, Bounds: cfg.Bounds, Log: p.log.For("entry"), Observer: p.metrics, CrashTracker: crashes,
+		Snapshot: p.directory.Snapshot, FirstReadEnded: p.directory.FirstReadEnded(), Fresh: p.directory.Fresh, Bounds: cfg.Bounds, Log: p.log.For("entry"), Observer: p.metrics, CrashTracker: crashes, Quotas: p.quotas,
 	}, p.g)
 	p.services.Provide("directory", p.directory)
 	timers.Every("trim", closeIdlePeriod, p.links.CloseIdle)
 	timers.Every("wants", dispatcherTickPeriod, p.dispatcher.Tick)
+	timers.Every("credit", credit.PollPeriod, p.quotas.Tick)
 	timers.Every("loads", p.dispatcher.LoadPeriod(), p.dispatcher.ReportLoads)
 	p.addServers()
 	return p, nil
@@ -189,6 +198,7 @@
 func (p *Process) applySnapshot(s *directory.Snapshot, restarted []string) {
 	p.links.SetTargets(s, restarted)
 	p.dispatcher.SetSnapshot(s, restarted)
+	p.quotas.SetSnapshot(s)
 }
 
 // applyReachability makes other hosts dispatch while this host does not reach the targets by
@@ -243,6 +253,7 @@
 	if err := p.servePeers(ctx); err != nil {
 		return err
 	}
+	p.quotas.Start()
 	if err := p.serveClients(ctx); err != nil {
 		return err
 	}
@@ -388,6 +399,10 @@
 
 func (p *Process) send(to netip.AddrPort, m dispatcher.Message) error { return p.packets.Send(to, m) }
 
+func (p *Process) sendCredit(to netip.AddrPort, m credit.Message) error {
+	return p.send(to, dispatcher.CreditMessage(m))
+}
+
 // sendEvidence sends crash evidence to another host. If the message is lost, one more
 // target crashes before the request is blocked.
 func (p *Process) sendEvidence(to netip.AddrPort, e crash.Evidence) {
@@ -460,6 +475,7 @@
 	close(p.draining)
 	p.beginShutdown(started, log)
 	p.dispatcher.Drain()
+	p.quotas.Resign()
 	p.tunnels.Refuse()
 	drainCtx := p.end.Context()
 	deadline, _ := p.end.At()
--- a/internal/traffic/dispatcher/dispatcher.go
+++ b/internal/traffic/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"tamaracktiller.example/tamaracktiller/internal/account/credit"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/budget"
@@ -57,6 +58,9 @@
 	// OnEvidence is called with the evidence of crashes that other hosts report. It must not
 	// block, and may be nil.
 	OnEvidence func(e crash.Evidence)
+	// OnCredit is called with the messages of other hosts on the quotas of client accounts. It must
+	// not block, and may be nil.
+	OnCredit func(from netip.AddrPort, m credit.Message)
 	// Fresh reports whether the snapshot is up to date. If it is nil, it always is.
 	Fresh func(now time.Time) bool
 }
--- a/internal/traffic/dispatcher/remote.go
+++ b/internal/traffic/dispatcher/remote.go
@@ -205,6 +205,10 @@
 		if m.Evidence != nil && d.cfg.OnEvidence != nil {
 			d.cfg.OnEvidence(*m.Evidence)
 		}
+	case kindCredit:
+		if m.Credit != nil && d.cfg.OnCredit != nil {
+			d.cfg.OnCredit(from, *m.Credit)
+		}
 	case kindQueued, kindGranted, kindRejected, kindUnavailable, kindRedirect:
 		d.deliver(from, m)
 	}
--- a/internal/traffic/dispatcher/request.go
+++ b/internal/traffic/dispatcher/request.go
@@ -25,6 +25,7 @@
 	"fmt"
 	"time"
 
+	"tamaracktiller.example/tamaracktiller/internal/account/credit"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/crash"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/notice"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
@@ -142,6 +143,8 @@
 	kindEvidence
 	// kindPauses tells a host that targets turned away requests which were sent through it.
 	kindPauses
+	// kindCredit carries a message on the quotas of client accounts.
+	kindCredit
 )
 
 // Message is exchanged between hosts. Its times are relative, since the clocks of hosts
@@ -207,13 +210,17 @@
 	// Account is the client account of a request.
 	Account string `cbor:"38,keyasint,omitempty"`
 
-	// Evidence is set only in messages of kindEvidence.
+	// Evidence is set only in messages of kindEvidence, and Credit in those of kindCredit.
 	Evidence *crash.Evidence `cbor:"26,keyasint,omitempty"`
+	Credit   *credit.Message `cbor:"39,keyasint,omitempty"`
 }
 
 // EvidenceMessage returns the message that carries evidence of crashes.
 func EvidenceMessage(e crash.Evidence) Message { return Message{Kind: kindEvidence, Evidence: &e} }
 
+// CreditMessage returns the message that carries a message on the quotas of client accounts.
+func CreditMessage(m credit.Message) Message { return Message{Kind: kindCredit, Credit: &m} }
+
 // CellLoad is the load of a cell as reported by a host.
 type CellLoad struct {
 	Cell string `cbor:"1,keyasint"`
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -74,6 +74,8 @@
 	Observer Observer
 	// CrashTracker detects requests that crash targets; nil to disable.
 	CrashTracker *CrashTracker
+	// Quotas charges requests to client accounts; nil to disable.
+	Quotas Quotas
 }
 
 // Observer is notified of finished requests and extra attempts.
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -41,6 +41,8 @@
 	id       string
 	route    *routing.Route
 	service  routing.Service
+	// account is the client account of the request; nil for none.
+	account *routing.Account
 	// version is the version of the configuration, and revision the store revision of
 	// the snapshot that holds it.
 	version  uint64
--- a/internal/traffic/entry/response.go
+++ b/internal/traffic/entry/response.go
@@ -123,7 +123,11 @@
 // writeError sends a response that the load balancer generates itself. The reason may
 // contain addresses, so the client gets only the outcome and the status text.
 func (req *clientRequest) writeError(w http.ResponseWriter, resp finalResponse) {
-	req.h.cfg.Dialect.SetRejection(w.Header(), req.id, min(resp.retryAfter, max(0, time.Until(req.deadline))))
+	retryAfter := resp.retryAfter
+	if resp.status != http.StatusTooManyRequests {
+		retryAfter = min(retryAfter, max(0, time.Until(req.deadline)))
+	}
+	req.h.cfg.Dialect.SetRejection(w.Header(), req.id, retryAfter)
 	w.Header().Set("Content-Type", "application/json")
 	body, err := json.Marshal(errorBody{Outcome: resp.outcome, Reason: http.StatusText(resp.status)})
 	if err != nil {
--- a/internal/traffic/entry/retry.go
+++ b/internal/traffic/entry/retry.go
@@ -26,8 +26,21 @@
 	minTimeLeft = 5 * time.Millisecond
 )
 
-// run sends the request, with retries, until its final response is known.
+// run charges the request to its account and sends it. A request that has not run is not charged.
 func (req *clientRequest) run(ctx context.Context) finalResponse {
+	refund, rejection := req.charge(ctx)
+	if rejection != nil {
+		return *rejection
+	}
+	resp := req.sendUntilFinal(ctx)
+	if !req.mayHaveRun {
+		refund()
+	}
+	return resp
+}
+
+// sendUntilFinal sends the request, with retries, until its final response is known.
+func (req *clientRequest) sendUntilFinal(ctx context.Context) finalResponse {
 	req.h.countRequest(req.service.Name)
 	var last attempt
 	for retries := 0; ; retries++ {
