--- a/internal/process/entry/export_test.go
+++ b/internal/process/entry/export_test.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/pkg/errors"
+
+	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
 )
 
 // Kill ends the process without the steps of a shutdown: requests in flight get no response,
@@ -20,3 +22,11 @@
 
 // LastStart is lastStart, for tests.
 var LastStart = lastStart
+
+// Charge charges a request to an account, as the handler does for requests with the account's key.
+func (p *Process) Charge(ctx context.Context, id string, a *routing.Account) (refund func(), err error) {
+	return p.quotas.Charge(ctx, id, a)
+}
+
+// Issues reports whether the host is the credit host of all hosts.
+func (p *Process) Issues() bool { return p.quotas.Status().Share >= 1 }
