--- a/internal/account/credit/issuer.go
+++ b/internal/account/credit/issuer.go
@@ -45,8 +45,9 @@
 type bucket struct {
 	limit  Limit
 	tokens float64
-	// issuing is the value of Issuer.issuing at which tokens was computed.
+	// issuing and starts are the values of Issuer at which tokens was computed.
 	issuing float64
+	starts  float64
 	// generation is the current generation. net counts the credit that was issued in the last
 	// generations and not returned, by the generation modulo windowGenerations, and total its sum.
 	generation int64
@@ -104,6 +105,8 @@
 	share   float64
 	issuing float64
 	at      time.Duration
+	// starts is the sum of the parts of the fleet that settled followers brought.
+	starts float64
 	// marks holds the state at the start of the last generations, by the generation modulo
 	// windowGenerations.
 	marks [windowGenerations]mark
@@ -196,16 +199,21 @@
 		response.Unavailable = true
 		return response, true
 	}
+	joined := false
 	switch {
 	case !m.Follow:
 		i.setUntil(f, 0)
 	case m.ReceiverRun == i.run && m.Echo <= now && m.Echo+followTime > now:
+		joined = f.until == 0
 		i.setUntil(f, max(f.until, m.Echo+followTime))
 		i.noteHosts(now, m.Hosts)
 		i.freshAt = max(i.freshAt, m.Echo-m.ViewAge)
 	}
 	response.Follow = f.until > now
 	i.updateShare(now)
+	if joined && m.Settled && i.share > 0 {
+		i.starts += 1 / float64(max(i.hosts(now), i.counted))
+	}
 	if !response.Follow {
 		return response, true
 	}
@@ -300,9 +308,9 @@
 
 // settle adds the credit since the last call to a bucket.
 func (i *Issuer) settle(b *bucket) {
-	gone := i.issuing - b.issuing
-	b.issuing = i.issuing
-	b.tokens = min(i.capacity(b, i.share), b.tokens+b.limit.PerSecond*gone)
+	added := b.limit.PerSecond*(i.issuing-b.issuing) + startCredit*(i.starts-b.starts)
+	b.issuing, b.starts = i.issuing, i.starts
+	b.tokens = min(i.capacity(b, i.share), b.tokens+added)
 }
 
 // addBuckets adds empty buckets for the accounts that have none.
@@ -312,7 +320,7 @@
 	}
 	for id, limit := range i.limits {
 		if i.buckets[id] == nil {
-			i.buckets[id] = &bucket{limit: limit, issuing: i.issuing}
+			i.buckets[id] = &bucket{limit: limit, issuing: i.issuing, starts: i.starts}
 		}
 	}
 }
--- a/internal/account/credit/message.go
+++ b/internal/account/credit/message.go
@@ -51,6 +51,11 @@
 	// followTime is the time for which a follower counts. It covers two heartbeat periods and a
 	// repetition, so that one lost message does not end it.
 	followTime = 600 * time.Millisecond
+	// startCredit is the credit with which buckets start when all hosts change to a credit host. Without
+	// it, accounts with a rate far below one request a second were refused for long after each change. A
+	// host brings its part at most once in settledTime, or with a new process.
+	startCredit = 3.0
+	settledTime = 5 * time.Second
 	// MaxItems bounds the accounts in a message, which must fit a datagram of 1,400 bytes. An item
 	// takes at most 37 bytes.
 	MaxItems = 24
@@ -79,6 +84,9 @@
 	Response bool          `cbor:"6,keyasint,omitempty"`
 	// Follow is set in requests of a follower, and in responses if the receiver counts as one.
 	Follow bool `cbor:"7,keyasint,omitempty"`
+	// Settled is set in the first requests of a follower that followed its former credit host for
+	// settledTime or has just started. It brings its part of startCredit.
+	Settled bool `cbor:"12,keyasint,omitempty"`
 	// Unavailable is set in the response of a host that issues no credit and counts no followers.
 	Unavailable bool `cbor:"8,keyasint,omitempty"`
 	// Hosts is the number of hosts in the view of the sender of a request, and ViewAge the age of the view.
--- a/internal/account/credit/spender.go
+++ b/internal/account/credit/spender.go
@@ -135,7 +135,11 @@
 	// received; followStamp is the stamp of the last request that followed it.
 	echoedAt    time.Duration
 	followStamp time.Duration
-	lastStamp   time.Duration
+	// followedAt is the time from which on the current or last credit host was followed; zero for
+	// none. settled is set until the current one counts this host, if it brings start credit.
+	followedAt time.Duration
+	settled    bool
+	lastStamp  time.Duration
 	// width is the number of candidates that are asked at once while none is followed.
 	width         int
 	widenAt       time.Duration
@@ -417,6 +421,8 @@
 	if len(list) > 0 && list[0].responded(now) && now >= s.freeAt {
 		s.current, s.leaving = list[0], nil
 		s.nextHeartbeat = now
+		s.settled = s.followedAt == 0 || now-s.followedAt >= settledTime
+		s.followedAt = now
 		s.retain(s.current, nil)
 		return nil
 	}
@@ -450,7 +456,7 @@
 		n := min(len(items), MaxItems)
 		s.lastStamp = max(now, s.lastStamp+1)
 		out = append(out, Outgoing{To: c.name, Message: Message{
-			Sender: s.self, Run: s.run, ReceiverRun: c.run, Stamp: s.lastStamp, Echo: c.stamp, Follow: follow,
+			Sender: s.self, Run: s.run, ReceiverRun: c.run, Stamp: s.lastStamp, Echo: c.stamp, Follow: follow, Settled: follow && s.settled,
 			Hosts: v.Hosts, ViewAge: v.Age, Items: items[:n:n],
 		}})
 		items = items[n:]
@@ -555,7 +561,9 @@
 	if c != s.current {
 		return again || s.current == nil
 	}
-	if !m.Follow {
+	if m.Follow {
+		s.settled = false
+	} else {
 		s.nextHeartbeat = min(s.nextHeartbeat, now+DemandPeriod)
 	}
 	for _, item := range m.Items {
