--- a/internal/account/credit/fleet_test.go
+++ b/internal/account/credit/fleet_test.go
@@ -86,6 +86,8 @@
 	refunds  []refund
 	// onSend is called with each message that goes over the network; nil for nothing.
 	onSend func(m Message)
+	// onRequest is called with each request; nil for nothing.
+	onRequest func(account string)
 }
 
 // refund is a charged request that will not run.
@@ -237,6 +239,9 @@
 
 // request sends a request to a host that serves.
 func (f *fleet) request(account string) {
+	if f.onRequest != nil {
+		f.onRequest(account)
+	}
 	m := f.members[f.rng.IntN(len(f.members))]
 	if m.dead || m.stopped {
 		return
--- a/internal/account/credit/size_test.go
+++ b/internal/account/credit/size_test.go
@@ -28,6 +28,33 @@
 	return quotas
 }
 
+// ideal holds a token bucket per account that all hosts use at once.
+type ideal struct {
+	limits  map[string]Limit
+	tokens  map[string]float64
+	at      map[string]time.Duration
+	refused map[string]int
+}
+
+func newIdeal(quotas []quota) *ideal {
+	o := &ideal{limits: map[string]Limit{}, tokens: map[string]float64{}, at: map[string]time.Duration{}, refused: map[string]int{}}
+	for _, q := range quotas {
+		o.limits[q.name], o.tokens[q.name] = q.limit, max(1, q.limit.Burst)
+	}
+	return o
+}
+
+func (o *ideal) request(now time.Duration, account string) {
+	l := o.limits[account]
+	o.tokens[account] = min(max(1, l.Burst), o.tokens[account]+l.PerSecond*(now-o.at[account]).Seconds())
+	o.at[account] = now
+	if o.tokens[account] < 1 {
+		o.refused[account]++
+		return
+	}
+	o.tokens[account]--
+}
+
 func heapBytes() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
@@ -43,6 +70,8 @@
 			for b.Loop() {
 				quotas := zipfQuotas(size.hosts, size.accounts)
 				f := newFleet(1, size.hosts, quotas...)
+				ideal := newIdeal(quotas)
+				f.onRequest = func(account string) { ideal.request(f.now, account) }
 				f.run(3 * time.Second)
 				from, messages, bytes, atIssuer := f.now, f.messages, 0, 0
 				f.onSend = func(m Message) {
@@ -53,18 +82,21 @@
 					bytes += len(data)
 					atIssuer++
 				}
+				clear(ideal.refused)
 				f.run(4 * time.Second)
 				seconds := (f.now - from).Seconds()
 				b.ReportMetric(float64(f.messages-messages)/seconds/float64(size.hosts), "messages/s/host")
 				b.ReportMetric(float64(bytes)/seconds/float64(size.hosts), "bytes/s/host")
-				refused, charged := 0, 0
+				refused, charged, refusedIdeally := 0, 0, 0
 				for n, q := range quotas {
 					if n != 3 {
 						refused += since(f.refused[q.name], from) + since(f.failed[q.name], from)
 						charged += since(f.charges[q.name], from)
+						refusedIdeally += ideal.refused[q.name]
 					}
 				}
 				b.ReportMetric(float64(refused)/float64(refused+charged)*1e6, "refused-per-million")
+				b.ReportMetric(float64(refusedIdeally)/float64(refused+charged)*1e6, "ideally-refused-per-million")
 				before := heapBytes()
 				accounts := f.members[1].spender.Accounts()
 				f.members[1].spender = nil
