--- a/internal/account/credit/message.go
+++ b/internal/account/credit/message.go
@@ -68,6 +68,15 @@
 // ID returns the ID of the account with a name.
 func ID(name string) AccountID { return AccountID(xxhash.Sum64String(name)) }
 
+// Window, Overage and Slack are the tolerance that the constants of this package suit: in any
+// Window, the requests of an account exceed its quota by no more than Overage times the quota, plus
+// Slack.
+const (
+	Window  = 5 * time.Second
+	Overage = 0.1
+	Slack   = 20.0
+)
+
 // Message is a request of a host to a credit host, or the response to it. A request without Follow
 // asks whether the receiver issues credit; the receiver then no longer counts the sender.
 type Message struct {
--- a/internal/account/credit/spender.go
+++ b/internal/account/credit/spender.go
@@ -15,9 +15,13 @@
 	DemandPeriod = 20 * time.Millisecond
 	// tickJitter is the time by which a call of Poll may come too early.
 	tickJitter = 20 * time.Millisecond
+	// responseTimeout is the time without a response after which a candidate that was sent
+	// maxUnanswered messages is skipped. A host that has used up its processor time stops for 100 ms or
+	// so; a switch to another host could not end before followTime in any case.
+	responseTimeout = 250 * time.Millisecond
 	// skipTime is the time for which a candidate that did not respond is skipped.
 	skipTime = 2 * time.Second
-	// maxUnanswered is the number of messages without a response after which a candidate is skipped.
+	// maxUnanswered is the least number of messages without a response for that.
 	maxUnanswered = 2
 	// maxRetryAfter bounds the staggered Retry-After of refused requests.
 	maxRetryAfter = 5 * time.Second
@@ -105,9 +109,12 @@
 	stamp   time.Duration
 	stampAt time.Duration
 	// pending holds the stamps of requests without a response.
-	pending    []time.Duration
-	sentAt     time.Duration
-	unanswered int
+	pending []time.Duration
+	sentAt  time.Duration
+	// unanswered counts the requests since the last response, and unansweredAt is the time of the
+	// first of them.
+	unanswered   int
+	unansweredAt time.Duration
 	// available is set if the last response allows this host to follow.
 	available bool
 }
@@ -344,10 +351,10 @@
 	return HeartbeatPeriod - tickJitter
 }
 
-// dropUnresponsive skips contacts that did not respond to maxUnanswered messages.
+// dropUnresponsive skips contacts that have not responded for responseTimeout.
 func (s *Spender) dropUnresponsive(now time.Duration) {
 	for name, c := range s.contacts {
-		if c.unanswered >= maxUnanswered && now-c.sentAt >= PollPeriod-tickJitter {
+		if c.unanswered >= maxUnanswered && now-c.unansweredAt >= responseTimeout-tickJitter {
 			s.skip(now, name)
 		}
 	}
@@ -469,6 +476,9 @@
 		c.pending = c.pending[len(c.pending)-maxPending:]
 	}
 	c.sentAt = now
+	if c.unanswered == 0 {
+		c.unansweredAt = now
+	}
 	c.unanswered++
 	return out
 }
--- a/internal/account/quota/fleet.go
+++ b/internal/account/quota/fleet.go
@@ -29,15 +29,16 @@
 	if snapshot.Table != nil && !sameQuotas(snapshot.Table.Config.Accounts, s.accounts) {
 		s.setLimits(now, snapshot.Table.Config.Accounts)
 	}
+	if !s.enabled {
+		return
+	}
 	if s.hostChanges != snapshot.HostChanges || s.hosts == 0 {
 		s.hostChanges = snapshot.HostChanges
 		ranked := rank(snapshot.Hosts, s.cfg.Self)
 		s.hosts = len(ranked)
 		s.spender.SetCandidates(ranked)
 	}
-	if s.enabled {
-		s.issuer.SetView(now, s.view())
-	}
+	s.issuer.SetView(now, s.view())
 }
 
 // sameQuotas reports whether two lists of accounts have the same names, rates and bursts.
@@ -57,6 +58,10 @@
 	s.accounts, s.enabled = accounts, len(limits) > 0
 	s.issuer.SetLimits(now, limits)
 	s.cfg.Log.WithFields(logrus.Fields{"accounts": len(accounts), "with-quota": len(limits)}).Info("quotas of accounts are in force")
+	if b := s.cfg.Bounds; s.enabled && (b.QuotaWindow != credit.Window || b.QuotaOverage < credit.Overage || b.QuotaSlack < credit.Slack) {
+		s.cfg.Log.WithFields(logrus.Fields{"window-ms": b.QuotaWindow.Milliseconds(), "overage": b.QuotaOverage, "slack": b.QuotaSlack}).
+			Warn("settings ask for another tolerance of quotas than 5 s, 0.1 and 20, which are kept")
+	}
 }
 
 // rank returns the names of the hosts in the order in which they are preferred as credit hosts, with this
--- a/internal/account/quota/quota.go
+++ b/internal/account/quota/quota.go
@@ -31,6 +31,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/account/credit"
 	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
+	"tamaracktiller.example/tamaracktiller/internal/process/settings"
 )
 
 // waitDivisor is the part of the time left for which a request waits for credit at most.
@@ -86,8 +87,10 @@
 	ViewAge func() time.Duration
 	// SinceBoot returns the time since boot.
 	SinceBoot func() time.Duration
-	Observer  Observer
-	Log       *logrus.Entry
+	// Bounds hold the tolerance of quotas, which is compared with that of package credit.
+	Bounds   settings.Bounds
+	Observer Observer
+	Log      *logrus.Entry
 }
 
 // waiter is a request that waits for credit.
