Quotas: start credit of followers that join in the same generation

The bound of a bucket took the lowest share of a generation, which is that of the first follower when a credit host starts: 64,815 of a million requests were refused at 30 hosts and 10,000 accounts, and 21,080 with the highest one. 1,200 random sequences (trial) hold.

--- a/internal/account/credit/issuer.go
+++ b/internal/account/credit/issuer.go
@@ -67,7 +67,7 @@
 }
 
 // mark is the state of an issuer in a generation: the values of issuing and starts at its start, and
-// the lowest share.
+// the highest share.
 type mark struct {
 	issuing float64
 	starts  float64
@@ -432,9 +432,10 @@
 	case before <= 0:
 		i.marks[generation(i.at)%marksKept] = mark{issuing: i.issuing, starts: i.starts, share: i.share}
 		i.addBuckets()
-	case i.share < before:
+	case i.share > before:
 		m := &i.marks[generation(i.at)%marksKept]
-		m.share = min(m.share, i.share)
+		m.share = max(m.share, i.share)
+	case i.share < before:
 		for _, b := range i.buckets {
 			i.settle(b)
 		}
