--- a/internal/account/credit/credit_test.go
+++ b/internal/account/credit/credit_test.go
@@ -391,3 +391,34 @@
 	require.Equal(t, 1, served)
 	require.LessOrEqual(t, requests, 3)
 }
+
+// Guards against hosts that look for a credit host for long, because many better candidates do not respond:
+// hosts of an earlier version, or beyond a partition. The last host of the ranking is cut off from all.
+func TestCreditHostIsFoundBehindManyThatDoNotRespond(t *testing.T) {
+	for _, dead := range []int{3, 20, 70} {
+		f := newFleet(6, 100, quota{name: "usual", limit: Limit{PerSecond: 320, Burst: 160}, demand: 60})
+		for _, m := range f.members[:dead] {
+			m.dead = true
+		}
+		last := f.members[99]
+		f.cut = func(from, to string) bool { return (from == last.name) != (to == last.name) }
+		found, alone := time.Duration(0), time.Duration(0)
+		first := f.members[dead]
+		for f.now < 10*time.Second {
+			f.run(100 * ms)
+			if _, followers, _ := first.issuer.Share(); found == 0 && followers == 99-dead {
+				found = f.now
+			}
+			if alone == 0 && last.spender.Following() == last.name {
+				alone = f.now
+			}
+		}
+		_, followers, _ := first.issuer.Share()
+		t.Logf("%d of 100 hosts do not respond: all others follow one after %v, the host alone itself after %v", dead, found, alone)
+		require.Equal(t, 99-dead, followers, "no host may change again")
+		require.Positive(t, found)
+		require.LessOrEqual(t, found, 3*time.Second)
+		require.Positive(t, alone)
+		require.LessOrEqual(t, alone, 3*time.Second)
+	}
+}
