--- a/internal/process/entry/quota_test.go
+++ b/internal/process/entry/quota_test.go
@@ -31,9 +31,27 @@
 	cl.store.Put("op/config", data)
 }
 
-// Guards against quotas that are exceeded, or of which nothing is left, when the credit host is killed:
-// one account sends eight times its rate to five hosts, the other two thirds of its rate.
-func TestQuotasHoldWhileTheCreditHostIsKilled(t *testing.T) {
+// Guards against quotas that are exceeded, or of which nothing is left, when the credit host is killed or
+// shuts down: one account sends eight times its rate to five hosts, the other two thirds of its rate.
+func TestQuotasHoldWhileTheCreditHostEnds(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(h *host)
+		// gap is the time for which the account within its quota may be refused.
+		gap time.Duration
+	}{
+		{name: "killed", end: func(h *host) { h.process.Kill() }, gap: 2 * time.Second},
+		{name: "shuts down", end: func(h *host) { h.cancel() }, gap: 500 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			testQuotasWhileTheCreditHostEnds(t, tt.end, tt.gap)
+		})
+	}
+}
+
+func testQuotasWhileTheCreditHostEnds(t *testing.T, end func(h *host), gap time.Duration) {
 	hot, usual := routing.Account{Name: "hot", PerSecond: 40, Burst: 20}, routing.Account{Name: "usual", PerSecond: 60, Burst: 30}
 	cl := newFirstCluster(t, 5, target("t-1", platformtest.Behaviour{}))
 	cl.configureAccounts(hot, usual)
@@ -62,15 +80,15 @@
 			list[a.Name] = append(list[a.Name], time.Now())
 		})
 	}
-	const steps, killStep = 4000, 1600
-	var killed time.Time
+	const steps, endStep = 4000, 1600
+	var ended time.Time
 	ticker := time.NewTicker(3 * time.Millisecond)
 	defer ticker.Stop()
 	for n := range steps {
 		<-ticker.C
-		if n == killStep {
-			killed = time.Now()
-			credit.process.Kill()
+		if n == endStep {
+			ended = time.Now()
+			end(credit)
 			alive = slices.DeleteFunc(alive, func(h *host) bool { return h == credit })
 		}
 		charge(alive[n%len(alive)], &hot, n)
@@ -91,11 +109,11 @@
 		}
 		allowed := (5*a.PerSecond+a.Burst)*1.1 + 20
 		lost := refused[a.Name]
-		t.Logf("%s: %d charged, at most %d in 5 s of %.0f allowed; %d refused, %d of them later than 2 s after the kill", a.Name, len(times), most, allowed, len(lost), countBetween(lost, killed.Add(2*time.Second), time.Now()))
+		t.Logf("%s: %d charged, at most %d in 5 s of %.0f allowed; %d refused, %d of them later than %v after the end", a.Name, len(times), most, allowed, len(lost), countBetween(lost, ended.Add(gap), time.Now()), gap)
 		require.LessOrEqual(t, float64(most), allowed, a.Name)
 	}
-	require.Positive(t, countBetween(charged["hot"], killed.Add(2*time.Second), time.Now()), "the hot account must be served again")
-	require.Zero(t, countBetween(refused["usual"], killed.Add(2*time.Second), time.Now()), "the other account must be served again")
+	require.Positive(t, countBetween(charged["hot"], ended.Add(gap), time.Now()), "the hot account must be served again")
+	require.Zero(t, countBetween(refused["usual"], ended.Add(gap), time.Now()), "the other account must be served again")
 	require.Contains(t, string(cl.metrics(alive[0], "/metrics")), `tamarack_quota_exceeded_total{account="hot"}`)
 	require.Contains(t, alive[0].log.String(), "credit host has changed")
 }
