--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -177,7 +177,7 @@
 		Send: p.sendEvidence, ConnectionRefused: p.links.RefusesConnections, Log: p.log.For("crashes"),
 	}, p.g)
 	p.quotas = quota.New(quota.Config{
-		Self: p.self(), Send: p.sendCredit, ViewAge: func() time.Duration { return p.directory.Age(time.Now()) }, SinceBoot: clock.SinceBoot, Bounds: cfg.Bounds, Observer: p.metrics, Log: p.log.For("quota"),
+		Self: p.self(), Send: p.sendCredit, ViewAge: p.directory.SoundAge, SinceBoot: clock.SinceBoot, Bounds: cfg.Bounds, Observer: p.metrics, Log: p.log.For("quota"),
 	})
 	p.metrics.registerQuotas(p.quotas.Status)
 	p.dispatcher = dispatcher.New(dispatcher.Config{
