Retry budget: requests whose clients will not come back first

All targets of a service that shed half of what they get need more retries than the budget of the fleet allows (0.2 of the requests and a slack). It went to requests in the order of their rejections, although a client that is refused at once comes back and has another attempt that costs no budget, while one that came back does not.

Extra attempts have a need now: requests whose clients came back already or have too little time left to do so, other retries, hedges. Each leaves in the budget what those with a greater need asked for in the last second. A request whose client will not come back waits for the budget while an attempt can still end in time. A rejection without a load report gets the short Retry-After, too, if a free slot was known; the Retry-After is spread, and leaves time to be served.

--- a/internal/traffic/budget/budget.go
+++ b/internal/traffic/budget/budget.go
@@ -11,13 +11,18 @@
 // requests earn is saved up for a short time only, since a host that spends all that it has saved
 // and restarts earns anew.
 //
+// If all targets of a service reject much of what they get, a host's part does not suffice for all
+// of its requests. Those that are lost without an extra attempt get it first (Need).
+//
 // The package does not read the clock. It is not safe for concurrent use.
 //
 // # Usage
 //
 //	r := budget.NewRetries(0.2, 56, 10*time.Second)
 //	r.RecordRequest(now, service)
-//	if r.Spend(now, service, budget.Share{Hosts: hosts, SlackFrom: started.Add(10 * time.Second)}) {
+//	r.Ask(now, service, budget.NeedRetry)
+//	share := budget.Share{Hosts: hosts, SlackFrom: started.Add(10 * time.Second)}
+//	if r.SpendFor(now, service, share, budget.NeedRetry) {
 //		... send the request again ...
 //		r.End(time.Now(), service)
 //	}
@@ -98,6 +103,8 @@
 	// earn in earningTime. slackUsed is the part of the slack that was used, in thousandths.
 	earned    float64
 	slackUsed window
+	// demands are by need.
+	demands [needs]demand
 }
 
 // spent returns the extra attempts that may have reached a target in the window that ends now.
--- a/internal/traffic/entry/hedge.go
+++ b/internal/traffic/entry/hedge.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"tamaracktiller.example/tamaracktiller/internal/traffic/budget"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/dispatcher"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
 )
@@ -30,7 +31,7 @@
 // tryHedge gets a target assigned for a hedged attempt, of which there is at most one.
 func (hg *hedger) tryHedge(ctx context.Context) (dispatcher.Grant, bool) {
 	req, h := hg.req, hg.req.h
-	if hg.hedged || req.attempts+1 >= req.route.MaxAttempts || h.remainingRetries(req.service.Name) < 1 {
+	if hg.hedged || req.attempts+1 >= req.route.MaxAttempts || h.remainingRetries(req.service.Name, budget.NeedHedge) < 1 {
 		return dispatcher.Grant{}, false
 	}
 	hg.timer.Reset(hg.grant.HedgeCheckInterval())
@@ -41,7 +42,10 @@
 	if err != nil {
 		return grant, false
 	}
-	if grant.ID == hg.grant.ID || !req.spendRetry(Hedge) {
+	if grant.ID == hg.grant.ID || !req.spendRetry(Hedge, budget.NeedHedge) {
+		if grant.ID != hg.grant.ID {
+			req.logRetry(Hedge, budget.NeedHedge, false)
+		}
 		h.cfg.Placer.Done(grant, dispatcher.Outcome{Result: placement.Cancelled})
 		return grant, false
 	}
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -50,7 +50,9 @@
 	// by which it should be sent, counted from the client's first attempt.
 	deadline  time.Time
 	objective time.Time
-	body      []byte
+	// returned is set if the client was refused before and has come back.
+	returned bool
+	body     []byte
 	// streamed is set when the body was not buffered. The request can then be sent only
 	// once, and prefixHash is the hash of what was read of the body before.
 	streamed   bool
@@ -140,6 +142,7 @@
 	if req.route.Timeout > 0 {
 		left = min(left, req.route.Timeout)
 	}
+	req.returned = spent > 0
 	req.deadline = now.Add(left - min(responseMargin, left/4))
 	req.objective = now.Add(req.route.Objective - spent)
 	if req.route.Objective <= 0 {
--- a/internal/traffic/entry/retry.go
+++ b/internal/traffic/entry/retry.go
@@ -13,7 +13,6 @@
 
 	"tamaracktiller.example/tamaracktiller/internal/traffic/budget"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/dispatcher"
-	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
 )
 
 const (
@@ -34,15 +33,11 @@
 		if req.h.cfg.CrashTracker.isBlocked(req) {
 			return req.finalize(*reject(http.StatusServiceUnavailable, "targets that ran such a request crashed", 0))
 		}
-		grant, rejection := req.assign(ctx)
+		first := req.attempts == 0
+		grant, rejection := req.assignNext(ctx, last)
 		if rejection != nil {
 			return req.finalize(*rejection)
 		}
-		first := req.attempts == 0
-		if !first && !req.spendRetry(Retry) {
-			req.h.cfg.Placer.Done(grant, dispatcher.Outcome{Result: placement.Cancelled})
-			return req.finalize(req.failureResponse(last, "retry budget is exhausted"))
-		}
 		last = req.race(ctx, grant, !first)
 		req.logAttempt(last)
 		if last.outcome == succeeded {
@@ -64,6 +59,14 @@
 	}
 }
 
+// assignNext waits until a target is assigned for the first attempt, or for one after last.
+func (req *clientRequest) assignNext(ctx context.Context, last attempt) (dispatcher.Grant, *finalResponse) {
+	if req.attempts == 0 {
+		return req.assign(ctx)
+	}
+	return req.assignRetry(ctx, last)
+}
+
 // mayRetry reports whether the request may be sent to another target.
 func (req *clientRequest) mayRetry(last attempt, retries int) bool {
 	if req.streamed || retries >= maxRetries || time.Until(req.endsAt()) < minTimeLeft {
@@ -92,7 +95,7 @@
 		return finalResponse{outcome: TargetFailed, attempt: last, status: last.status, reason: reason}
 	case rejected, notSent:
 		last.discard()
-		return *reject(http.StatusServiceUnavailable, reason, req.retryAfter(last))
+		return *reject(http.StatusServiceUnavailable, reason, req.usefulRetryAfter(spread(req.retryAfter(last))))
 	default:
 		last.discard()
 		return finalResponse{outcome: Unknown, status: http.StatusBadGateway, reason: reason}
@@ -174,7 +177,7 @@
 // retryAfter returns the Retry-After of a rejected request, which is short if the target
 // had capacity.
 func (req *clientRequest) retryAfter(last attempt) time.Duration {
-	if l := last.info.Load; last.info.LoadKnown && l.Waiting == 0 && l.Running < l.Slots {
+	if rejectedWithCapacity(last) {
 		return shortRetryAfter
 	}
 	req.h.mu.Lock()
@@ -250,13 +253,31 @@
 	return budget.Share{Hosts: s.MaxHosts, SlackFrom: from}
 }
 
+// askRetry records that the request needs an extra attempt.
+func (req *clientRequest) askRetry(need budget.Need) {
+	req.h.mu.Lock()
+	defer req.h.mu.Unlock()
+	req.h.retries.Ask(time.Now(), req.service.Name, need)
+}
+
 // spendRetry takes an extra attempt from the retry budget, and reports whether there was one
 // left.
-func (req *clientRequest) spendRetry(kind ExtraAttempt) bool {
+func (req *clientRequest) spendRetry(kind ExtraAttempt, need budget.Need) bool {
+	h, share := req.h, req.h.share()
+	h.mu.Lock()
+	ok := h.retries.SpendFor(time.Now(), req.service.Name, share, need)
+	h.mu.Unlock()
+	if ok {
+		req.logRetry(kind, need, true)
+	}
+	return ok
+}
+
+// logRetry reports whether the retry budget permitted an extra attempt.
+func (req *clientRequest) logRetry(kind ExtraAttempt, need budget.Need, ok bool) {
 	h, service, share := req.h, req.service.Name, req.h.share()
 	now := time.Now()
 	h.mu.Lock()
-	ok := h.retries.Spend(now, service, share)
 	usage := h.retries.Usage(now, service, share)
 	h.mu.Unlock()
 	if h.cfg.Observer != nil {
@@ -267,10 +288,9 @@
 		text = "extra attempt exceeds the retry budget"
 	}
 	h.cfg.Log.WithFields(logrus.Fields{
-		fieldRequest: req.id, "service": service, "kind": kind, "requests": usage.Requests, "spent": usage.Spent, "allowed": usage.Allowed,
+		fieldRequest: req.id, "service": service, "kind": kind, "last-chance": need == budget.NeedFinal, "requests": usage.Requests, "spent": usage.Spent, "allowed": usage.Allowed,
 		"hosts": share.Hosts, "uptime-ms": now.Sub(h.started).Milliseconds(), "slack-in-ms": max(0, share.SlackFrom.Sub(now)).Milliseconds(),
 	}).Info(text)
-	return ok
 }
 
 // endExtraAttempt records the end of an extra attempt that spendRetry permitted.
@@ -280,9 +300,10 @@
 	req.h.retries.End(time.Now(), req.service.Name)
 }
 
-func (h *Handler) remainingRetries(service string) float64 {
+// remainingRetries returns the number of extra attempts of a need that are left in the retry budget.
+func (h *Handler) remainingRetries(service string, need budget.Need) float64 {
 	share := h.share()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.retries.Remaining(time.Now(), service, share)
+	return h.retries.RemainingFor(time.Now(), service, share, need)
 }
