Queue: accounts that compete share by fair queueing

An account that sends many times its usual rate filled the queue of a service: the requests of all others waited behind its backlog, and were rejected at arrival because of it.

Requests of the same lateness and priority start in the order of start-time fair queueing among accounts (traffic/fairshare), those of one account in the order as before. A request is rejected at arrival, or when it has become hopeless, for what is ahead of it in that order. Accounts are charged for what their requests took; a claim below half of the mean work is not believed before. An account that is served less than 0.3 times as often as all requests gets one request at a time ahead of others that are in time, as long as its own can still be. Without accounts, or with one, order and rejections are the same as before (compared with a copy of the old order), and no state is kept.

--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -8,6 +8,10 @@
 // late ones, ordered by priority and deadline. A request that would start too late for
 // its deadline is rejected when it arrives.
 //
+// If requests of several client accounts wait, those of the same priority start in the order of
+// fair queueing (fairshare), and those of one account in the order above. So an account that sends
+// many times its usual rate waits behind its own requests, and only they are rejected.
+//
 // The package does no I/O and does not read the clock. It is not safe for concurrent use.
 //
 // # Usage
@@ -15,7 +19,7 @@
 //	q := queue.New()
 //	if retryAfter, ok := q.Add(now, r, capacity); !ok { ... reject, retry after retryAfter ... }
 //	for _, r := range q.Ordered(now) { q.Remove(r); q.RecordStart(now, r) }
-//	for _, r := range q.Unservable(now, capacity) { q.Remove(r); ... reject, retry after q.RetryAfter(now, capacity) ... }
+//	for _, r := range q.Unservable(now, capacity) { q.Remove(r); q.RecordTurnedAway(now, r); ... reject, retry after q.UnservableRetryAfter(now, r) ... }
 package queue
 
 // This file defines Queue and Request.
@@ -24,6 +28,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"tamaracktiller.example/tamaracktiller/internal/traffic/fairshare"
 )
 
 const (
@@ -40,6 +46,11 @@
 	retryShare = 0.7
 	// minRetryAfter keeps rejected requests from being retried at once.
 	minRetryAfter = 50 * time.Millisecond
+	// unservableRetryAfter is the retry delay of a request that was queued and then rejected. The
+	// overload lasts longer than that, but the client has little time left.
+	unservableRetryAfter = 400 * time.Millisecond
+	// returnMargin is the time that a rejected client needs to come back, beyond the retry delay.
+	returnMargin = 30 * time.Millisecond
 )
 
 // Request is a waiting request.
@@ -52,9 +63,39 @@
 	Deadline  time.Time
 	// TypicalTime is the typical service time of such a request.
 	TypicalTime time.Duration
+	// Account is the client account; empty for none. Weight is its weight against other accounts;
+	// zero if it is not known.
+	Account string
+	Weight  float64
 
 	// seq is the position in the order of arrival, from 1; zero before Add.
 	seq int
+	// account is the state of the account; nil while no request names one.
+	account *fairshare.Account
+	// class, tag and rank are the position in the order of starts as last computed.
+	class class
+	tag   float64
+	rank  int
+}
+
+// class is the first criterion of the order of starts.
+type class int8
+
+const (
+	// starved: the first request of an account that is served much less often than all requests.
+	starved class = iota
+	// inTime: the request is expected to meet its objective.
+	inTime
+	// late: it is not.
+	late
+)
+
+// classify returns the class of the request, apart from starved.
+func (r *Request) classify(now time.Time) class {
+	if r.late(now) {
+		return late
+	}
+	return inTime
 }
 
 // late reports whether the request is not expected to meet its objective any more.
@@ -64,6 +105,7 @@
 
 // Queue holds the waiting requests of one service.
 type Queue struct {
+	// waiting is in the order of the last call of Ordered; later requests are at its end.
 	waiting []*Request
 	// starts are the times of recent starts, and lateStarts those of requests that were
 	// late when they started.
@@ -73,6 +115,8 @@
 	// lastReturn is the latest time at which a rejected request may be retried, while all
 	// targets have limited rates.
 	lastReturn time.Time
+	// shares divides the capacity among accounts; nil while no request names one.
+	shares *fairshare.Shares
 }
 
 // New returns an empty queue.
@@ -84,8 +128,10 @@
 // Add adds a request, unless it would start too late for its deadline. Then it returns
 // the time after which the request may be retried.
 func (q *Queue) Add(now time.Time, r *Request, c Capacity) (retryAfter time.Duration, ok bool) {
+	q.join(now, r)
 	wait := q.expectedWait(now, r, c)
 	if now.Add(wait + r.TypicalTime).After(r.Deadline) {
+		q.RecordTurnedAway(now, r)
 		if c.Limited {
 			return q.RetryAfter(now, c), false
 		}
@@ -94,6 +140,9 @@
 	q.lastSeq++
 	r.seq = q.lastSeq
 	q.waiting = append(q.waiting, r)
+	if r.account != nil {
+		r.account.Wait()
+	}
 	return 0, true
 }
 
@@ -101,12 +150,7 @@
 // recent rate of starts, but at least the rate of minBusyShare of the slots, unless all
 // targets have limited rates.
 func (q *Queue) expectedWait(now time.Time, r *Request, c Capacity) time.Duration {
-	ahead := 0
-	for _, other := range q.waiting {
-		if precedes(now, other, r) {
-			ahead++
-		}
-	}
+	ahead := q.countAhead(now, r)
 	if c.Limited {
 		return c.startAfter(ahead)
 	}
@@ -119,58 +163,83 @@
 }
 
 // Ordered returns the waiting requests in the order in which they should start.
-func (q *Queue) Ordered(now time.Time) []*Request { return sorted(now, slices.Clone(q.waiting)) }
+func (q *Queue) Ordered(now time.Time) []*Request {
+	classify(now, q.waiting)
+	q.sort(q.waiting, inOrder)
+	return slices.Clone(q.waiting)
+}
 
 // InTime returns the waiting requests that can still meet their objectives, in the order in which
 // they should start while more arrive than the targets carry: by priority, and the newest first.
 // The oldest would start too late to end in time, and so would all behind them.
 func (q *Queue) InTime(now time.Time) []*Request {
 	list := slices.DeleteFunc(slices.Clone(q.waiting), func(r *Request) bool { return r.late(now) })
-	slices.SortFunc(list, func(a, b *Request) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), b.Objective.Compare(a.Objective), cmp.Compare(b.seq, a.seq))
-	})
+	classify(now, list)
+	q.sort(list, newestFirst)
 	return list
 }
 
-// sorted sorts list in place by the order of starts, and returns it.
-func sorted(now time.Time, list []*Request) []*Request {
-	slices.SortFunc(list, func(a, b *Request) int {
-		if precedes(now, a, b) {
-			return -1
-		}
-		return 1
-	})
-	return list
+func classify(now time.Time, list []*Request) {
+	for _, r := range list {
+		r.class = r.classify(now)
+	}
 }
 
-// Next returns the request that should start first; nil if none waits.
-func (q *Queue) Next(now time.Time) *Request {
-	if len(q.waiting) == 0 {
-		return nil
+// inOrder compares requests of known classes by the order in which they should start, apart from
+// that of accounts.
+func inOrder(a, b *Request) int {
+	if c := a.compareUrgency(b); c != 0 {
+		return c
 	}
-	first := q.waiting[0]
-	for _, other := range q.waiting[1:] {
-		if precedes(now, other, first) {
-			first = other
+	if a.class == late {
+		if c := a.Deadline.Compare(b.Deadline); c != 0 {
+			return c
 		}
 	}
-	return first
+	if c := a.Objective.Compare(b.Objective); c != 0 {
+		return c
+	}
+	return a.compareSeq(b)
+}
+
+// compareUrgency compares requests of known classes by what takes precedence over all else.
+func (r *Request) compareUrgency(other *Request) int {
+	if r.class != other.class {
+		return int(r.class) - int(other.class)
+	}
+	return cmp.Compare(r.Priority, other.Priority)
+}
+
+// compareSeq compares requests by their arrival. One that has not been added is the last.
+func (r *Request) compareSeq(other *Request) int {
+	if r.seq == 0 || other.seq == 0 {
+		return cmp.Compare(other.seq, r.seq)
+	}
+	return cmp.Compare(r.seq, other.seq)
 }
 
-// precedes reports whether a should start before b.
-func precedes(now time.Time, a, b *Request) bool {
-	lateA, lateB := a.late(now), b.late(now)
+// newestFirst compares requests of known classes by the order in which they should start while more
+// arrive than the targets carry, apart from that of accounts.
+func newestFirst(a, b *Request) int {
+	if c := a.compareUrgency(b); c != 0 {
+		return c
+	}
+	if c := b.Objective.Compare(a.Objective); c != 0 {
+		return c
+	}
+	return cmp.Compare(b.seq, a.seq)
+}
+
+// Next returns the request that should start first; nil if none waits.
+func (q *Queue) Next(now time.Time) *Request {
 	switch {
-	case lateA != lateB:
-		return lateB
-	case a.Priority != b.Priority:
-		return a.Priority < b.Priority
-	case lateA && !a.Deadline.Equal(b.Deadline):
-		return a.Deadline.Before(b.Deadline)
-	case !a.Objective.Equal(b.Objective):
-		return a.Objective.Before(b.Objective)
+	case len(q.waiting) == 0:
+		return nil
+	case q.competing():
+		return q.Ordered(now)[0]
 	}
-	return b.seq == 0 || a.seq < b.seq
+	classify(now, q.waiting)
+	return slices.MinFunc(q.waiting, inOrder)
 }
 
 // Remove removes a request, and reports whether it was in the queue.
@@ -180,6 +249,9 @@
 		return false
 	}
 	q.waiting = slices.Delete(q.waiting, i, i+1)
+	if r.account != nil {
+		r.account.Leave()
+	}
 	return true
 }
 
@@ -190,6 +262,7 @@
 	if r.late(now) {
 		q.lateStarts = append(q.lateStarts, now)
 	}
+	q.charge(now, r)
 }
 
 // Unservable returns the late requests that will not start in time for their deadlines,
@@ -201,15 +274,17 @@
 		return q.beyondLimits(now, c)
 	}
 	q.dropOldStarts(now)
-	var late []*Request
+	lateOnes := make([]*Request, 0, len(q.waiting))
 	for _, r := range q.waiting {
 		if r.late(now) {
-			late = append(late, r)
+			r.class = late
+			lateOnes = append(lateOnes, r)
 		}
 	}
+	q.sort(lateOnes, inOrder)
 	var unservable []*Request
 	kept := 0
-	for _, r := range sorted(now, late) {
+	for _, r := range lateOnes {
 		if now.Add(q.lateWait(kept) + r.TypicalTime).After(r.Deadline) {
 			unservable = append(unservable, r)
 			continue
@@ -219,6 +294,17 @@
 	return unservable
 }
 
+// UnservableRetryAfter returns the time after which a request that was queued and then rejected may
+// be retried: early enough to be served in time. It is zero if the client has too little time left
+// to come back at all.
+func (q *Queue) UnservableRetryAfter(now time.Time, r *Request) time.Duration {
+	latest := r.Deadline.Sub(now) - r.TypicalTime - returnMargin
+	if latest < minRetryAfter {
+		return 0
+	}
+	return min(unservableRetryAfter, latest)
+}
+
 // lateWait returns the time until a late request starts that has n other late ones ahead of
 // it, at the recent rate.
 func (q *Queue) lateWait(n int) time.Duration {
