Dispatcher: accounts share the targets of a cell

Passes the account of a request and its weight (key 41 of the message) to the queue, charges accounts for what their requests took, and names the account in the log of a rejection. A request that was queued and then rejected gets a Retry-After with which its client comes back in time, or none if it cannot. The queue is not sorted while no slot is free.

--- a/internal/traffic/dispatcher/cell.go
+++ b/internal/traffic/dispatcher/cell.go
@@ -225,7 +225,7 @@
 	retryAfter, ok := c.queue.Add(now, w.queued, capacity)
 	fields := logrus.Fields{fieldRequest: w.request.ID, fieldCell: c.id.key, "waiting": c.queue.Len(), "usual-ms": w.request.TypicalTime.Milliseconds(), "deadline-ms": w.request.Deadline.Sub(now).Milliseconds()}
 	if !ok {
-		d.cfg.Log.WithFields(fields).WithFields(limitFields(capacity)).WithField("retry-after-ms", retryAfter.Milliseconds()).Info("no place in time")
+		d.cfg.Log.WithFields(fields).WithFields(limitFields(capacity)).WithFields(accountFields(w)).WithField("retry-after-ms", retryAfter.Milliseconds()).Info("no place in time")
 		w.reply(response{rejected: newRejection(capacity, "no target will have room in time", retryAfter)})
 		return
 	}
@@ -246,7 +246,7 @@
 	d.chooser.RecordAttempt(now, choice)
 	c.queue.RecordStart(now, w.request.queueRequest())
 	w.done = true
-	grant := Grant{Choice: choice, at: now, cell: c.id.key}
+	grant := Grant{Choice: choice, at: now, cell: c.id.key, account: w.request.Account, typicalTime: w.request.TypicalTime}
 	if w.through {
 		grant.through = d.helper(now, choice.ID, w.from)
 	}
@@ -259,7 +259,9 @@
 	defer d.mu.Unlock()
 	w.done = true
 	if w.queued != nil {
-		c.queue.Remove(w.queued)
+		if c.queue.Remove(w.queued) {
+			c.queue.RecordTurnedAway(time.Now(), w.queued)
+		}
 		delete(c.waiters, w.queued)
 	}
 }
@@ -275,34 +277,54 @@
 	if c.backlogged() {
 		d.dispatchInTime(now, c)
 	}
-	for _, r := range c.queue.Ordered(now) {
-		if !d.chooser.HasFreeSlot(now, c.id.key) {
-			break
-		}
-		w := c.waiters[r]
-		choice, ok := d.chooser.Best(now, c.id.key, c.placementRequest(w))
-		if ok && (choice.HasCapacity || mustSendNow(now, choice, r)) {
-			d.grantQueued(now, c, w, choice)
-		}
-	}
+	d.dispatchOrdered(now, c)
 	capacity := d.capacity(now, c, 0)
 	for _, r := range c.queue.Unservable(now, capacity) {
 		w := c.waiters[r]
 		c.queue.Remove(r)
 		delete(c.waiters, r)
 		w.done = true
-		retryAfter := unservableRetryAfter
+		c.queue.RecordTurnedAway(now, r)
+		retryAfter := c.queue.UnservableRetryAfter(now, r)
 		if capacity.Limited {
 			retryAfter = c.queue.RetryAfter(now, capacity)
 		}
-		d.cfg.Log.WithFields(logrus.Fields{fieldRequest: w.request.ID, fieldCell: c.id.key, "waiting": c.queue.Len()}).WithFields(limitFields(capacity)).Info("wait has become hopeless")
+		d.cfg.Log.WithFields(logrus.Fields{fieldRequest: w.request.ID, fieldCell: c.id.key, "waiting": c.queue.Len(), "retry-after-ms": retryAfter.Milliseconds()}).WithFields(limitFields(capacity)).WithFields(accountFields(w)).Info("wait has become hopeless")
 		w.reply(response{rejected: newRejection(capacity, "no target has room in time any more", retryAfter)})
 	}
 }
 
+// accountFields returns the log fields of a rejection that are about the client account.
+func accountFields(w *waiter) logrus.Fields {
+	if w.request.Account == "" {
+		return nil
+	}
+	return logrus.Fields{"account": w.request.Account, "priority": w.request.Priority}
+}
+
+// dispatchOrdered assigns targets to the queued requests in their order. The caller holds the mutex.
+func (d *Dispatcher) dispatchOrdered(now time.Time, c *cell) {
+	if !d.chooser.HasFreeSlot(now, c.id.key) {
+		return
+	}
+	for _, r := range c.queue.Ordered(now) {
+		if !d.chooser.HasFreeSlot(now, c.id.key) {
+			return
+		}
+		w := c.waiters[r]
+		choice, ok := d.chooser.Best(now, c.id.key, c.placementRequest(w))
+		if ok && (choice.HasCapacity || mustSendNow(now, choice, r)) {
+			d.grantQueued(now, c, w, choice)
+		}
+	}
+}
+
 // dispatchInTime assigns targets to the queued requests that will meet their objectives there. The
 // caller holds the mutex.
 func (d *Dispatcher) dispatchInTime(now time.Time, c *cell) {
+	if !d.chooser.HasFreeSlot(now, c.id.key) {
+		return
+	}
 	for _, r := range c.queue.InTime(now) {
 		if !d.chooser.HasFreeSlot(now, c.id.key) {
 			return
@@ -314,10 +336,6 @@
 	}
 }
 
-// unservableRetryAfter is the retry delay of a request that was queued and then rejected.
-// The overload lasts longer than that, but the client has little time left.
-const unservableRetryAfter = 400 * time.Millisecond
-
 // grantQueued takes a request from the queue and grants it a target.
 func (d *Dispatcher) grantQueued(now time.Time, c *cell, w *waiter, choice placement.Choice) {
 	c.queue.Remove(w.queued)
@@ -338,8 +356,7 @@
 	for ctx.Err() == nil {
 		d.mu.Lock()
 		d.dispatchQueue(time.Now(), c)
-		r := c.queue.Next(time.Now())
-		if r == nil {
+		if c.queue.Len() == 0 {
 			c.polling = false
 			d.mu.Unlock()
 			return
--- a/internal/traffic/dispatcher/dispatcher.go
+++ b/internal/traffic/dispatcher/dispatcher.go
@@ -357,6 +357,7 @@
 
 // endAttempt records the end of an attempt of a host for which this host made the grant.
 func (d *Dispatcher) endAttempt(now time.Time, host string, g Grant, o Outcome) {
+	d.chargeAccount(now, g, o)
 	if g.through != "" && o.Result == placement.Lost {
 		d.recordHostPauses(now, g.through, []Pause{{Target: g.ID, Left: helperRetryTime}})
 	}
@@ -367,6 +368,16 @@
 	d.chooser.DoneBy(now, host, g.at, g.ID, o.Result)
 }
 
+// chargeAccount records what a request took for the share of its account.
+func (d *Dispatcher) chargeAccount(now time.Time, g Grant, o Outcome) {
+	c := d.cells[g.cell]
+	if c == nil || o.Result != placement.Served || g.ServiceTime <= 0 {
+		return
+	}
+	took := float64(now.Sub(g.at)-g.QueueTime) * float64(g.typicalTime) / float64(g.ServiceTime)
+	c.queue.RecordEnd(g.account, g.typicalTime, time.Duration(max(0, took)))
+}
+
 // recordOutcome records what the outcome of an attempt says about the target.
 func (d *Dispatcher) recordOutcome(now time.Time, g Grant, o Outcome) {
 	id := g.ID
--- a/internal/traffic/dispatcher/request.go
+++ b/internal/traffic/dispatcher/request.go
@@ -42,6 +42,8 @@
 	Priority int
 	// Account is the client account of the request; empty for none.
 	Account string
+	// Weight is the weight of the account against others; zero if it is not known.
+	Weight float64
 	// A response has its full value until Objective, and none after Deadline.
 	Objective time.Time
 	Deadline  time.Time
@@ -62,7 +64,7 @@
 
 // queueRequest returns the request in the form that the queue takes.
 func (r *Request) queueRequest() *queue.Request {
-	return &queue.Request{Priority: r.Priority, Objective: r.Objective, Deadline: r.Deadline, TypicalTime: r.TypicalTime}
+	return &queue.Request{Priority: r.Priority, Objective: r.Objective, Deadline: r.Deadline, TypicalTime: r.TypicalTime, Account: r.Account, Weight: r.Weight}
 }
 
 // placementRequest returns the request in the form that placement takes.
@@ -83,6 +85,9 @@
 	id uint64
 	// through is the host through which the request must be sent; empty for directly.
 	through string
+	// account and typicalTime are those of the request, if this host made the grant.
+	account     string
+	typicalTime time.Duration
 }
 
 // Through returns the host through which the request must be sent; empty for directly.
@@ -206,6 +211,8 @@
 
 	// Account is the client account of a request.
 	Account string `cbor:"38,keyasint,omitempty"`
+	// Weight is the weight of the account against others; zero if it is not known.
+	Weight float64 `cbor:"41,keyasint,omitempty"`
 
 	// Evidence is set only in messages of kindEvidence.
 	Evidence *crash.Evidence `cbor:"26,keyasint,omitempty"`
@@ -229,13 +236,13 @@
 	return Message{
 		Kind: kindRequest, ID: id, Cell: cell, RequestID: r.ID, Domain: r.Domain, Priority: r.Priority,
 		ObjectiveLeft: r.Objective.Sub(now), DeadlineLeft: r.Deadline.Sub(now), TypicalTime: r.TypicalTime,
-		Avoid: r.Avoid, Hedge: r.Hedge, Redirected: r.Redirected, Account: r.Account,
+		Avoid: r.Avoid, Hedge: r.Hedge, Redirected: r.Redirected, Account: r.Account, Weight: r.Weight,
 	}
 }
 
 func (m *Message) request(now time.Time) Request {
 	return Request{
-		ID: m.RequestID, Account: m.Account, Domain: m.Domain, Priority: m.Priority, TypicalTime: m.TypicalTime, Avoid: m.Avoid, Hedge: m.Hedge, Redirected: m.Redirected,
+		ID: m.RequestID, Account: m.Account, Weight: m.Weight, Domain: m.Domain, Priority: m.Priority, TypicalTime: m.TypicalTime, Avoid: m.Avoid, Hedge: m.Hedge, Redirected: m.Redirected,
 		Paused: pausedTargets(now, m.Pauses), Objective: now.Add(m.ObjectiveLeft), Deadline: now.Add(m.DeadlineLeft),
 	}
 }
--- a/internal/traffic/dispatcher/simulation_test.go
+++ b/internal/traffic/dispatcher/simulation_test.go
@@ -30,7 +30,9 @@
 
 // callKind describes calls of one kind.
 type callKind struct {
-	name        string
+	name string
+	// account is the client account; empty for none.
+	account     string
 	priority    int
 	perSecond   float64
 	serviceTime time.Duration
@@ -197,7 +199,7 @@
 // deadline permits, and sends the call again if a target rejects it.
 func (sim *simulation) call(ctx context.Context, p placer, host string, k callKind) {
 	started := time.Now()
-	req := Request{Service: "s", Domain: "d", Priority: k.priority, Objective: started.Add(k.objective), Deadline: started.Add(k.deadline), TypicalTime: k.serviceTime}
+	req := Request{Service: "s", Domain: "d", Priority: k.priority, Objective: started.Add(k.objective), Deadline: started.Add(k.deadline), TypicalTime: k.serviceTime, Account: k.account}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	rejections, requested := 0, time.Now()
