Retry budget: requests that wait for it look seldom when many do

A look each 10 ms of thousands of requests would cost a large host more than the retries. The pause between two looks grows with the number of requests that wait, to 100 ms at most. A request to which a target responded with an error does not wait for the budget any more: its client would get that response later.

--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -116,6 +116,8 @@
 	started  time.Time
 	shutdown *shutdown
 	inFlight atomic.Int64
+	// awaitBudget is the number of requests that wait for the retry budget.
+	awaitBudget atomic.Int64
 
 	// mu guards the fields below.
 	mu           sync.Mutex
--- a/internal/traffic/entry/need.go
+++ b/internal/traffic/entry/need.go
@@ -22,7 +22,11 @@
 
 const (
 	// budgetPoll is the pause between two looks at the retry budget of a request that waits for it.
-	budgetPoll = 10 * time.Millisecond
+	// It grows with each further pollsTogether requests that wait, up to maxBudgetPoll, so that the
+	// looks of all of them stay cheap.
+	budgetPoll    = 10 * time.Millisecond
+	pollsTogether = 16
+	maxBudgetPoll = 100 * time.Millisecond
 	// returnMargin is the time that a refused client needs to come back, beyond the Retry-After: a
 	// new connection to another host over a slow link.
 	returnMargin = 30 * time.Millisecond
@@ -59,7 +63,7 @@
 func (req *clientRequest) assignRetry(ctx context.Context, last attempt) (dispatcher.Grant, *finalResponse) {
 	need := req.retryNeed()
 	req.askRetry(need)
-	for req.awaitBudget(ctx, need) {
+	for req.awaitBudget(ctx, need, last) {
 		grant, rejection := req.assign(ctx)
 		if rejection != nil {
 			return grant, rejection
@@ -79,8 +83,12 @@
 }
 
 // awaitBudget waits until the retry budget has an attempt left, and reports whether it has. Only a
-// request whose client will not come back waits, as long as an attempt can still end in time.
-func (req *clientRequest) awaitBudget(ctx context.Context, need budget.Need) bool {
+// request whose client will not come back and has no response of a target waits, as long as an
+// attempt can still end in time.
+func (req *clientRequest) awaitBudget(ctx context.Context, need budget.Need, last attempt) bool {
+	waiting := req.h.awaitBudget.Add(1)
+	defer req.h.awaitBudget.Add(-1)
+	pause := min(maxBudgetPoll, budgetPoll*time.Duration(1+waiting/pollsTogether))
 	for ctx.Err() == nil {
 		if req.h.remainingRetries(req.service.Name, need) >= 1 {
 			return true
@@ -88,10 +96,10 @@
 		req.h.mu.Lock()
 		latest := req.endsAt().Add(-req.h.typicalTime(req))
 		req.h.mu.Unlock()
-		if need != budget.NeedFinal || time.Until(latest) < budgetPoll {
+		if need != budget.NeedFinal || last.outcome == targetError || time.Until(latest) < pause {
 			return false
 		}
-		timer.Sleep(ctx, budgetPoll)
+		timer.Sleep(ctx, pause)
 	}
 	return false
 }
--- a/internal/traffic/entry/need_test.go
+++ b/internal/traffic/entry/need_test.go
@@ -27,6 +27,7 @@
 	tests := []struct {
 		name     string
 		returned bool
+		outcome  attemptOutcome
 		left     time.Duration
 		// earned is the time after which other requests have earned an extra attempt; zero for
 		// never.
@@ -35,11 +36,12 @@
 		at      time.Duration
 		granted bool
 	}{
-		{name: "the client can come back", left: 2 * time.Second, earned: 50 * time.Millisecond},
-		{name: "the client came back", returned: true, left: 2 * time.Second, earned: 300 * time.Millisecond, at: 300 * time.Millisecond, granted: true},
-		{name: "the client came back, in vain", returned: true, left: 500 * time.Millisecond, at: 300 * time.Millisecond},
-		{name: "too little time to come back", left: 235 * time.Millisecond, earned: 15 * time.Millisecond, at: 20 * time.Millisecond, granted: true},
-		{name: "too little time for an attempt", returned: true, left: 150 * time.Millisecond, earned: 15 * time.Millisecond},
+		{name: "the target responded", returned: true, outcome: targetError, left: 2 * time.Second, earned: 300 * time.Millisecond},
+		{name: "the client can come back", outcome: rejected, left: 2 * time.Second, earned: 50 * time.Millisecond},
+		{name: "the client came back", returned: true, outcome: rejected, left: 2 * time.Second, earned: 300 * time.Millisecond, at: 300 * time.Millisecond, granted: true},
+		{name: "the client came back, in vain", returned: true, outcome: rejected, left: 500 * time.Millisecond, at: 300 * time.Millisecond},
+		{name: "too little time to come back", outcome: rejected, left: 235 * time.Millisecond, earned: 15 * time.Millisecond, at: 20 * time.Millisecond, granted: true},
+		{name: "too little time for an attempt", returned: true, outcome: rejected, left: 150 * time.Millisecond, earned: 15 * time.Millisecond},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -65,12 +67,12 @@
 				}
 				ctx, cancel := context.WithDeadline(t.Context(), req.deadline)
 				defer cancel()
-				_, resp := req.assignNext(ctx, attempt{req: req, outcome: rejected})
+				_, resp := req.assignNext(ctx, attempt{req: req, outcome: tt.outcome})
 				require.InDelta(t, tt.at, time.Since(started), float64(2*budgetPoll))
 				require.Equal(t, tt.granted, resp == nil)
 				require.Empty(t, placer.returned)
 				if resp != nil {
-					require.Equal(t, http.StatusServiceUnavailable, resp.status)
+					require.Equal(t, tt.outcome == rejected, resp.status == http.StatusServiceUnavailable)
 					require.Empty(t, placer.requests, "no target is asked for without budget")
 				}
 				time.Sleep(time.Second)
