--- a/internal/traffic/dispatcher/dispatcher.go
+++ b/internal/traffic/dispatcher/dispatcher.go
@@ -371,11 +371,14 @@
 // chargeAccount records what a request took for the share of its account.
 func (d *Dispatcher) chargeAccount(now time.Time, g Grant, o Outcome) {
 	c := d.cells[g.cell]
-	if c == nil || o.Result != placement.Served || g.ServiceTime <= 0 {
-		return
+	switch {
+	case c == nil:
+	case o.Result == placement.Rejected:
+		c.queue.RecordNotRun(g.account, g.typicalTime)
+	case o.Result == placement.Served && g.ServiceTime > 0:
+		took := float64(now.Sub(g.at)-g.QueueTime) * float64(g.typicalTime) / float64(g.ServiceTime)
+		c.queue.RecordEnd(g.account, g.typicalTime, time.Duration(max(0, took)))
 	}
-	took := float64(now.Sub(g.at)-g.QueueTime) * float64(g.typicalTime) / float64(g.ServiceTime)
-	c.queue.RecordEnd(g.account, g.typicalTime, time.Duration(max(0, took)))
 }
 
 // recordOutcome records what the outcome of an attempt says about the target.
--- a/internal/traffic/fairshare/fairshare.go
+++ b/internal/traffic/fairshare/fairshare.go
@@ -265,6 +265,13 @@
 	}
 }
 
+// Refund returns what an account was charged for a request that has not run.
+func (s *Shares) Refund(name string, claimed time.Duration) {
+	if a := s.accounts[name]; a != nil {
+		a.used -= s.Work(claimed) / a.effective()
+	}
+}
+
 // Starved reports whether the account is served much less often than all requests are.
 func (s *Shares) Starved(a *Account) bool {
 	return a.name != "" && a.counts.turnedAway >= minTurnedAway && a.counts.share() < starvedRatio*s.all.share()
--- a/internal/traffic/fairshare/fairshare_test.go
+++ b/internal/traffic/fairshare/fairshare_test.go
@@ -95,6 +95,11 @@
 	s.Correct("other", work, time.Hour)
 	require.LessOrEqual(t, other.used-before, maxWorkRatio*work.Seconds()*1.1, "one request costs a bounded amount")
 	s.Correct("unknown", work, work)
+	before = s.base(other)
+	s.Start(now, other, work)
+	s.Refund("other", work)
+	require.InDelta(t, before, other.used, 1e-9, "a request that has not run costs nothing")
+	s.Refund("unknown", work)
 }
 
 // Guards against state that grows with the accounts that were ever seen.
--- a/internal/traffic/queue/accounts.go
+++ b/internal/traffic/queue/accounts.go
@@ -43,6 +43,13 @@
 	}
 }
 
+// RecordNotRun records that a request of an account that was sent has not run.
+func (q *Queue) RecordNotRun(account string, typicalTime time.Duration) {
+	if q.shares != nil {
+		q.shares.Refund(account, typicalTime)
+	}
+}
+
 // RecordTurnedAway records that a request was rejected or given up by its client.
 func (q *Queue) RecordTurnedAway(now time.Time, r *Request) {
 	if r.account != nil {
