Queue: a dominant account loses its priority against requests in time

Priorities are strict, so an account that sent many urgent requests took the capacity for the less urgent ones of all others, whatever the order within a priority. An account that has started more than a third of the work lately, and more than three times its share by weight against those that wait, lets others' requests pass that are in time.

In a burst of all accounts no account is dominant, and nothing changes.

Ruled out: fair queueing above priorities for all accounts, which puts less urgent requests of small accounts before urgent ones of large accounts in each burst.

--- a/internal/traffic/fairshare/fairshare.go
+++ b/internal/traffic/fairshare/fairshare.go
@@ -11,7 +11,8 @@
 // What an account is charged is corrected by what its requests really took, so that one that claims
 // little work and takes much does not gain. An account that is served much less often than all
 // requests are, because requests with a higher priority leave nothing, is starved; its caller gives
-// it precedence until it is not any more.
+// it precedence until it is not any more. One that has got a large part of the service and much more
+// than its weight is dominant; its caller lets it wait behind requests with a lower priority, too.
 //
 // Requests without an account share like an account whose weight is that of all others that wait
 // together. The state of an account that is idle is forgotten.
@@ -44,6 +45,11 @@
 	idleTime = 10 * time.Second
 	// maxAccounts bounds the accounts with a state of their own. Others share one.
 	maxAccounts = 20_000
+	// dominantShare is the share of the work that a service has started lately above which an account
+	// is dominant, and dominantRatio the ratio of that share to the account's share by weight that it
+	// must exceed, too. The largest of 88 accounts usually has a fifth of the work (Zipf).
+	dominantShare = 1.0 / 3
+	dominantRatio = 3.0
 	// memory is the time constant of the share of an account's requests that were served.
 	memory = 4 * time.Second
 	// starvedRatio is the ratio of the served share of an account to that of all requests below
@@ -110,12 +116,14 @@
 // constant memory.
 type counts struct {
 	started, turnedAway float64
-	at                  time.Time
+	// work is that of the requests that have started, in seconds.
+	work float64
+	at   time.Time
 }
 
 func (c *counts) decay(now time.Time) {
 	factor := math.Exp(-now.Sub(c.at).Seconds() / memory.Seconds())
-	c.started, c.turnedAway, c.at = c.started*factor, c.turnedAway*factor, now
+	c.started, c.turnedAway, c.work, c.at = c.started*factor, c.turnedAway*factor, c.work*factor, now
 }
 
 // share returns the share of requests that have started.
@@ -236,8 +244,12 @@
 func (s *Shares) Start(now time.Time, a *Account, claimed time.Duration) {
 	tag := s.base(a)
 	s.virtual = max(s.virtual, tag)
-	a.used = tag + s.Work(claimed)/a.effective()
-	a.count(now, func(c *counts) { c.started++ })
+	work := s.Work(claimed)
+	a.used = tag + work/a.effective()
+	a.count(now, func(c *counts) {
+		c.started++
+		c.work += work
+	})
 }
 
 // TurnAway records that a request of the account was rejected or given up by its client.
@@ -260,16 +272,23 @@
 	}
 	work := min(took.Seconds(), maxWorkRatio*s.meanWork)
 	s.meanWork += workGain * (work - s.meanWork)
-	if a := s.accounts[name]; a != nil {
-		a.used += (work - charged) / a.effective()
+	s.adjust(name, work-charged)
+}
+
+// adjust changes what an account was charged.
+func (s *Shares) adjust(name string, work float64) {
+	a := s.accounts[name]
+	if a == nil {
+		return
 	}
+	a.used += work / a.effective()
+	a.counts.work = max(0, a.counts.work+work)
+	s.all.work = max(0, s.all.work+work)
 }
 
 // Refund returns what an account was charged for a request that has not run.
 func (s *Shares) Refund(name string, claimed time.Duration) {
-	if a := s.accounts[name]; a != nil {
-		a.used -= s.Work(claimed) / a.effective()
-	}
+	s.adjust(name, -s.Work(claimed))
 }
 
 // Starved reports whether the account is served much less often than all requests are.
@@ -277,6 +296,13 @@
 	return a.name != "" && a.counts.turnedAway >= minTurnedAway && a.counts.share() < starvedRatio*s.all.share()
 }
 
+// Dominant reports whether the account has got a large part of the service lately, and much more
+// than its weight against the accounts that wait.
+func (s *Shares) Dominant(a *Account) bool {
+	share := a.counts.work / max(1e-9, s.all.work)
+	return a.name != "" && share > dominantShare && share*s.waitingWeight > dominantRatio*a.effective()
+}
+
 // base returns the start tag of the account's next request.
 func (s *Shares) base(a *Account) float64 { return max(s.virtual, a.used) }
 
--- a/internal/traffic/fairshare/fairshare_test.go
+++ b/internal/traffic/fairshare/fairshare_test.go
@@ -158,3 +158,49 @@
 		})
 	}
 }
+
+// Guards against precedence of an account that takes most of a service, and against its loss for one
+// that has competitors of its size or a large weight.
+func TestDominantAccounts(t *testing.T) {
+	tests := []struct {
+		name    string
+		account string
+		weight  float64
+		// others is the number of other accounts, which wait; started and othersStarted are the
+		// requests of the account and of each of the others.
+		others, started, othersStarted int
+		after                          time.Duration
+		want                           bool
+	}{
+		{name: "half of the service", account: "a", others: 50, started: 50, othersStarted: 1, want: true},
+		{name: "a fifth of the service", account: "a", others: 80, started: 20, othersStarted: 1},
+		{name: "two accounts", account: "a", others: 1, started: 60, othersStarted: 40},
+		{name: "a large weight", account: "a", weight: 15, others: 50, started: 50, othersStarted: 1},
+		{name: "long ago", account: "a", others: 50, started: 50, othersStarted: 1, after: 20 * time.Second},
+		{name: "no account", others: 50, started: 50, othersStarted: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now, s := time.Unix(1000, 0), New()
+			a := s.Account(now, tt.account, tt.weight)
+			a.Wait()
+			for range tt.started {
+				s.Start(now, a, work)
+			}
+			now = now.Add(tt.after)
+			for n := range tt.others {
+				other := s.Account(now, fmt.Sprintf("other-%d", n), min(1, tt.weight))
+				other.Wait()
+				for range tt.othersStarted {
+					s.Start(now, other, work)
+				}
+			}
+			a = s.Account(now, tt.account, tt.weight)
+			require.Equal(t, tt.want, s.Dominant(a))
+			for range tt.started {
+				s.Refund(tt.account, work)
+			}
+			require.False(t, s.Dominant(a), "requests that have not run do not count")
+		})
+	}
+}
--- a/internal/traffic/queue/accounts.go
+++ b/internal/traffic/queue/accounts.go
@@ -92,7 +92,7 @@
 func (q *Queue) promote(list []*Request) {
 	var promoted map[*fairshare.Account]bool
 	for _, r := range list {
-		if r.class != inTime || !q.shares.Starved(r.account) || promoted[r.account] {
+		if r.class == late || !q.shares.Starved(r.account) || promoted[r.account] {
 			continue
 		}
 		if promoted == nil {
@@ -106,7 +106,7 @@
 // countAhead returns the number of waiting requests that should start before r, which does not wait
 // yet.
 func (q *Queue) countAhead(now time.Time, r *Request) int {
-	classify(now, q.waiting)
+	q.classify(now, q.waiting)
 	r.class = r.classify(now)
 	if q.shares != nil && q.shares.Competing() > 0 {
 		return q.countAheadFairly(r)
@@ -123,6 +123,9 @@
 // countAheadFairly is countAhead if accounts compete. The order within other accounts is the one of
 // the last call of Ordered.
 func (q *Queue) countAheadFairly(r *Request) int {
+	if r.class == inTime && q.shares.Dominant(r.account) {
+		r.class = excess
+	}
 	q.shares.Restart()
 	ahead, work := 0, 0.0
 	for _, other := range q.waiting {
@@ -133,7 +136,7 @@
 			work += q.shares.Work(other.TypicalTime)
 		}
 	}
-	if ahead == 0 && r.class == inTime && q.shares.Starved(r.account) {
+	if ahead == 0 && r.class <= excess && q.shares.Starved(r.account) {
 		return 0
 	}
 	r.tag = q.shares.TagAfter(r.account, work)
--- a/internal/traffic/queue/loads_test.go
+++ b/internal/traffic/queue/loads_test.go
@@ -96,6 +96,12 @@
 	all       result
 	byKind    map[string]*result
 	byAccount map[string]*result
+	// othersByKind counts the requests of other accounts than hotAccount.
+	othersByKind map[string]*result
+}
+
+func newResults() *results {
+	return &results{byKind: map[string]*result{}, byAccount: map[string]*result{}, othersByKind: map[string]*result{}}
 }
 
 func (r *results) count(j *job, served, inTime bool) {
@@ -109,6 +115,9 @@
 	r.all.add(one)
 	entryOf(r.byKind, j.kind.name).add(one)
 	entryOf(r.byAccount, j.account).add(one)
+	if j.account != hotAccount {
+		entryOf(r.othersByKind, j.kind.name).add(one)
+	}
 }
 
 // add adds the results of another run.
@@ -120,6 +129,9 @@
 	for name, one := range o.byAccount {
 		entryOf(r.byAccount, name).add(*one)
 	}
+	for name, one := range o.othersByKind {
+		entryOf(r.othersByKind, name).add(*one)
+	}
 }
 
 // worst returns the account of which the smallest share is served, of those with enough calls.
@@ -226,7 +238,7 @@
 	}
 	rng, start := rand.New(rand.NewPCG(seed, 9)), time.Unix(1000, 0)
 	arrivals := l.arrivalsOf(rng, start)
-	res := &results{byKind: map[string]*result{}, byAccount: map[string]*result{}}
+	res := newResults()
 	running, ends := make([]int, l.targets), map[int][]run{}
 	refuse := func(ms int, now time.Time, j *job, retryAfter time.Duration) {
 		left, returns := j.Deadline.Sub(now), 1
@@ -420,7 +432,7 @@
 // playOn plays a load with several seeds on an order.
 func (l *load) playOn(newOrder func() order) *results {
 	const seeds = 2
-	sum := &results{byKind: map[string]*result{}, byAccount: map[string]*result{}}
+	sum := newResults()
 	for seed := range uint64(seeds) {
 		sum.add(l.play(seed, newOrder()))
 	}
@@ -472,14 +484,16 @@
 		// minOthers is the minimum share that is served of the requests of accounts other than
 		// hotAccount, and minOthersGain the minimum gain of that share.
 		minOthers, minOthersGain float64
+		// minUploadsGain is the minimum gain of the share of their uploads, which are less urgent.
+		minUploadsGain float64
 	}{
 		{name: "burst beside uploads", load: load{kinds: []*loadKind{lookups().withBurst(burst), uploads()}}},
 		{name: "burst beside uploads and reports", load: load{kinds: []*loadKind{lookups().withBurst(burst), uploads(), reports(10)}}},
 		{name: "burst of all accounts", load: load{kinds: []*loadKind{lookups().withBurst(burst), uploads()}, accounts: 88}},
 		{name: "burst of all accounts, weighted", load: load{kinds: []*loadKind{lookups().withBurst(burst), uploads()}, accounts: 88, weighted: true}},
-		{name: "hot account", load: load{kinds: []*loadKind{lookups(), uploads()}, accounts: 88, hotRate: hot}, minOthers: 0.9, minOthersGain: 0.08},
-		{name: "hot account, weighted", load: load{kinds: []*loadKind{lookups(), uploads(), reports(10)}, accounts: 88, weighted: true, hotRate: hot}, minOthers: 0.87, minOthersGain: 0.08},
-		{name: "hot account that claims little work", load: load{kinds: []*loadKind{lookups().claiming(20 * time.Millisecond), uploads()}, accounts: 88, hotRate: hot}, minOthers: 0.9, minOthersGain: 0.08},
+		{name: "hot account", load: load{kinds: []*loadKind{lookups(), uploads()}, accounts: 88, hotRate: hot}, minOthers: 0.9, minOthersGain: 0.08, minUploadsGain: 0.2},
+		{name: "hot account, weighted", load: load{kinds: []*loadKind{lookups(), uploads(), reports(10)}, accounts: 88, weighted: true, hotRate: hot}, minOthers: 0.87, minOthersGain: 0.08, minUploadsGain: 0.05},
+		{name: "hot account that claims little work", load: load{kinds: []*loadKind{lookups().claiming(20 * time.Millisecond), uploads()}, accounts: 88, hotRate: hot}, minOthers: 0.9, minOthersGain: 0.08, minUploadsGain: 0.2},
 		{name: "account with a low priority", load: load{kinds: []*loadKind{lookups().withBurst(between(time.Second, 9*time.Second, 4)).withEqualWork()}, accounts: 10, lowPriority: "a-3"}},
 		{name: "a quarter of the targets is slow", load: load{kinds: []*loadKind{lookups(), uploads(), reports(15)}, accounts: 88, slowdown: quarterSlow}},
 		{name: "impatient clients", load: load{kinds: []*loadKind{lookups().withBurst(burst), uploads()}, accounts: 88, impatient: 0.3, returns: 8}},
@@ -504,7 +518,7 @@
 			best := tt.load.playOn(func() order { return &oracle{} })
 			for i, r := range []*results{plain, fair, best} {
 				account, worst := r.worst()
-				t.Logf("%-6s %v; by kind %v; %s %v, others %v; least served %s %.3f", []string{"before", "now", "oracle"}[i], r.all, r.byKind, hotAccount, r.byAccount[hotAccount], r.others(), account, worst)
+				t.Logf("%-6s %v; by kind %v; %s %v, others %v %v; least served %s %.3f", []string{"before", "now", "oracle"}[i], r.all, r.byKind, hotAccount, r.byAccount[hotAccount], r.others(), r.othersByKind, account, worst)
 			}
 			require.GreaterOrEqual(t, fair.all.share(), plain.all.share()-maxLoss)
 			require.GreaterOrEqual(t, fair.all.inTimeShare(), plain.all.inTimeShare()-maxLoss)
@@ -514,6 +528,9 @@
 			}
 			require.GreaterOrEqual(t, fair.others().share(), tt.minOthers)
 			require.GreaterOrEqual(t, fair.others().share(), plain.others().share()+tt.minOthersGain-maxLoss)
+			if tt.minUploadsGain > 0 {
+				require.GreaterOrEqual(t, fair.othersByKind["upload"].share(), plain.othersByKind["upload"].share()+tt.minUploadsGain)
+			}
 			account, worst := fair.worst()
 			require.GreaterOrEqual(t, worst, minAccountRatio*fair.all.share(), account)
 			for i, k := range tt.load.kinds[1:] {
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -10,7 +10,8 @@
 //
 // If requests of several client accounts wait, those of the same priority start in the order of
 // fair queueing (fairshare), and those of one account in the order above. So an account that sends
-// many times its usual rate waits behind its own requests, and only they are rejected.
+// many times its usual rate waits behind its own requests, and only they are rejected. Requests of an
+// account that has got most of the service wait behind those of others that are in time.
 //
 // The package does no I/O and does not read the clock. It is not safe for concurrent use.
 //
@@ -86,11 +87,13 @@
 	starved class = iota
 	// inTime: the request is expected to meet its objective.
 	inTime
-	// late: it is not.
+	// excess: so is this one, but its account has got far more than others.
+	excess
+	// late: it is not expected to meet its objective.
 	late
 )
 
-// classify returns the class of the request, apart from starved.
+// classify returns the class of the request, apart from those of its account.
 func (r *Request) classify(now time.Time) class {
 	if r.late(now) {
 		return late
@@ -164,7 +167,7 @@
 
 // Ordered returns the waiting requests in the order in which they should start.
 func (q *Queue) Ordered(now time.Time) []*Request {
-	classify(now, q.waiting)
+	q.classify(now, q.waiting)
 	q.sort(q.waiting, inOrder)
 	return slices.Clone(q.waiting)
 }
@@ -174,14 +177,18 @@
 // The oldest would start too late to end in time, and so would all behind them.
 func (q *Queue) InTime(now time.Time) []*Request {
 	list := slices.DeleteFunc(slices.Clone(q.waiting), func(r *Request) bool { return r.late(now) })
-	classify(now, list)
+	q.classify(now, list)
 	q.sort(list, newestFirst)
 	return list
 }
 
-func classify(now time.Time, list []*Request) {
+func (q *Queue) classify(now time.Time, list []*Request) {
+	competing := q.competing()
 	for _, r := range list {
 		r.class = r.classify(now)
+		if competing && r.class == inTime && q.shares.Dominant(r.account) {
+			r.class = excess
+		}
 	}
 }
 
@@ -238,7 +245,7 @@
 	case q.competing():
 		return q.Ordered(now)[0]
 	}
-	classify(now, q.waiting)
+	q.classify(now, q.waiting)
 	return slices.MinFunc(q.waiting, inOrder)
 }
 
