--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -132,6 +132,8 @@
 	// maxKeyAge is the age of the view, in nanoseconds, from which on keys are not used; 0 means no
 	// limit.
 	maxKeyAge atomic.Int64
+	// awaitBudget is the number of requests that wait for the retry budget.
+	awaitBudget atomic.Int64
 
 	// mu guards the fields below.
 	mu           sync.Mutex
