Evacuation: targets of evacuated failure domains get no requests and no probes

The store key op/evacuate/DOMAIN exists while an operator evacuates a failure domain. The view keeps the set of these domains, and the roster leaves their targets out of the active ones. Cells of other domains stay the same.

Hosts learn of an evacuation one after the other. A dispatcher that knows of it redirects requests for the empty cell instead of reporting itself as unavailable, which would make the sender dispatch its own requests for 4 s. A sender that knows of it returns the grant. The check is made again when there is a connection, directly before the send; such a request is placed again, also one with a streamed body, and it is not counted as an attempt.

The reasons for which a target gets less than usual are combined in traffic/eligibility. The metric tamarack_targets_withheld counts by them.

--- a/internal/fleet/directory/state.go
+++ b/internal/fleet/directory/state.go
@@ -40,6 +40,9 @@
 	TargetID(key string) (string, bool)
 	// Target decodes the entry of a target.
 	Target(id string, data []byte) (roster.Target, error)
+	// EvacuatedDomain returns the failure domain that is evacuated while this key exists, and
+	// false if the key is not that of an evacuation.
+	EvacuatedDomain(key string) (domain string, ok bool)
 }
 
 // Snapshot is an immutable copy of the view.
@@ -48,6 +51,11 @@
 	Table *routing.Table
 	// Targets lists the targets that may get new requests, by service.
 	Targets map[string][]roster.ActiveTarget
+	// Withheld lists the targets that get no new requests although they have an entry, by service.
+	// It is nil if there are none.
+	Withheld map[string][]roster.WithheldTarget
+	// Evacuated holds the failure domains that are evacuated; nil if none is.
+	Evacuated map[string]bool
 	// Hosts holds the hosts with an entry, by name, and HostChanges counts the changes to
 	// it.
 	Hosts       map[string]Host
@@ -116,6 +124,7 @@
 	fieldHost     = "host"
 	fieldHosts    = "hosts"
 	fieldTarget   = "target"
+	fieldTargets  = "targets"
 	fieldCount    = "count"
 	fieldError    = "error"
 	fieldSequence = "sequence"
@@ -179,6 +188,9 @@
 	// changed holds the targets whose entries have changed since the last call of TakeRestarted, as
 	// they were then.
 	changed map[string]roster.Target
+	// unknownEvacuated holds the evacuated failure domains that no host and no target was in when
+	// the evacuation was logged last.
+	unknownEvacuated map[string]bool
 }
 
 // NewState returns an empty state for the host self. onItem is called for each item that
@@ -260,6 +272,8 @@
 		s.applyConfig(item)
 	} else if id, ok := s.decoder.TargetID(item.Key); ok {
 		s.applyTarget(now, id, item, old)
+	} else if domain, ok := s.decoder.EvacuatedDomain(item.Key); ok {
+		s.applyEvacuation(now, domain, item)
 	} else if item.Key == SecretKey {
 		s.applySecret(item)
 	} else if item.Key == SizeKey {
@@ -358,7 +372,7 @@
 		s.loadedTargets = append(s.loadedTargets, id)
 		return
 	}
-	s.log("target "+c.String(), map[string]any{fieldTarget: id, fieldRevision: revision.String(), "targets": s.roster.Len()})
+	s.log("target "+c.String(), map[string]any{fieldTarget: id, fieldRevision: revision.String(), fieldTargets: s.roster.Len()})
 }
 
 // Tick removes lapsed targets and missing hosts whose timeout has passed.
@@ -407,7 +421,8 @@
 		next.position = findPosition(ranking(next.Hosts), s.self.Name, s.self.Domain)
 	}
 	if s.targetsChanged {
-		next.Targets = s.roster.Active()
+		next.Targets, next.Withheld = s.roster.Active()
+		next.Evacuated = s.roster.Evacuated()
 	}
 	s.hostsChanged, s.targetsChanged = false, false
 	s.last = &next
@@ -418,6 +433,7 @@
 func (s *State) TakeLogLines() []LogLine {
 	s.logHosts()
 	s.logLoadedTargets()
+	s.logUnknownEvacuated()
 	lines := s.lines
 	s.lines = nil
 	return lines
@@ -427,7 +443,7 @@
 // a host that starts has requests waiting.
 func (s *State) logLoadedTargets() {
 	if n := len(s.loadedTargets); n > 0 {
-		s.log("targets joined", map[string]any{fieldCount: n, "ids": s.loadedTargets, "targets": s.roster.Len(), fieldRevision: s.revision.String()})
+		s.log("targets joined", map[string]any{fieldCount: n, "ids": s.loadedTargets, fieldTargets: s.roster.Len(), fieldRevision: s.revision.String()})
 	}
 	s.loadedTargets = nil
 }
--- a/internal/fleet/directory/state_test.go
+++ b/internal/fleet/directory/state_test.go
@@ -33,6 +33,8 @@
 
 func (plainDecoder) TargetID(key string) (string, bool) { return strings.CutPrefix(key, "t/") }
 
+func (plainDecoder) EvacuatedDomain(key string) (string, bool) { return strings.CutPrefix(key, "e/") }
+
 func (plainDecoder) Target(id string, data []byte) (roster.Target, error) {
 	if string(data) == "bad" {
 		return roster.Target{}, errors.New("bad")
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -1,7 +1,7 @@
 // Package roster tracks the targets according to their entries in the metadata store, and
 // decides which of them get new requests.
 //
-// A draining target gets no new requests. An entry that is deleted around an outage of
+// A draining target gets no new requests, and neither does one whose failure domain is evacuated. An entry that is deleted around an outage of
 // the store may belong to a target that only failed to renew it; such a target is kept
 // until a re-registration timeout has passed.
 //
@@ -13,16 +13,20 @@
 //	r.Replace(now, targets)            // after a full read
 //	r.Put(now, target)                 // an entry changed
 //	r.Remove(now, id)                  // an entry was deleted
-//	targets := r.Active()
+//	r.SetEvacuated(now, domain, true)  // a failure domain is evacuated
+//	targets, withheld := r.Active()
 package roster
 
 // This file defines Target and Roster.
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
 	"time"
+
+	"tamaracktiller.example/tamaracktiller/internal/traffic/eligibility"
 )
 
 // Target is a server process that handles requests. It is the content of its entry in the
@@ -87,6 +91,9 @@
 	// removeAt is the time at which a lapsed target is removed; zero while the entry
 	// exists.
 	removeAt time.Time
+	// appliedAt is the time at which the entry was applied, and unknownSince the time since which
+	// it is not known whether the target is cold, unless something newer says so.
+	appliedAt, unknownSince time.Time
 }
 
 // Roster holds the targets. The zero value is not usable.
@@ -96,6 +103,9 @@
 	// outageUntil is the time until which the deletion of an entry may be due to an
 	// outage.
 	outageUntil time.Time
+	// evacuated holds the failure domains that are evacuated; nil if none is. A map that Evacuated
+	// has returned does not change.
+	evacuated map[string]bool
 }
 
 // New returns an empty roster. Targets whose entries lapsed during an outage of the store
@@ -110,8 +120,11 @@
 // Put applies the entry of a target.
 func (r *Roster) Put(now time.Time, t Target) Change {
 	old := r.records[t.ID]
-	next := &record{target: t, coldUntil: now.Add(t.ColdTime)}
+	next := &record{target: t, coldUntil: now.Add(t.ColdTime), appliedAt: now, unknownSince: now}
 	r.records[t.ID] = next
+	if old != nil && old.target.SameRun(t) && old.removeAt.IsZero() {
+		next.unknownSince = old.unknownSince
+	}
 	switch {
 	case old == nil:
 		return Joined
@@ -135,7 +148,7 @@
 	}
 	if now.Before(r.outageUntil) && !rec.target.Draining {
 		if rec.removeAt.IsZero() {
-			rec.removeAt = r.outageUntil
+			rec.removeAt, rec.unknownSince = r.outageUntil, now
 		}
 		return Lapsed
 	}
@@ -177,22 +190,89 @@
 	ColdUntil time.Time
 	// Lapsed reports whether the entry was deleted around an outage of the store.
 	Lapsed bool
+	// AppliedAt is the time at which the entry was applied.
+	AppliedAt time.Time
+	// UnknownSince is the time since which it is not known whether the target is cold, unless
+	// something newer says so: it joined, restarted, lapsed or returned then, or the evacuation of
+	// its failure domain ended.
+	UnknownSince time.Time
+}
+
+// WithheldTarget is a target that gets no new requests, and why.
+type WithheldTarget struct {
+	ID      string
+	Service string
+	Domain  string
+	Reason  eligibility.Reason
 }
 
-// Active returns the targets that may get new requests, by service and sorted by ID.
-func (r *Roster) Active() map[string][]ActiveTarget {
-	active := map[string][]ActiveTarget{}
+// Active returns the targets that may get new requests, and those that may not, by service and
+// sorted by ID. The second map is nil if there are none of these.
+func (r *Roster) Active() (active map[string][]ActiveTarget, withheld map[string][]WithheldTarget) {
+	active = map[string][]ActiveTarget{}
 	for _, rec := range r.records {
-		if rec.target.Draining {
+		s := rec.target.Service
+		v := eligibility.Decide(eligibility.Facts{Evacuated: r.evacuated[rec.target.Domain], Draining: rec.target.Draining})
+		if v.Grade == eligibility.Nothing {
+			if withheld == nil {
+				withheld = map[string][]WithheldTarget{}
+			}
+			withheld[s] = append(withheld[s], WithheldTarget{ID: rec.target.ID, Service: s, Domain: rec.target.Domain, Reason: v.Reason})
 			continue
 		}
-		s := rec.target.Service
-		active[s] = append(active[s], ActiveTarget{Target: rec.target, ColdUntil: rec.coldUntil, Lapsed: !rec.removeAt.IsZero()})
+		active[s] = append(active[s], ActiveTarget{
+			Target: rec.target, ColdUntil: rec.coldUntil, Lapsed: !rec.removeAt.IsZero(), AppliedAt: rec.appliedAt, UnknownSince: rec.unknownSince,
+		})
 	}
 	for _, list := range active {
 		slices.SortFunc(list, func(a, b ActiveTarget) int { return strings.Compare(a.ID, b.ID) })
 	}
-	return active
+	for _, list := range withheld {
+		slices.SortFunc(list, func(a, b WithheldTarget) int { return strings.Compare(a.ID, b.ID) })
+	}
+	return active, withheld
+}
+
+// SetEvacuated begins or ends the evacuation of a failure domain, and reports whether that is new.
+// When it ends, the targets of the domain may have become cold meanwhile.
+func (r *Roster) SetEvacuated(now time.Time, domain string, evacuated bool) bool {
+	if r.evacuated[domain] == evacuated {
+		return false
+	}
+	next := maps.Clone(r.evacuated)
+	if next == nil {
+		next = map[string]bool{}
+	}
+	if evacuated {
+		next[domain] = true
+	} else {
+		delete(next, domain)
+		for _, rec := range r.records {
+			if rec.target.Domain == domain {
+				rec.unknownSince = now
+			}
+		}
+	}
+	r.evacuated = next
+	if len(next) == 0 {
+		r.evacuated = nil
+	}
+	return true
+}
+
+// Evacuated returns the failure domains that are evacuated; nil if none is. The caller must not
+// change the map.
+func (r *Roster) Evacuated() map[string]bool { return r.evacuated }
+
+// CountIn returns the number of targets in a failure domain.
+func (r *Roster) CountIn(domain string) int {
+	n := 0
+	for _, rec := range r.records {
+		if rec.target.Domain == domain {
+			n++
+		}
+	}
+	return n
 }
 
 // Get returns a target, and false if there is none with this ID.
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -33,9 +33,9 @@
 			require.Equal(t, Joined, r.Put(start, Target{ID: "i"}))
 			tt.update(r)
 			r.Expire(at(1000), func(string, Change) {})
-			require.Equal(t, tt.active, len(r.Active()[""]) == 1)
+			require.Equal(t, tt.active, len(activeTargets(r)) == 1)
 			r.Expire(at(2500), func(string, Change) {})
-			require.Equal(t, tt.later, len(r.Active()[""]) == 1)
+			require.Equal(t, tt.later, len(activeTargets(r)) == 1)
 		})
 	}
 }
@@ -55,5 +55,11 @@
 	r.Put(now, Target{ID: "i", Started: time.UnixMilli(5)})
 	require.Equal(t, Unchanged, r.Put(now, Target{ID: "i", Started: time.UnixMilli(5), Sequence: 9}))
 	require.Equal(t, Restarted, r.Put(now, Target{ID: "i", Started: time.UnixMilli(6), ColdTime: time.Second}))
-	require.Equal(t, now.Add(time.Second), r.Active()[""][0].ColdUntil)
+	require.Equal(t, now.Add(time.Second), activeTargets(r)[0].ColdUntil)
+}
+
+// activeTargets returns the targets without a service that may get new requests.
+func activeTargets(r *Roster) []ActiveTarget {
+	active, _ := r.Active()
+	return active[""]
 }
--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -78,6 +78,7 @@
 		}
 		return float64(n)
 	})
+	gauge("tamarack_evacuated_domains", "Failure domains that are evacuated, according to this host's view.", func() float64 { return float64(len(snapshot().Evacuated)) })
 	gauge("tamarack_hosts", "Hosts with an entry in the store.", func() float64 { return float64(len(snapshot().Hosts)) })
 	gauge("tamarack_store_age_seconds", "Age of this host's view of the store.", func() float64 { return age().Seconds() })
 }
@@ -96,7 +97,7 @@
 // CountTunnel counts a connection to a target that was opened for another host.
 func (m *metrics) CountTunnel() { m.tunnels.Inc() }
 
-// targetCollector exports a gauge for each target that has a value.
+// targetCollector exports a gauge for each target, or other value of its label, that has a value.
 type targetCollector struct {
 	values      func() map[string]float64
 	description *prometheus.Desc
@@ -106,7 +107,12 @@
 
 // registerTargets registers a gauge with a value for some targets.
 func (m *metrics) registerTargets(name, help string, values func() map[string]float64) {
-	m.registry.MustRegister(&targetCollector{values: values, description: prometheus.NewDesc(name, help, []string{"target"}, nil)})
+	m.registerByLabel(name, help, "target", values)
+}
+
+// registerByLabel registers a gauge with a value for some values of a label.
+func (m *metrics) registerByLabel(name, help, label string, values func() map[string]float64) {
+	m.registry.MustRegister(&targetCollector{values: values, description: prometheus.NewDesc(name, help, []string{label}, nil)})
 }
 
 // registerDispatcher registers the gauges of what targets say of themselves: those that name a
@@ -120,6 +126,13 @@
 		}
 		return leaving
 	})
+	m.registerByLabel("tamarack_targets_withheld", "Targets that get less than usual from this host, by the reason.", "reason", func() map[string]float64 {
+		counts := map[string]float64{}
+		for reason, n := range d.WithheldTargets() {
+			counts[string(reason)] = float64(n)
+		}
+		return counts
+	})
 	m.registerTargets("tamarack_target_pause_seconds", "Time for which a target wants no requests of this host.", func() map[string]float64 {
 		seconds := map[string]float64{}
 		for target, left := range d.Pauses() {
--- a/internal/traffic/dispatcher/cells.go
+++ b/internal/traffic/dispatcher/cells.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -26,9 +27,10 @@
 }
 
 // splitCells divides the targets of a service into cells. It is deterministic: all hosts
-// that know the same targets compute the same cells.
-func splitCells(service string, targets []roster.ActiveTarget) map[cellID][]roster.ActiveTarget {
-	if len(targets) <= maxCellTargets {
+// that know the same targets compute the same cells. evacuated is the number of further targets that
+// are evacuated: they have no cells, but those of the others stay the same.
+func splitCells(service string, targets []roster.ActiveTarget, evacuated int) map[cellID][]roster.ActiveTarget {
+	if len(targets)+evacuated <= maxCellTargets {
 		return map[cellID][]roster.ActiveTarget{{key: service, service: service}: targets}
 	}
 	byDomain := map[string][]roster.ActiveTarget{}
@@ -47,6 +49,27 @@
 	return cells
 }
 
+// parseCell returns the cell with a key, and false if the key is not that of a cell. The names of
+// services and failure domains may contain the separator; then the result may be another service,
+// and no cell of it is found.
+func parseCell(key string) (cellID, bool) {
+	rest, _, ok := cutLast(key)
+	if !ok {
+		return cellID{key: key, service: key}, key != ""
+	}
+	service, domain, ok := cutLast(rest)
+	return cellID{key: key, service: service, domain: domain}, ok
+}
+
+// cutLast cuts a string at its last separator of the parts of a cell's key.
+func cutLast(s string) (before, after string, ok bool) {
+	i := strings.LastIndexByte(s, '/')
+	if i < 0 {
+		return s, "", false
+	}
+	return s[:i], s[i+1:], true
+}
+
 // maxRankedHosts bounds the ranking of hosts that is kept for a cell. Requests go to the
 // first two that are not suspected.
 const maxRankedHosts = 8
--- a/internal/traffic/dispatcher/dispatcher.go
+++ b/internal/traffic/dispatcher/dispatcher.go
@@ -17,6 +17,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/budget"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/crash"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/eligibility"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/targets"
@@ -78,6 +79,9 @@
 	limits   *ratelimit.Limits
 	probes   *budget.Probes
 	snapshot *directory.Snapshot
+	// withheld holds the targets that get no requests although they have an entry, with the
+	// reasons; nil if there are none.
+	withheld map[string]eligibility.Reason
 	// cells holds the cells by key, and services those of the current snapshot by service.
 	cells    map[string]*cell
 	services map[string][]*cell
@@ -129,7 +133,7 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	d.dropGoneHosts(now, d.snapshot.Hosts, s.Hosts)
-	d.snapshot = s
+	d.snapshot, d.withheld = s, withheldTargets(s)
 	for _, id := range restarted {
 		d.chooser.Reset(now, id)
 		delete(d.hostPauses, id)
@@ -137,7 +141,7 @@
 	all := map[string][]placement.Spec{}
 	d.services = map[string][]*cell{}
 	for service, list := range s.Targets {
-		for id, part := range splitCells(service, list) {
+		for id, part := range splitCells(service, list, countEvacuated(s.Withheld[service])) {
 			c := d.cells[id.key]
 			if c == nil {
 				c = newCell(id)
@@ -149,6 +153,7 @@
 		}
 		d.setHome(d.services[service])
 	}
+	d.chooser.SetWithheld(d.withheld)
 	d.chooser.SetTargets(all)
 	d.probes.Retain(d.chooser.Has)
 	for key, c := range d.cells {
@@ -237,7 +242,7 @@
 func (d *Dispatcher) place(ctx context.Context, req Request) (Grant, error) {
 	c := d.selectCell(req)
 	if c == nil {
-		return Grant{}, &RejectedError{Reason: "service has no targets", RetryAfter: noTargetsRetryAfter}
+		return Grant{}, d.noTargets(req.Service)
 	}
 	grant, err := d.placeInCell(ctx, c, req)
 	var redirect *redirectError
--- a/internal/traffic/dispatcher/dispatcher_test.go
+++ b/internal/traffic/dispatcher/dispatcher_test.go
@@ -252,7 +252,7 @@
 		for n := range tt.targets {
 			list = append(list, roster.ActiveTarget{Target: roster.Target{ID: fmt.Sprintf("t-%d", n), Domain: "d"}})
 		}
-		cells := splitCells("s", list)
+		cells := splitCells("s", list, 0)
 		total := 0
 		for _, part := range cells {
 			total += len(part)
--- a/internal/traffic/dispatcher/notice.go
+++ b/internal/traffic/dispatcher/notice.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"tamaracktiller.example/tamaracktiller/internal/fleet/packet"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/eligibility"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/notice"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
 )
@@ -108,7 +109,7 @@
 		}
 		d.cfg.Log.WithFields(logrus.Fields{fieldRequest: req.ID, fieldTarget: grant.ID, "dispatcher": grant.dispatchedBy, "why": reason}).Info("grant is returned")
 		d.Done(grant, Outcome{Result: placement.Cancelled})
-		req.Avoid = append(slices.Clone(req.Avoid), grant.ID)
+		req.Avoid = append(append(slices.Clone(req.Avoid), grant.ID), d.evacuatedTargets(req.Service)...)
 	}
 	return Grant{}, &RejectedError{Reason: "targets that were granted are not to be used", RetryAfter: noTargetsRetryAfter}
 }
@@ -117,6 +118,9 @@
 func (d *Dispatcher) barred(g Grant) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.withheld[g.ID] == eligibility.Evacuated {
+		return "its failure domain is evacuated"
+	}
 	if d.chooser.Leaving(g.ID) {
 		return "it leaves"
 	}
@@ -144,13 +148,13 @@
 	return &response{rejected: &RejectedError{Reason: reasonPaused, RetryAfter: until.Sub(now) + rand.N(pauseSpread)}}
 }
 
-// emptyRejection returns the rejection of a request for a cell without available targets.
+// emptyRejection returns the rejection of a request for a cell without available targets. The
+// caller holds the mutex.
 func (d *Dispatcher) emptyRejection(c *cell) *RejectedError {
-	reason := "service has no targets"
 	if c.registered > 0 {
-		reason = reasonLeaving
+		return &RejectedError{Reason: reasonLeaving, RetryAfter: noTargetsRetryAfter}
 	}
-	return &RejectedError{Reason: reason, RetryAfter: noTargetsRetryAfter}
+	return d.noTargetsLocked(c.id.service)
 }
 
 // otherCell returns another cell of the same service that has available targets; nil if there is
--- a/internal/traffic/dispatcher/remote.go
+++ b/internal/traffic/dispatcher/remote.go
@@ -258,6 +258,10 @@
 		}
 		return
 	}
+	if !d.turnsAway() && d.redirectEvacuated(from, m) {
+		d.mu.Unlock()
+		return
+	}
 	c := d.cells[m.Cell]
 	if c == nil || c.registered == 0 || d.turnsAway() {
 		d.mu.Unlock()
--- a/internal/traffic/entry/attempt.go
+++ b/internal/traffic/entry/attempt.go
@@ -85,7 +85,9 @@
 		defer req.endExtraAttempt()
 	}
 	out := attempt{grant: grant, outcome: notSent, cause: targets.ErrGone}
-	if l, ok := req.h.cfg.Links.Find(grant.ID); ok {
+	if err := req.h.cfg.Links.MaySend(grant.ID); err != nil {
+		out.cause = err
+	} else if l, ok := req.h.cfg.Links.Find(grant.ID); ok {
 		w := req.watch(ctx, grant)
 		out = req.roundTrip(w, l, grant)
 		out.via, out.released = w.stop()
@@ -123,6 +125,7 @@
 		Idempotent: req.route.Idempotent, AllowCloseDelimited: true, Connected: w.connected, Dial: req.dialThrough(grant),
 		// A late copy of the response to the first attempt has the same ID.
 		NewConnection:  newConnection,
+		MaySend:        func() error { return req.h.cfg.Links.MaySend(grant.ID) },
 		MatchesRequest: func(header http.Header) bool { return req.h.cfg.Dialect.MatchesRequest(header, req.id) },
 	})
 	switch {
@@ -207,7 +210,7 @@
 	case rejected:
 		return placement.Rejected
 	case notSent, outcomeUnknown:
-		if r.req.isDone(ctx) {
+		if r.req.isDone(ctx) || errors.Is(r.cause, targets.ErrEvacuated) {
 			return placement.Cancelled
 		}
 		if errors.Is(r.cause, errLinkLost) || r.outcome == notSent && r.grant.Through() != "" {
--- a/internal/traffic/entry/retry.go
+++ b/internal/traffic/entry/retry.go
@@ -66,6 +66,9 @@
 
 // mayRetry reports whether the request may be sent to another target.
 func (req *clientRequest) mayRetry(last attempt, retries int) bool {
+	if req.mustPlaceAgain(last) {
+		return true
+	}
 	if req.streamed || retries >= maxRetries || time.Until(req.endsAt()) < minTimeLeft {
 		return false
 	}
--- a/internal/traffic/placement/chooser.go
+++ b/internal/traffic/placement/chooser.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"tamaracktiller.example/tamaracktiller/internal/traffic/eligibility"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/notice"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/profile"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
@@ -26,6 +27,9 @@
 	departures *notice.Departures
 	pauses     *notice.Pauses
 	leavers    map[string][]*target
+	// withheld holds the targets that get no requests although they have an entry, with the
+	// reasons; nil if there are none.
+	withheld map[string]eligibility.Reason
 	// lastTrial is the time of the last trial of a higher concurrency, by service.
 	lastTrial map[string]time.Time
 }
@@ -63,9 +67,13 @@
 		}
 		c.groups[group] = list
 	}
-	c.limits.Retain(c.Has)
+	c.limits.Retain(func(id string) bool { return c.Has(id) || c.withheld[id] == eligibility.Evacuated })
 }
 
+// SetWithheld replaces the targets that get no requests although they have an entry, with the
+// reasons. The rate limits of evacuated ones are kept, since they hold after the evacuation.
+func (c *Chooser) SetWithheld(withheld map[string]eligibility.Reason) { c.withheld = withheld }
+
 // Profile returns the profile of a service's targets, and creates it if needed.
 func (c *Chooser) Profile(service string) *profile.Profile {
 	p := c.profiles[service]
--- a/internal/traffic/relay/roundtrip.go
+++ b/internal/traffic/relay/roundtrip.go
@@ -23,6 +23,9 @@
 	Informational func(status int, header http.Header)
 	// Connected is called with the connection before the request is sent. It may be nil.
 	Connected func(nc net.Conn)
+	// MaySend is called when there is a connection, directly before the request is sent. If it returns
+	// an error, the request is not sent. It may be nil.
+	MaySend func() error
 	// Dial opens the connection for this request only; nil for one of the pool.
 	Dial func(ctx context.Context) (net.Conn, error)
 	// NewConnection requires a connection that has carried no request before, and IdleOnly one
@@ -85,6 +88,12 @@
 	if err != nil {
 		return nil, &Error{Address: p.address, Cause: err}
 	}
+	if o.MaySend != nil {
+		if err := o.MaySend(); err != nil {
+			p.discard(c)
+			return nil, &Error{Address: p.address, Cause: err}
+		}
+	}
 	if o.Connected != nil {
 		o.Connected(c.nc)
 	}
--- a/internal/traffic/targets/check.go
+++ b/internal/traffic/targets/check.go
@@ -249,7 +249,9 @@
 	}
 	req.Header.Set("User-Agent", "")
 	req.Close = true
-	res, err := once.RoundTrip(ctx, req, relay.Options{Idempotent: true, AllowCloseDelimited: true})
+	res, err := once.RoundTrip(ctx, req, relay.Options{
+		Idempotent: true, AllowCloseDelimited: true, MaySend: func() error { return l.MaySend(link.Target.ID) },
+	})
 	if err != nil {
 		return false
 	}
--- a/internal/traffic/targets/targets.go
+++ b/internal/traffic/targets/targets.go
@@ -64,6 +64,8 @@
 	ErrGone = errors.New("targets: target is gone")
 	// ErrPaused reports that the target wants no requests of this host for some time.
 	ErrPaused = errors.New("targets: target wants no requests of this host for some time")
+	// ErrEvacuated reports that the failure domain of the target is evacuated.
+	ErrEvacuated = errors.New("targets: failure domain of the target is evacuated")
 	// ErrUnresponsive reports that the target did not respond to a probe.
 	ErrUnresponsive = errors.New("targets: target did not respond")
 )
@@ -126,6 +128,8 @@
 	links map[string]*Link
 	// healthPaths holds the health check paths by service.
 	healthPaths map[string]string
+	// evacuated holds the targets whose failure domain is evacuated; nil if there are none.
+	evacuated map[string]bool
 
 	// reachMu guards the fields below.
 	reachMu sync.Mutex
@@ -170,6 +174,7 @@
 func (l *Links) SetTargets(s *directory.Snapshot, restarted []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.setEvacuated(s)
 	for _, id := range restarted {
 		l.remove(id)
 	}
@@ -316,6 +321,7 @@
 	through := ""
 	o.Connected = func(nc net.Conn) { through = ReachedThrough(nc) }
 	o.MatchesRequest = func(header http.Header) bool { return l.cfg.Reader.MatchesRequest(header, "") }
+	o.MaySend = func() error { return l.MaySend(id) }
 	res, err := link.Pool.RoundTrip(ctx, req, o)
 	if err != nil {
 		return ProbeResult{}, errors.Wrapf(ErrUnresponsive, "%s: %v", id, err)
