Cold targets: the rate of a service's cold targets holds over all hosts

Services with cold_per_s name the requests a second that a cold target takes. Such a target has that rate limit with the shares of dispatcher/limit.go, so that only the first two hosts of a cell's ranking send to it. Entries and the header X-Cold-Ms of health responses say for how long it stays cold; later news raises that at once, and only a response to a request that was sent after the newest cause ends it. A named limit may hold as well; the lower rate applies.

A target counts as cold, too, while it is not known whether it is: one that joined, restarted, lapsed, returned, did not respond, or whose evacuation ended, and on hosts with an old view each one that has not said within a second that it is not. The dispatcher of its cell probes it at once, up to 12 at a time, so that a fleet that starts serves from the first request on.

traffic/eligibility decides for each candidate what it may get; placement uses the verdict and the metric tamarack_targets_withheld counts by the reason.

--- a/internal/traffic/dispatcher/cell.go
+++ b/internal/traffic/dispatcher/cell.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/roster"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
@@ -49,6 +51,8 @@
 	// probeDivisor is the number by which the probe budget is divided to get the share of
 	// this host.
 	probeDivisor float64
+	// limitsCold is set if the rate of cold targets of the service is limited.
+	limitsCold bool
 	// home is set for the cell of the service that this host prefers.
 	home bool
 	// rank is the position of this host in the ranking since rankSince. It is one of the first
@@ -85,14 +89,18 @@
 		c.probeDivisor = 1 / dispatcherProbeShare
 	}
 	if s.Table != nil {
-		c.healthPath = s.Table.Config.Services[c.id.service].HealthPath
+		service := s.Table.Config.Services[c.id.service]
+		c.healthPath, c.limitsCold = service.HealthPath, service.ColdPerSecond > 0
 	}
 }
 
-func specs(service string, list []roster.ActiveTarget) []placement.Spec {
+func specs(service string, config routing.Service, list []roster.ActiveTarget) []placement.Spec {
 	out := make([]placement.Spec, 0, len(list))
 	for _, t := range list {
-		out = append(out, placement.Spec{ID: t.ID, Service: service, Domain: t.Domain, Slots: t.Slots, ColdUntil: t.ColdUntil, Started: t.Started, Lapsed: t.Lapsed})
+		out = append(out, placement.Spec{
+			ID: t.ID, Service: service, Domain: t.Domain, Slots: t.Slots, ColdUntil: t.ColdUntil, Started: t.Started, Lapsed: t.Lapsed,
+			ColdPerSecond: config.ColdPerSecond, ColdTime: config.ColdTime,
+		})
 	}
 	return out
 }
@@ -114,6 +122,8 @@
 	// host.
 	from    string
 	through bool
+	// address is that of the host; not valid for this host.
+	address netip.AddrPort
 	// queued is the request's entry in the queue; nil if it was not queued.
 	queued *queue.Request
 	reply  func(response)
@@ -122,9 +132,10 @@
 }
 
 // placementRequest returns a queued request in the form that placement takes.
-func (c *cell) placementRequest(w *waiter) placement.Request {
+// The caller holds the mutex.
+func (d *Dispatcher) placementRequest(now time.Time, c *cell, w *waiter) placement.Request {
 	r := w.request.placementRequest()
-	r.Backlogged = c.backlogged()
+	r.Backlogged, r.SpareCold = c.backlogged(), c.limitsCold && d.isSilent(now, w)
 	return r
 }
 
@@ -280,7 +291,7 @@
 			break
 		}
 		w := c.waiters[r]
-		choice, ok := d.chooser.Best(now, c.id.key, c.placementRequest(w))
+		choice, ok := d.chooser.Best(now, c.id.key, d.placementRequest(now, c, w))
 		if ok && (choice.HasCapacity || mustSendNow(now, choice, r)) {
 			d.grantQueued(now, c, w, choice)
 		}
@@ -308,7 +319,9 @@
 			return
 		}
 		w := c.waiters[r]
-		if choice, ok := d.chooser.Best(now, c.id.key, w.request.placementRequest()); ok && choice.HasCapacity {
+		pr := w.request.placementRequest()
+		pr.SpareCold = c.limitsCold && d.isSilent(now, w)
+		if choice, ok := d.chooser.Best(now, c.id.key, pr); ok && choice.HasCapacity {
 			d.grantQueued(now, c, w, choice)
 		}
 	}
@@ -369,6 +382,8 @@
 	ForLimit ProbeCause = "limit"
 	// ForConnection: a request that is not idempotent needs a connection that responds.
 	ForConnection ProbeCause = "connection"
+	// ForCold: it is not known whether a target is cold.
+	ForCold ProbeCause = "cold"
 )
 
 // probeCandidates returns up to n targets to probe for a request, within the probe budget.
@@ -448,6 +463,9 @@
 	now := time.Now()
 	if err == nil {
 		d.observeLimit(now, id, ratelimit.Observation{Report: r.Limit, SentAt: sent, Source: ratelimit.Probe})
+		d.observeCold(now, id, r.Cold, sent, ratelimit.Probe)
+	} else {
+		d.chooser.RecordUnreachable(now, id)
 	}
 	switch {
 	case errors.Is(err, targets.ErrGone):
--- a/internal/traffic/dispatcher/dispatcher.go
+++ b/internal/traffic/dispatcher/dispatcher.go
@@ -102,6 +102,8 @@
 	profilesChecked time.Time
 	// loggedLimits holds the targets about whose rate limits a line was logged a moment ago.
 	loggedLimits map[string]*loggedLimit
+	// cold is what is known of cold targets beyond limits.
+	cold coldTracker
 	// hostPauses holds the times until which targets want no requests of other hosts, by target
 	// and host.
 	hostPauses map[string]map[string]time.Time
@@ -149,12 +151,13 @@
 			}
 			c.update(now, s, part, d.cfg.Self)
 			d.services[service] = append(d.services[service], c)
-			all[id.key] = specs(service, part)
+			all[id.key] = specs(service, serviceConfig(s, service), part)
 		}
 		d.setHome(d.services[service])
 	}
 	d.chooser.SetWithheld(d.withheld)
 	d.chooser.SetTargets(all)
+	d.updateCold(now, s)
 	d.probes.Retain(d.chooser.Has)
 	for key, c := range d.cells {
 		if _, ok := all[key]; !ok {
@@ -379,6 +382,10 @@
 		d.chooser.MarkGone(now, id)
 	}
 	d.observeLimit(now, id, ratelimit.Observation{Report: o.Limit, SentAt: g.at, Source: ratelimit.Response})
+	d.observeCold(now, id, o.Cold, g.at, ratelimit.Response)
+	if o.Result == placement.Unreachable {
+		d.chooser.RecordUnreachable(now, id)
+	}
 	if o.Result == placement.Served {
 		d.chooser.RecordResponse(id, o.LoadKnown)
 	}
--- a/internal/traffic/dispatcher/evacuation.go
+++ b/internal/traffic/dispatcher/evacuation.go
@@ -119,15 +119,3 @@
 	d.send(from, response)
 	return true
 }
-
-// WithheldTargets returns the number of targets that get no requests although they have an entry, by
-// reason.
-func (d *Dispatcher) WithheldTargets() map[eligibility.Reason]int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	n := map[eligibility.Reason]int{}
-	for _, reason := range d.withheld {
-		n[reason]++
-	}
-	return n
-}
--- a/internal/traffic/dispatcher/limit.go
+++ b/internal/traffic/dispatcher/limit.go
@@ -69,6 +69,7 @@
 // updateShares sets this host's shares of the rate limits of a cell's targets. The caller
 // holds the mutex.
 func (d *Dispatcher) updateShares(now time.Time, c *cell) {
+	d.expireColdEvidence(now, c)
 	if d.limits.Empty() {
 		return
 	}
@@ -82,13 +83,16 @@
 		return queue.Capacity{Slots: c.slots}
 	}
 	flow, limited := d.chooser.Flow(now, c.id.key)
-	return queue.Capacity{Slots: d.chooser.Slots(c.id.key, typicalTime), Limited: limited, Flow: flow}
+	return queue.Capacity{Slots: d.chooser.Slots(now, c.id.key, typicalTime), Limited: limited, Flow: flow}
 }
 
 // newRejection returns the rejection of a request for lack of capacity.
 func newRejection(c queue.Capacity, reason string, retryAfter time.Duration) *RejectedError {
 	if c.Limited {
 		reason = "all targets limit their rate"
+		if c.Flow.Cold {
+			reason = "all targets limit their rate or are cold"
+		}
 	}
 	return &RejectedError{Reason: reason, RetryAfter: retryAfter, Limited: c.Limited}
 }
--- a/internal/traffic/dispatcher/notice.go
+++ b/internal/traffic/dispatcher/notice.go
@@ -121,6 +121,9 @@
 	if d.withheld[g.ID] == eligibility.Evacuated {
 		return "its failure domain is evacuated"
 	}
+	if d.isColdNews(time.Now(), g) {
+		return "it has just become cold"
+	}
 	if d.chooser.Leaving(g.ID) {
 		return "it leaves"
 	}
--- a/internal/traffic/dispatcher/remote.go
+++ b/internal/traffic/dispatcher/remote.go
@@ -140,7 +140,7 @@
 	return Grant{
 		Choice: placement.Choice{
 			ID: m.Target, ServiceTime: m.ServiceTime, QueueTime: m.QueueTime, Cost: m.ServiceTime + m.QueueTime, Load: m.Load, LoadKnown: m.LoadKnown, Age: m.Age, HasCapacity: true,
-			Concurrency: m.Concurrency, Slots: m.Slots, UncontendedTime: m.UncontendedTime, Cold: m.Cold,
+			Concurrency: m.Concurrency, Slots: m.Slots, UncontendedTime: m.UncontendedTime, Cold: m.Cold, Restricted: m.ColdNotice.Restricted,
 		},
 		at: time.Now(), cell: c.id.key, dispatchedBy: host.Name, id: id, through: m.Through,
 	}
@@ -182,7 +182,7 @@
 		return
 	}
 	d.send(host.PeerAddress, Message{
-		Kind: kindDone, ID: g.id, Target: g.ID, Result: o.Result, Gone: o.Gone, Load: o.Load, LoadKnown: o.LoadKnown, Limit: o.Limit, Pause: o.Pause, Departures: departures,
+		Kind: kindDone, ID: g.id, Target: g.ID, Result: o.Result, Gone: o.Gone, Load: o.Load, LoadKnown: o.LoadKnown, Limit: o.Limit, Pause: o.Pause, Departures: departures, ColdNotice: coldNotice{Cold: o.Cold},
 	})
 }
 
@@ -269,7 +269,7 @@
 		return
 	}
 	r := &remoteRequest{cell: c, expires: now.Add(m.DeadlineLeft + remoteRetention)}
-	r.waiter = &waiter{request: m.request(now), from: d.hostName(from), reply: func(res response) { d.reply(from, m.ID, r, res) }}
+	r.waiter = &waiter{request: m.request(now), from: d.hostName(from), address: from, reply: func(res response) { d.reply(from, m.ID, r, res) }}
 	d.remoteRequests[key] = r
 	d.mu.Unlock()
 	d.g.Go("serve", func(ctx context.Context) error {
@@ -296,6 +296,7 @@
 		m.Kind, m.Target, m.Through, m.ServiceTime, m.QueueTime = kindGranted, grant.ID, grant.through, grant.ServiceTime, grant.QueueTime
 		m.Load, m.LoadKnown, m.Age = grant.Load, grant.LoadKnown, grant.Age
 		m.Concurrency, m.Slots, m.UncontendedTime, m.Cold = grant.Concurrency, grant.Slots, grant.UncontendedTime, grant.Cold
+		m.ColdNotice.Restricted = grant.Restricted && r.cell.limitsCold
 	}
 	r.lastResponse = m
 	d.send(to, m)
@@ -321,7 +322,7 @@
 	if m.Pause > 0 && r.grant.through == "" {
 		d.recordHostPauses(now, r.waiter.from, []Pause{{Target: r.grant.ID, Left: m.Pause}})
 	}
-	o := Outcome{Result: m.Result, Gone: m.Gone, Load: m.Load, LoadKnown: m.LoadKnown, Limit: m.Limit, Pause: m.Pause}
+	o := Outcome{Result: m.Result, Gone: m.Gone, Load: m.Load, LoadKnown: m.LoadKnown, Limit: m.Limit, Pause: m.Pause, Cold: m.ColdNotice.Cold}
 	d.endAttempt(now, from.String(), *r.grant, o)
 	d.recordOutcome(now, *r.grant, o)
 	d.dispatchQueue(now, r.cell)
@@ -334,6 +335,7 @@
 	defer d.mu.Unlock()
 	d.logProfiles(now)
 	d.checkLimits(now)
+	d.checkCold(now)
 	d.chooser.ExpireNotices(now)
 	d.expireHostPauses(now)
 	for id, at := range d.recentGrants {
--- a/internal/traffic/dispatcher/request.go
+++ b/internal/traffic/dispatcher/request.go
@@ -103,6 +103,8 @@
 	// Pause is the time for which the target wants no requests of the host; zero if it did not
 	// say.
 	Pause time.Duration
+	// Cold is what the response says about the time for which the target stays cold.
+	Cold ratelimit.Cold
 }
 
 // RejectedError reports that no target was assigned to a request.
@@ -206,6 +208,8 @@
 
 	// Account is the client account of a request.
 	Account string `cbor:"38,keyasint,omitempty"`
+	// ColdNotice is about cold targets, in grants and in the reports of outcomes.
+	ColdNotice coldNotice `cbor:"40,keyasint,omitzero"`
 
 	// Evidence is set only in messages of kindEvidence.
 	Evidence *crash.Evidence `cbor:"26,keyasint,omitempty"`
--- a/internal/traffic/entry/attempt.go
+++ b/internal/traffic/entry/attempt.go
@@ -199,6 +199,15 @@
 	return r.info.Limit
 }
 
+// cold returns what the response says about the cold time of the target. Only a response that the
+// target certainly generated itself can say that it is not cold.
+func (r *attempt) cold() ratelimit.Cold {
+	if r.info.Misdirected || r.info.Cold.Left == 0 && !r.info.Signed {
+		return ratelimit.Cold{}
+	}
+	return r.info.Cold
+}
+
 // typicalTimeGain is the weight of a new sample in the typical service time of a route.
 const typicalTimeGain = 0.05
 
@@ -227,7 +236,7 @@
 // reportDone reports the end of an attempt to the dispatcher and the crash tracker.
 func (h *Handler) reportDone(r *attempt, result placement.Result) {
 	if !r.released {
-		h.cfg.Placer.Done(r.grant, dispatcher.Outcome{Result: result, Gone: r.info.Misdirected, Load: r.info.Load, LoadKnown: r.info.LoadKnown, Limit: r.limit(), Pause: r.info.Pause})
+		h.cfg.Placer.Done(r.grant, dispatcher.Outcome{Result: result, Gone: r.info.Misdirected, Load: r.info.Load, LoadKnown: r.info.LoadKnown, Limit: r.limit(), Pause: r.info.Pause, Cold: r.cold()})
 	}
 	if result == placement.Served {
 		h.updateTypicalTime(r.req, r)
--- a/internal/traffic/placement/candidates.go
+++ b/internal/traffic/placement/candidates.go
@@ -5,6 +5,8 @@
 import (
 	"slices"
 	"time"
+
+	"tamaracktiller.example/tamaracktiller/internal/traffic/eligibility"
 )
 
 // countLapsed returns the number of targets whose entries lapsed.
@@ -39,13 +41,18 @@
 // included when most are lapsed; a single one has probably shut down. A target with a
 // limited rate is included while there is a token for it.
 func (c *Chooser) candidates(now time.Time, group string, r Request) []*target {
+	return c.filter(now, group, r, c.mayUse)
+}
+
+// filter returns the candidates for which use returns true.
+func (c *Chooser) filter(now time.Time, group string, r Request, use func(now time.Time, t *target, r Request, v eligibility.Verdict) bool) []*target {
 	var good, rest []*target
 	all := c.groups[group]
-	useLapsed := countLapsed(all)*2 > len(all)
+	useLapsed := usesLapsed(all)
 	ejected := countEjected(now, all)
 	useEjected := ejected > 1 && ejected*maxEjectedDivisor > len(all)
 	for _, t := range all {
-		if t.spec.Lapsed && !useLapsed || r.isPaused(now, t.spec.ID) || t.backsOff(now) || !c.mayUse(now, t, r) {
+		if !use(now, t, r, c.verdict(now, t, r, useLapsed)) {
 			continue
 		}
 		if now.Before(t.ejectedUntil) && !useEjected || slices.Contains(r.Avoid, t.spec.ID) {
@@ -60,13 +67,43 @@
 	return rest
 }
 
-// mayUse reports whether the rate limit of a target, if there is one, leaves room for a
-// request.
-func (c *Chooser) mayUse(now time.Time, t *target, r Request) bool {
-	if c.limits.Empty() || !c.limits.Restricted(now, t.spec.ID) {
-		return true
+// usesLapsed reports whether lapsed targets are used, because most are.
+func usesLapsed(targets []*target) bool { return countLapsed(targets)*2 > len(targets) }
+
+// verdict returns what a target may get now and why.
+func (c *Chooser) verdict(now time.Time, t *target, r Request, useLapsed bool) eligibility.Verdict {
+	f := eligibility.Facts{Lapsed: t.spec.Lapsed && !useLapsed, Paused: r.isPaused(now, t.spec.ID) || t.backsOff(now)}
+	if !c.limits.Empty() {
+		known := false
+		f.LimitPerSecond, f.RateLimited = c.limits.RestrictedTo(now, t.spec.ID)
+		f.ColdPerSecond, known, f.Cold = c.limits.Cold(now, t.spec.ID)
+		f.ColdUnknown = f.Cold && !known
+	}
+	return eligibility.Decide(f)
+}
+
+// mayUse reports whether a request may be sent to a target about which this is decided: its rate, if
+// it is restricted, must leave room for the request.
+func (c *Chooser) mayUse(now time.Time, t *target, r Request, v eligibility.Verdict) bool {
+	if v.Grade != eligibility.Limited {
+		return v.Grade == eligibility.Unlimited
 	}
-	return !r.SpareLimited && c.limits.HasToken(now, t.spec.ID)
+	isCold := v.Reason == eligibility.Cold || v.Reason == eligibility.ColdUnknown
+	if r.SpareLimited || r.SpareCold && isCold {
+		return false
+	}
+	return c.limits.HasToken(now, t.spec.ID)
+}
+
+// hasToken reports whether the rate of a target, if it is restricted, leaves room for a request.
+func (c *Chooser) hasToken(now time.Time, t *target) bool {
+	return c.limits.Empty() || c.limits.HasToken(now, t.spec.ID)
+}
+
+// mayUseOrAsk reports whether a request may be sent to a target, or may be as soon as a probe has told
+// that it is not cold.
+func (c *Chooser) mayUseOrAsk(now time.Time, t *target, r Request, v eligibility.Verdict) bool {
+	return v.Reason == eligibility.ColdUnknown || c.mayUse(now, t, r, v)
 }
 
 // MayProbe reports whether a target that is known may be probed now, and reports its load.
@@ -80,6 +117,9 @@
 	if _, paused := c.pauses.Until(now, t.incarnation()); paused {
 		return false
 	}
+	if !c.limits.Empty() && c.limits.ColdUnknown(now, t.spec.ID) {
+		return c.limits.MayProbe(now, t.spec.ID)
+	}
 	return t.profile.ReportsLoad() && c.limits.MayProbe(now, t.spec.ID)
 }
 
@@ -89,7 +129,7 @@
 // which a disturbance of this domain may not affect.
 func (c *Chooser) ProbeCandidates(now time.Time, group string, r Request, n int) []string {
 	var near, far []string
-	for _, t := range c.shuffled(c.candidates(now, group, r)) {
+	for _, t := range c.shuffled(c.filter(now, group, r, c.mayUseOrAsk)) {
 		if now.Sub(t.reportedAt) < c.cfg.FreshAge || !c.mayProbe(now, t) {
 			continue
 		}
@@ -107,7 +147,7 @@
 // PollCandidates returns up to n targets to probe while requests wait: those with the
 // oldest load reports.
 func (c *Chooser) PollCandidates(now time.Time, group string, n int) []string {
-	list := slices.DeleteFunc(c.candidates(now, group, Request{}), func(t *target) bool { return !c.mayProbe(now, t) })
+	list := slices.DeleteFunc(c.filter(now, group, Request{}, c.mayUseOrAsk), func(t *target) bool { return !c.mayProbe(now, t) })
 	slices.SortFunc(list, func(a, b *target) int { return a.reportedAt.Compare(b.reportedAt) })
 	ids := make([]string, 0, n)
 	for _, t := range list {
--- a/internal/traffic/placement/choice.go
+++ b/internal/traffic/placement/choice.go
@@ -27,6 +27,8 @@
 	Backlogged bool
 	// SpareLimited excludes targets with a limited rate, for requests that are optional.
 	SpareLimited bool
+	// SpareCold excludes cold targets, for requests that may be sent much later.
+	SpareCold bool
 }
 
 // meetsObjective reports whether a service time meets the objective, or waiting for a
@@ -68,6 +70,8 @@
 	HasCapacity bool
 	// Full says that the request would queue at the target.
 	Full bool
+	// Restricted says that the rate of the target is restricted, and that the choice took a token.
+	Restricted bool
 
 	trial bool
 }
--- a/internal/traffic/placement/chooser.go
+++ b/internal/traffic/placement/chooser.go
@@ -129,10 +129,10 @@
 
 // Slots returns the number of requests of the typical time that the targets of a group can
 // run at a time. A target with a limited rate counts as what its rate lets run.
-func (c *Chooser) Slots(group string, typicalTime time.Duration) int {
+func (c *Chooser) Slots(now time.Time, group string, typicalTime time.Duration) int {
 	slots, limited := 0, 0.0
 	for _, t := range c.groups[group] {
-		if perSecond, ok := c.limits.Limit(t.spec.ID); ok {
+		if perSecond, ok := c.limits.Rate(now, t.spec.ID); ok {
 			limited += min(float64(t.slots()), perSecond*typicalTime.Seconds())
 			continue
 		}
@@ -240,6 +240,7 @@
 	choice := Choice{
 		ID: t.spec.ID, ServiceTime: e.serviceTime, QueueTime: e.queueTime, Cost: e.cost, HasCapacity: e.hasCapacity, Full: e.full, trial: e.trial,
 		Load: t.load, LoadKnown: t.loadKnown(now, c.cfg), Age: now.Sub(t.reportedAt), Concurrency: e.concurrency, Slots: t.slots(), Cold: e.cold,
+		Restricted: !c.limits.Empty() && c.limits.Restricted(now, t.spec.ID),
 	}
 	switch {
 	case !choice.LoadKnown:
@@ -269,6 +270,6 @@
 // rate limit leaves room for a request.
 func (c *Chooser) HasFreeSlot(now time.Time, group string) bool {
 	return slices.ContainsFunc(c.groups[group], func(t *target) bool {
-		return t.running(now, c.cfg) < t.slots() && c.mayUse(now, t, Request{})
+		return t.running(now, c.cfg) < t.slots() && c.hasToken(now, t)
 	})
 }
--- /dev/null
+++ b/internal/traffic/placement/cold.go
@@ -0,0 +1,101 @@
+package placement
+
+// This file defines how a Chooser learns which targets are cold. Only services whose cold targets take
+// a limited number of requests a second are considered.
+
+import (
+	"time"
+
+	"tamaracktiller.example/tamaracktiller/internal/traffic/eligibility"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
+)
+
+const (
+	// unreachableTime is the time without news after which a target that does not respond may have
+	// restarted. Single probes are lost without that, and a process does not start faster.
+	unreachableTime = 300 * time.Millisecond
+	// evidenceTime is the time for which a response that says that a target is not cold is believed by
+	// a host whose view is old: that one does not learn of a restart.
+	evidenceTime = time.Second
+	// evidenceRenewTime is the time after which such a host asks again.
+	evidenceRenewTime = 600 * time.Millisecond
+)
+
+// limitsCold reports whether the rate of the target is limited while it is cold.
+func (t *target) limitsCold() bool { return t.spec.ColdPerSecond > 0 }
+
+// ObserveColdEntry applies what the view says of the cold time of a target.
+func (c *Chooser) ObserveColdEntry(now time.Time, id string, e ratelimit.ColdEntry) {
+	if t := c.targets[id]; t != nil && t.limitsCold() {
+		c.limits.ObserveColdEntry(now, id, e)
+	}
+}
+
+// ObserveCold applies what a response of a target to a request sent at a time says of its cold time.
+func (c *Chooser) ObserveCold(now time.Time, id string, o ratelimit.Cold, sentAt time.Time) {
+	t := c.targets[id]
+	if t == nil || !t.limitsCold() || !o.Known {
+		return
+	}
+	c.limits.ObserveCold(now, id, o, sentAt, t.spec.ColdPerSecond)
+	if o.Left == 0 && sentAt.After(t.notColdAt) {
+		t.notColdAt = sentAt
+	}
+}
+
+// RecordUnreachable records that a target does not respond. When it does again, it may have become
+// cold.
+func (c *Chooser) RecordUnreachable(now time.Time, id string) {
+	t := c.targets[id]
+	if t == nil || !t.limitsCold() || now.Sub(t.notColdAt) < unreachableTime {
+		return
+	}
+	c.limits.SetColdUnknown(now, id, t.spec.ColdPerSecond, t.spec.ColdTime)
+}
+
+// ExpireColdEvidence makes the targets of a group count as cold that have not said for some time that
+// they are not. A host calls it while its view is old.
+func (c *Chooser) ExpireColdEvidence(now time.Time, group string) {
+	for _, t := range c.groups[group] {
+		if t.limitsCold() && now.Sub(t.notColdAt) > evidenceTime {
+			if _, _, isCold := c.limits.Cold(now, t.spec.ID); !isCold {
+				c.limits.SetColdUnknown(now, t.spec.ID, t.spec.ColdPerSecond, t.spec.ColdTime)
+			}
+		}
+	}
+}
+
+// ColdCandidates returns up to n targets of a group to probe because it is not known whether they are
+// cold, or will not be soon if the view of the host is old.
+func (c *Chooser) ColdCandidates(now time.Time, group string, n int, oldView bool) []string {
+	var ids []string
+	for _, t := range c.groups[group] {
+		if len(ids) == n {
+			break
+		}
+		wanted := c.limits.ColdUnknown(now, t.spec.ID) || oldView && t.limitsCold() && now.Sub(t.notColdAt) > evidenceRenewTime
+		if wanted && c.mayProbe(now, t) {
+			ids = append(ids, t.spec.ID)
+		}
+	}
+	return ids
+}
+
+// Verdicts returns the number of targets that get less than usual from this host, by reason.
+func (c *Chooser) Verdicts(now time.Time) map[eligibility.Reason]int {
+	counts := map[eligibility.Reason]int{}
+	for _, reason := range c.withheld {
+		counts[reason]++
+	}
+	for group, list := range c.groups {
+		if n := len(c.leavers[group]); n > 0 {
+			counts[eligibility.Leaving] += n
+		}
+		r, useLapsed := Request{Paused: c.Paused(now, group)}, usesLapsed(list)
+		for _, t := range list {
+			counts[c.verdict(now, t, r, useLapsed).Reason]++
+		}
+	}
+	delete(counts, eligibility.Normal)
+	return counts
+}
--- a/internal/traffic/ratelimit/bucket.go
+++ b/internal/traffic/ratelimit/bucket.go
@@ -36,8 +36,21 @@
 	}
 }
 
-// rate returns the number of requests a second that all hosts together may send now.
+// rate returns the number of requests a second that all hosts together may send now: the lower one of
+// those of the limit and of the cold time.
 func (s *state) rate(now time.Time) float64 {
+	rate := maxPerSecond
+	if s.limited || !s.endedAt.IsZero() {
+		rate = s.limitRate(now)
+	}
+	if s.isCold(now) || s.coldRamping(now) {
+		rate = min(rate, s.coldRate(now))
+	}
+	return rate
+}
+
+// limitRate returns the number of requests a second that the limit allows, or the end of the last one.
+func (s *state) limitRate(now time.Time) float64 {
 	switch {
 	case s.limited && !s.shownByProbes && now.Sub(s.heardAt) > trialAge:
 		return max(s.perSecond, trialPerSecond)
@@ -56,14 +69,30 @@
 // restricted returns the state of a target whose rate is restricted now; nil for others.
 func (l *Limits) restricted(now time.Time, id string) *state {
 	s := l.states[id]
-	if s == nil || !s.limited && !s.ramping(now) {
+	if s == nil || !s.limited && !s.ramping(now) && !s.isCold(now) && !s.coldRamping(now) {
 		return nil
 	}
 	return s
 }
 
-// Restricted reports whether the rate of a target is restricted: it names a limit, or one
-// ended a moment ago.
+// RestrictedTo returns the number of requests a second that all hosts together may send to a target
+// because it names a limit, or because a limit or a cold time ended a moment ago. It returns false for
+// other targets, and does not consider a cold time that lasts.
+func (l *Limits) RestrictedTo(now time.Time, id string) (perSecond float64, ok bool) {
+	s := l.states[id]
+	switch {
+	case s == nil:
+		return 0, false
+	case s.limited || s.ramping(now):
+		return s.limitRate(now), true
+	case s.coldRamping(now):
+		return s.coldRate(now), true
+	}
+	return 0, false
+}
+
+// Restricted reports whether the rate of a target is restricted: it names a limit or is cold, or a
+// limit or a cold time ended a moment ago.
 func (l *Limits) Restricted(now time.Time, id string) bool { return l.restricted(now, id) != nil }
 
 // SetShare sets the part of a target's limit that this host may use.
@@ -105,6 +134,8 @@
 	Next time.Duration
 	// PerSecond is the number of requests a second that they take from then on.
 	PerSecond float64
+	// Cold is set if some of them are restricted because they are cold.
+	Cold bool
 }
 
 // maxWait bounds a wait, so that a tiny rate does not exceed the range of a duration.
@@ -115,12 +146,13 @@
 	return time.Duration(min(maxWait.Seconds(), n/perSecond) * float64(time.Second))
 }
 
-// Add adds a target that names a limit to the flow, and reports whether it names one.
+// Add adds a target that names a limit or is cold to the flow, and reports whether it is one.
 func (f *Flow) Add(now time.Time, l *Limits, id string) bool {
 	s := l.states[id]
-	if s == nil || !s.limited {
+	if s == nil || !s.limited && !s.countsAsCold(now) {
 		return false
 	}
+	f.Cold = f.Cold || s.countsAsCold(now)
 	rate := s.rate(now)
 	s.bucket.settle(now, rate)
 	rate *= s.bucket.share
--- a/internal/traffic/ratelimit/limits.go
+++ b/internal/traffic/ratelimit/limits.go
@@ -11,6 +11,9 @@
 // zero elsewhere. Tokens accumulate at the share of the limit, up to a small burst, and
 // start from none whenever a limit starts or a host gets a share.
 //
+// Cold targets take few requests a second, and are treated like those that name such a limit
+// (cold.go).
+//
 // The limit of a target that gets few requests is checked by probes. When a limit is lifted,
 // the rate is raised step by step, so that traffic does not return all at once.
 //
@@ -135,6 +138,7 @@
 	// probedAt is the time of the last probe that this host sent.
 	probedAt time.Time
 	bucket   bucket
+	cold     cold
 }
 
 // Limits holds the limits of all targets, as one host knows them.
@@ -258,10 +262,13 @@
 
 // MayProbe reports whether a target may be probed for its load now. One that names a limit
 // is probed only by the host that uses it in full, and only as often as its limit is
-// checked.
+// checked. A cold one is probed only by the hosts that may send requests to it.
 func (l *Limits) MayProbe(now time.Time, id string) bool {
 	s := l.states[id]
-	return s == nil || !s.limited || s.bucket.share >= 1 && now.Sub(s.probedAt) >= checkPeriod
+	if s == nil {
+		return true
+	}
+	return s.mayProbeCold(now) && (!s.limited || s.bucket.share >= 1 && now.Sub(s.probedAt) >= checkPeriod)
 }
 
 // RecordProbe records that a target is probed.
@@ -285,6 +292,9 @@
 		if !s.limited {
 			last = s.endedAt
 		}
+		if s.isCold(now) || s.coldRamping(now) {
+			continue
+		}
 		if now.Sub(last) > forgetAge && (!s.limited || s.bucket.share < 1) {
 			delete(l.states, id)
 		}
--- a/internal/traffic/targets/targets.go
+++ b/internal/traffic/targets/targets.go
@@ -92,6 +92,8 @@
 	// Pause is the time for which the target wants no requests of this host; zero if it does
 	// not say.
 	Pause time.Duration
+	// Cold is what the target says about the time for which it stays cold.
+	Cold ratelimit.Cold
 }
 
 // Reader reads the response headers of targets.
@@ -111,6 +113,8 @@
 	LoadKnown bool
 	// Limit is the rate limit that the target reports.
 	Limit ratelimit.Report
+	// Cold is what the target says about the time for which it stays cold.
+	Cold ratelimit.Cold
 }
 
 // Link holds the connections to one target.
@@ -338,5 +342,5 @@
 	if info.NotRun && info.Limit.Kind == ratelimit.Unlimited {
 		info.Limit = ratelimit.Report{}
 	}
-	return ProbeResult{Healthy: res.StatusCode == http.StatusOK, Full: info.NotRun && !info.LoadKnown, Load: info.Load, LoadKnown: info.LoadKnown, Limit: info.Limit}, nil
+	return ProbeResult{Healthy: res.StatusCode == http.StatusOK, Full: info.NotRun && !info.LoadKnown, Load: info.Load, LoadKnown: info.LoadKnown, Limit: info.Limit, Cold: info.Cold}, nil
 }
