--- a/internal/process/entry/evacuation_test.go
+++ b/internal/process/entry/evacuation_test.go
@@ -97,3 +97,66 @@
 		return err == nil && resp.status == http.StatusOK
 	}, 5*time.Second, 50*time.Millisecond)
 }
+
+// Guards against a rush to targets that come back cold from an evacuation, by hosts that run, start or
+// stop in the meantime. Their entries do not say that they are cold.
+func TestTargetsThatComeBackColdGetFewRequests(t *testing.T) {
+	t.Parallel()
+	const (
+		coldTime      = 5 * time.Second
+		coldPerSecond = 3.6
+		mostToCold    = 1.5*coldPerSecond + 8
+	)
+	list := make([]*platformtest.Target, 0, 9)
+	logs := make([]*eventLog, 0, 9)
+	for n := range 9 {
+		list = append(list, platformtest.NewTarget(fmt.Sprintf("t-%d", n), "svc", []string{"d", "e", "f"}[n%3], 3, platformtest.Behaviour{ServiceTime: 20 * time.Millisecond, SaysCold: true}))
+		logs = append(logs, record(list[n]))
+	}
+	cl := newFleet(t, fleet{hosts: 3, domains: 3}, list...)
+	routes := make([]platformtest.Route, 0, 2)
+	for _, prefix := range []string{"/search/", "/book/"} {
+		routes = append(routes, platformtest.Route{
+			Host: "shop.example", Prefix: prefix, Service: "svc", Safe: prefix == "/search/", TimeoutMillis: 1500, ColdSeconds: coldTime.Seconds(), ColdPerSecond: coldPerSecond,
+		})
+	}
+	cl.store.Put("op/config", platformtest.Config(cl.version+1, routes))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var l *load
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	time.Sleep(3 * time.Second)
+	wg.Go(func() { l = cl.runLoad(ctx, 8*time.Millisecond) })
+	time.Sleep(time.Second)
+	cl.store.Put("op/evacuate/e", []byte("{}"))
+	time.Sleep(evacuationNotice)
+	warm := time.Now().Add(coldTime)
+	for _, target := range list {
+		if target.Zone == "e" {
+			target.UpdateBehaviour(func(b *platformtest.Behaviour) { b.ColdUntil = warm })
+		}
+	}
+	from := time.Now()
+	cl.store.Delete("op/evacuate/e")
+	time.Sleep(time.Second)
+	cl.waitReady(cl.start("late"))
+	cl.hosts[0].cancel()
+	time.Sleep(time.Until(warm.Add(4 * time.Second)))
+	cancel()
+	wg.Wait()
+	ended := time.Now()
+	for n, log := range logs {
+		if list[n].Zone == "e" {
+			require.LessOrEqual(t, float64(log.mostIn(time.Second, from, warm, false)), mostToCold, "%s: requests in a second while it is cold", list[n].ID)
+		}
+	}
+	require.Positive(t, logs[1].mostIn(time.Hour, from, warm, false)+logs[4].mostIn(time.Hour, from, warm, false)+logs[7].mostIn(time.Hour, from, warm, false), "requests to cold targets")
+	require.Positive(t, logs[1].mostIn(time.Hour, warm, ended, false), "requests after the cold time")
+	total := -l.statuses[0]
+	for _, n := range l.statuses {
+		total += n
+	}
+	require.GreaterOrEqual(t, float64(l.statuses[http.StatusOK]), 0.97*float64(total), "statuses %v", l.statuses)
+	require.Contains(t, cl.hosts[0].log.String()+cl.hosts[1].log.String()+cl.hosts[2].log.String()+cl.hosts[3].log.String(), "target is cold")
+}
--- a/internal/traffic/dispatcher/cold.go
+++ b/internal/traffic/dispatcher/cold.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -55,7 +56,9 @@
 
 // coldTracker is the state of a dispatcher for cold targets. The zero value is empty.
 type coldTracker struct {
+	// marks holds what the view said last, by target, and rates the rates of cold targets by service.
 	marks  map[string]entryMark
+	rates  map[string]float64
 	logged map[string]coldLog
 }
 
@@ -69,39 +72,43 @@
 
 // updateCold applies what a snapshot says of cold targets. The caller holds the mutex.
 func (d *Dispatcher) updateCold(now time.Time, s *directory.Snapshot) {
-	if s.Table == nil {
-		return
-	}
-	marks := map[string]entryMark{}
+	count := 0
 	for service, list := range s.Targets {
-		config := s.Table.Config.Services[service]
-		if config.ColdPerSecond <= 0 {
-			if !d.limits.Empty() {
-				for _, t := range list {
-					d.limits.SetColdRate(now, t.ID, 0)
-				}
-			}
-			continue
+		config := serviceConfig(s, service)
+		if rate := max(0, config.ColdPerSecond); d.cold.rates[service] != rate {
+			d.setColdRate(now, service, rate, list)
+		}
+		if config.ColdPerSecond > 0 {
+			count += len(list)
+			d.updateColdService(now, config, list)
 		}
-		d.updateColdService(now, config, list, marks)
 	}
-	d.cold.marks = nil
-	if len(marks) > 0 {
-		d.cold.marks = marks
+	if len(d.cold.marks) > count {
+		// A target that is not in the snapshot has a new mark when it is back.
+		maps.DeleteFunc(d.cold.marks, func(id string, _ entryMark) bool { return !d.chooser.LimitsCold(id) })
+	}
+}
+
+// setColdRate applies a changed rate of the cold targets of a service.
+func (d *Dispatcher) setColdRate(now time.Time, service string, perSecond float64, list []roster.ActiveTarget) {
+	if d.cold.rates == nil {
+		d.cold.rates, d.cold.marks = map[string]float64{}, map[string]entryMark{}
+	}
+	d.cold.rates[service] = perSecond
+	for _, t := range list {
+		d.limits.SetColdRate(now, t.ID, perSecond)
 	}
 }
 
-// updateColdService applies the entries of the targets of a service, and adds them to marks.
-func (d *Dispatcher) updateColdService(now time.Time, config routing.Service, list []roster.ActiveTarget, marks map[string]entryMark) {
+// updateColdService applies the entries of the targets of a service.
+func (d *Dispatcher) updateColdService(now time.Time, config routing.Service, list []roster.ActiveTarget) {
 	unknown := 0
 	for _, t := range list {
-		old := d.cold.marks[t.ID]
-		mark := entryMark{appliedAt: t.AppliedAt, unknownSince: t.UnknownSince}
-		marks[t.ID] = mark
-		d.limits.SetColdRate(now, t.ID, config.ColdPerSecond)
+		old, mark := d.cold.marks[t.ID], entryMark{appliedAt: t.AppliedAt, unknownSince: t.UnknownSince}
 		if old == mark {
 			continue
 		}
+		d.cold.marks[t.ID] = mark
 		d.chooser.ObserveColdEntry(now, t.ID, ratelimit.ColdEntry{
 			PerSecond: config.ColdPerSecond, ColdTime: config.ColdTime, Left: t.ColdTime, AppliedAt: t.AppliedAt,
 			UnknownSince: t.UnknownSince, Renewed: !old.unknownSince.Equal(t.UnknownSince),
@@ -151,7 +158,7 @@
 // checkCold probes targets of which it is not known whether they are cold, in the cells that this host
 // dispatches, and logs the ends of cold times. The caller holds the mutex.
 func (d *Dispatcher) checkCold(now time.Time) {
-	if d.cold.marks == nil {
+	if len(d.cold.marks) == 0 {
 		return
 	}
 	for id := range d.cold.logged {
--- a/internal/traffic/dispatcher/cold_test.go
+++ b/internal/traffic/dispatcher/cold_test.go
@@ -381,6 +381,44 @@
 	}
 }
 
+// Guards against a rush to 132 targets that come back at once, and against an overload of the 66 others
+// meanwhile.
+func TestManyTargetsThatComeBackGetTheirLoadsGradually(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cs := newColdSite(t, 12, 198)
+		back := func(target roster.ActiveTarget) bool { return target.Domain != "d-2" }
+		var from time.Time
+		cs.play(t, 18*time.Second, 9*time.Millisecond, func() {
+			cs.tell(evacuate(cs.s, "d-0", "d-1"), nil)
+			time.Sleep(4 * time.Second)
+			from = time.Now()
+			register := cs.restart(back)
+			register()
+			cs.tell(cs.s, nil)
+			time.Sleep(2 * time.Second)
+			cs.isolate(cs.list[3])
+		})
+		warm, perSecond := from.Add(coldTime), make([]int, 14)
+		for _, target := range cs.s.Targets["s"] {
+			require.LessOrEqual(t, cs.mostRunning[target.ID], 5, target.ID)
+			if !back(target) {
+				continue
+			}
+			require.LessOrEqual(t, float64(mostIn(cs.sent[target.ID], from, warm)), mostToCold, target.ID)
+			for _, at := range cs.sent[target.ID] {
+				if n := int(at.Sub(from).Seconds()); !at.Before(from) && n < len(perSecond) {
+					perSecond[n]++
+				}
+			}
+		}
+		t.Log("requests a second to the targets that are back:", perSecond)
+		// Four hosts of each domain send 444 requests a second.
+		require.Positive(t, perSecond[4], "cold targets take their part")
+		require.Greater(t, perSecond[12], 700, "warm targets take theirs")
+		require.GreaterOrEqual(t, float64(cs.served), 0.97*float64(cs.served+cs.refused), "%d served, %d refused", cs.served, cs.refused)
+	})
+}
+
 // Shows that the load of the test above exceeds the bound if the rate of cold targets is not limited.
 func TestLoadExceedsWhatColdTargetsTake(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/traffic/dispatcher/limit.go
+++ b/internal/traffic/dispatcher/limit.go
@@ -219,10 +219,10 @@
 	return d.limits.Named()
 }
 
-// Limited reports whether a target is known to name a rate limit.
+// Limited reports whether a target is known to name a rate limit, or counts as cold.
 func (d *Dispatcher) Limited(target string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	_, ok := d.limits.Limit(target)
+	_, ok := d.limits.Rate(time.Now(), target)
 	return ok
 }
--- a/internal/traffic/placement/candidates.go
+++ b/internal/traffic/placement/candidates.go
@@ -74,10 +74,9 @@
 func (c *Chooser) verdict(now time.Time, t *target, r Request, useLapsed bool) eligibility.Verdict {
 	f := eligibility.Facts{Lapsed: t.spec.Lapsed && !useLapsed, Paused: r.isPaused(now, t.spec.ID) || t.backsOff(now)}
 	if !c.limits.Empty() {
-		known := false
-		f.LimitPerSecond, f.RateLimited = c.limits.RestrictedTo(now, t.spec.ID)
-		f.ColdPerSecond, known, f.Cold = c.limits.Cold(now, t.spec.ID)
-		f.ColdUnknown = f.Cold && !known
+		l := c.limits.Restriction(now, t.spec.ID)
+		f.RateLimited, f.LimitPerSecond = l.Limited, l.LimitPerSecond
+		f.Cold, f.ColdUnknown, f.ColdPerSecond = l.Cold, l.Cold && !l.Known, l.ColdPerSecond
 	}
 	return eligibility.Decide(f)
 }
--- a/internal/traffic/placement/cold.go
+++ b/internal/traffic/placement/cold.go
@@ -24,6 +24,12 @@
 // limitsCold reports whether the rate of the target is limited while it is cold.
 func (t *target) limitsCold() bool { return t.spec.ColdPerSecond > 0 }
 
+// LimitsCold reports whether a target exists and its rate is limited while it is cold.
+func (c *Chooser) LimitsCold(id string) bool {
+	t := c.targets[id]
+	return t != nil && t.limitsCold()
+}
+
 // ObserveColdEntry applies what the view says of the cold time of a target.
 func (c *Chooser) ObserveColdEntry(now time.Time, id string, e ratelimit.ColdEntry) {
 	if t := c.targets[id]; t != nil && t.limitsCold() {
--- a/internal/traffic/ratelimit/bucket.go
+++ b/internal/traffic/ratelimit/bucket.go
@@ -75,20 +75,34 @@
 	return s
 }
 
-// RestrictedTo returns the number of requests a second that all hosts together may send to a target
-// because it names a limit, or because a limit or a cold time ended a moment ago. It returns false for
-// other targets, and does not consider a cold time that lasts.
-func (l *Limits) RestrictedTo(now time.Time, id string) (perSecond float64, ok bool) {
+// Restriction is what restricts the rate of a target now.
+type Restriction struct {
+	// Limited is set if the target names a limit, or if a limit or a cold time ended a moment ago, so
+	// that the rate is being raised. All hosts together may then send LimitPerSecond.
+	Limited        bool
+	LimitPerSecond float64
+	// Cold is set if the target counts as cold, and Known if it has said that it is. All hosts
+	// together may then send ColdPerSecond.
+	Cold, Known   bool
+	ColdPerSecond float64
+}
+
+// Restriction returns what restricts the rate of a target now.
+func (l *Limits) Restriction(now time.Time, id string) (r Restriction) {
 	s := l.states[id]
+	if s == nil {
+		return r
+	}
+	if s.limited || s.ramping(now) {
+		r.Limited, r.LimitPerSecond = true, s.limitRate(now)
+	}
 	switch {
-	case s == nil:
-		return 0, false
-	case s.limited || s.ramping(now):
-		return s.limitRate(now), true
-	case s.coldRamping(now):
-		return s.coldRate(now), true
+	case s.isCold(now):
+		r.Cold, r.Known, r.ColdPerSecond = true, s.cold.known, s.cold.perSecond
+	case s.coldRamping(now) && (!r.Limited || s.coldRate(now) < r.LimitPerSecond):
+		r.Limited, r.LimitPerSecond = true, s.coldRate(now)
 	}
-	return 0, false
+	return r
 }
 
 // Restricted reports whether the rate of a target is restricted: it names a limit or is cold, or a
