Dispatcher: a request that waits in a cell which loses its targets is redirected again

A request that had been redirected for lack of capacity, and then waited in a cell whose domain was evacuated, ended with an internal error instead of a target: place passed the second redirect on to its caller, which took it for a passed deadline. Seen under the race detector in TestWaitingRequestsLeaveEvacuatedDomain. The request now follows up to four redirects; at most one of them is for lack of capacity.

--- a/internal/traffic/dispatcher/dispatcher.go
+++ b/internal/traffic/dispatcher/dispatcher.go
@@ -247,15 +247,21 @@
 	if c == nil {
 		return Grant{}, d.noTargets(req.Service)
 	}
-	grant, err := d.placeInCell(ctx, c, req)
-	var redirect *redirectError
-	if !errors.As(err, &redirect) {
-		return grant, err
+	for range maxRedirects {
+		grant, err := d.placeInCell(ctx, c, req)
+		var redirect *redirectError
+		if !errors.As(err, &redirect) {
+			return grant, err
+		}
+		c, req.Redirected = redirect.to, true
 	}
-	req.Redirected = true
-	return d.placeInCell(ctx, redirect.to, req)
+	return Grant{}, d.noTargets(req.Service)
 }
 
+// maxRedirects bounds the cells that a request is sent to. One redirect is for lack of capacity; the
+// others are for cells that lose all their targets while the request waits there.
+const maxRedirects = 4
+
 // redirectError reports that a request should go to another cell, which has more capacity.
 type redirectError struct{ to *cell }
 
--- a/internal/traffic/relay/relay_test.go
+++ b/internal/traffic/relay/relay_test.go
@@ -279,3 +279,20 @@
 	body, err := io.ReadAll(res.Body)
 	return string(body), err
 }
+
+// Guards against a request that is sent although its target became unusable while the connection was
+// being opened.
+func TestRequestIsCheckedDirectlyBeforeTheSend(t *testing.T) {
+	refused := errors.New("refused")
+	p, accepted := newScriptedPool(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+p.Address().String()+"/", nil)
+	require.NoError(t, err)
+	_, err = p.RoundTrip(t.Context(), req, Options{MaySend: func() error { return refused }})
+	require.ErrorIs(t, err, refused)
+	require.False(t, MayHaveRun(err))
+	require.Zero(t, p.OpenConnections())
+	res, err := p.RoundTrip(t.Context(), req, Options{MaySend: func() error { return nil }})
+	require.NoError(t, err)
+	require.NoError(t, res.Body.Close())
+	require.LessOrEqual(t, accepted.Load(), int64(2))
+}
