Cold targets: no additional memory for services without a rate

The rates of cold targets are kept by service and the evidence of a target in a part of its own, instead of in each target's description.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -91,9 +91,9 @@
 	// removeAt is the time at which a lapsed target is removed; zero while the entry
 	// exists.
 	removeAt time.Time
-	// appliedAt is the time at which the entry was applied, and unknownSince the time since which
-	// it is not known whether the target is cold, unless something newer says so.
-	appliedAt, unknownSince time.Time
+	// unknownSince is the time since which it is not known whether the target is cold, unless
+	// something newer says so.
+	unknownSince time.Time
 }
 
 // Roster holds the targets. The zero value is not usable.
@@ -120,7 +120,7 @@
 // Put applies the entry of a target.
 func (r *Roster) Put(now time.Time, t Target) Change {
 	old := r.records[t.ID]
-	next := &record{target: t, coldUntil: now.Add(t.ColdTime), appliedAt: now, unknownSince: now}
+	next := &record{target: t, coldUntil: now.Add(t.ColdTime), unknownSince: now}
 	r.records[t.ID] = next
 	if old != nil && old.target.SameRun(t) && old.removeAt.IsZero() {
 		next.unknownSince = old.unknownSince
@@ -190,14 +190,15 @@
 	ColdUntil time.Time
 	// Lapsed reports whether the entry was deleted around an outage of the store.
 	Lapsed bool
-	// AppliedAt is the time at which the entry was applied.
-	AppliedAt time.Time
 	// UnknownSince is the time since which it is not known whether the target is cold, unless
 	// something newer says so: it joined, restarted, lapsed or returned then, or the evacuation of
 	// its failure domain ended.
 	UnknownSince time.Time
 }
 
+// AppliedAt returns the time at which the entry was applied.
+func (t *ActiveTarget) AppliedAt() time.Time { return t.ColdUntil.Add(-t.ColdTime) }
+
 // WithheldTarget is a target that gets no new requests, and why.
 type WithheldTarget struct {
 	ID      string
@@ -220,9 +221,7 @@
 			withheld[s] = append(withheld[s], WithheldTarget{ID: rec.target.ID, Service: s, Domain: rec.target.Domain, Reason: v.Reason})
 			continue
 		}
-		active[s] = append(active[s], ActiveTarget{
-			Target: rec.target, ColdUntil: rec.coldUntil, Lapsed: !rec.removeAt.IsZero(), AppliedAt: rec.appliedAt, UnknownSince: rec.unknownSince,
-		})
+		active[s] = append(active[s], ActiveTarget{Target: rec.target, ColdUntil: rec.coldUntil, Lapsed: !rec.removeAt.IsZero(), UnknownSince: rec.unknownSince})
 	}
 	for _, list := range active {
 		slices.SortFunc(list, func(a, b ActiveTarget) int { return strings.Compare(a.ID, b.ID) })
--- a/internal/traffic/dispatcher/cell.go
+++ b/internal/traffic/dispatcher/cell.go
@@ -11,7 +11,6 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/roster"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
@@ -94,13 +93,10 @@
 	}
 }
 
-func specs(service string, config routing.Service, list []roster.ActiveTarget) []placement.Spec {
+func specs(service string, list []roster.ActiveTarget) []placement.Spec {
 	out := make([]placement.Spec, 0, len(list))
 	for _, t := range list {
-		out = append(out, placement.Spec{
-			ID: t.ID, Service: service, Domain: t.Domain, Slots: t.Slots, ColdUntil: t.ColdUntil, Started: t.Started, Lapsed: t.Lapsed,
-			ColdPerSecond: config.ColdPerSecond, ColdTime: config.ColdTime,
-		})
+		out = append(out, placement.Spec{ID: t.ID, Service: service, Domain: t.Domain, Slots: t.Slots, ColdUntil: t.ColdUntil, Started: t.Started, Lapsed: t.Lapsed})
 	}
 	return out
 }
--- a/internal/traffic/dispatcher/cold.go
+++ b/internal/traffic/dispatcher/cold.go
@@ -20,6 +20,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/roster"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/eligibility"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
 )
 
@@ -70,6 +71,22 @@
 	return s.Table.Config.Services[name]
 }
 
+// coldRates returns the rates of cold targets by service; nil if there are none.
+func coldRates(s *directory.Snapshot) map[string]placement.ColdRate {
+	var rates map[string]placement.ColdRate
+	for service := range s.Targets {
+		config := serviceConfig(s, service)
+		if config.ColdPerSecond <= 0 {
+			continue
+		}
+		if rates == nil {
+			rates = map[string]placement.ColdRate{}
+		}
+		rates[service] = placement.ColdRate{PerSecond: config.ColdPerSecond, Time: config.ColdTime}
+	}
+	return rates
+}
+
 // updateCold applies what a snapshot says of cold targets. The caller holds the mutex.
 func (d *Dispatcher) updateCold(now time.Time, s *directory.Snapshot) {
 	count := 0
@@ -104,13 +121,13 @@
 func (d *Dispatcher) updateColdService(now time.Time, config routing.Service, list []roster.ActiveTarget) {
 	unknown := 0
 	for _, t := range list {
-		old, mark := d.cold.marks[t.ID], entryMark{appliedAt: t.AppliedAt, unknownSince: t.UnknownSince}
+		old, mark := d.cold.marks[t.ID], entryMark{appliedAt: t.AppliedAt(), unknownSince: t.UnknownSince}
 		if old == mark {
 			continue
 		}
 		d.cold.marks[t.ID] = mark
 		d.chooser.ObserveColdEntry(now, t.ID, ratelimit.ColdEntry{
-			PerSecond: config.ColdPerSecond, ColdTime: config.ColdTime, Left: t.ColdTime, AppliedAt: t.AppliedAt,
+			PerSecond: config.ColdPerSecond, ColdTime: config.ColdTime, Left: t.ColdTime, AppliedAt: t.AppliedAt(),
 			UnknownSince: t.UnknownSince, Renewed: !old.unknownSince.Equal(t.UnknownSince),
 		})
 		if d.limits.ColdUnknown(now, t.ID) {
--- a/internal/traffic/dispatcher/cold_test.go
+++ b/internal/traffic/dispatcher/cold_test.go
@@ -91,7 +91,7 @@
 	cs.s = &next
 	long := time.Now().Add(-time.Hour)
 	cs.update(func(target *roster.ActiveTarget) {
-		target.AppliedAt, target.UnknownSince, target.Started = long, long, long
+		target.ColdUntil, target.UnknownSince, target.Started = long, long, long
 	})
 	for _, d := range list {
 		d.cfg.Prober = cs
@@ -134,7 +134,7 @@
 		now := time.Now()
 		cs.update(func(target *roster.ActiveTarget) {
 			if slices.Contains(ids, target.ID) {
-				target.Started, target.AppliedAt, target.UnknownSince, target.ColdTime, target.ColdUntil = now, now, now, max(0, until.Sub(now)), until
+				target.Started, target.UnknownSince, target.ColdTime, target.ColdUntil = now, now, max(0, until.Sub(now)), until
 			}
 		})
 		return ids
@@ -469,7 +469,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		cs := newColdSite(t, 6, 60)
 		started := time.Now()
-		cs.update(func(target *roster.ActiveTarget) { target.AppliedAt, target.UnknownSince = started, started })
+		cs.update(func(target *roster.ActiveTarget) { target.ColdUntil, target.UnknownSince = started, started })
 		for _, d := range cs.list {
 			d.SetSnapshot(cs.s, nil)
 		}
--- a/internal/traffic/dispatcher/dispatcher.go
+++ b/internal/traffic/dispatcher/dispatcher.go
@@ -151,11 +151,12 @@
 			}
 			c.update(now, s, part, d.cfg.Self)
 			d.services[service] = append(d.services[service], c)
-			all[id.key] = specs(service, serviceConfig(s, service), part)
+			all[id.key] = specs(service, part)
 		}
 		d.setHome(d.services[service])
 	}
 	d.chooser.SetWithheld(d.withheld)
+	d.chooser.SetColdRates(coldRates(s))
 	d.chooser.SetTargets(all)
 	d.updateCold(now, s)
 	d.probes.Retain(d.chooser.Has)
--- a/internal/traffic/placement/chooser.go
+++ b/internal/traffic/placement/chooser.go
@@ -30,6 +30,8 @@
 	// withheld holds the targets that get no requests although they have an entry, with the
 	// reasons; nil if there are none.
 	withheld map[string]eligibility.Reason
+	// coldRates holds the rates of cold targets by service; nil if there are none.
+	coldRates map[string]ColdRate
 	// lastTrial is the time of the last trial of a higher concurrency, by service.
 	lastTrial map[string]time.Time
 }
@@ -59,6 +61,7 @@
 			}
 			t.spec, t.group, t.profile = spec, group, c.Profile(spec.Service)
 			c.targets[spec.ID] = t
+			t.setColdRate(c.coldRates)
 			if c.departures.Leaving(t.incarnation()) {
 				c.leavers[group] = append(c.leavers[group], t)
 				continue
@@ -103,6 +106,7 @@
 	c.limits.Forget(now, id)
 	if t := c.targets[id]; t != nil {
 		*t = target{spec: t.spec, group: t.group, profile: t.profile, transit: c.cfg.Transit}
+		t.setColdRate(c.coldRates)
 	}
 }
 
--- a/internal/traffic/placement/cold.go
+++ b/internal/traffic/placement/cold.go
@@ -21,8 +21,39 @@
 	evidenceRenewTime = 600 * time.Millisecond
 )
 
+// ColdRate is the number of requests a second that a cold target of a service takes, over all hosts, and
+// the time for which it is cold after it starts.
+type ColdRate struct {
+	PerSecond float64
+	Time      time.Duration
+}
+
+// coldTarget is the state of a target of a service that limits the rate of its cold targets.
+type coldTarget struct {
+	rate ColdRate
+	// notColdAt is the time at which the newest request was sent whose response said that the target
+	// is not cold.
+	notColdAt time.Time
+}
+
+// SetColdRates replaces the rates of cold targets by service, before SetTargets; nil if there are none.
+func (c *Chooser) SetColdRates(rates map[string]ColdRate) { c.coldRates = rates }
+
+// setColdRate applies the rate of the service.
+func (t *target) setColdRate(rates map[string]ColdRate) {
+	rate, ok := rates[t.spec.Service]
+	switch {
+	case !ok:
+		t.cold = nil
+	case t.cold == nil:
+		t.cold = &coldTarget{rate: rate}
+	default:
+		t.cold.rate = rate
+	}
+}
+
 // limitsCold reports whether the rate of the target is limited while it is cold.
-func (t *target) limitsCold() bool { return t.spec.ColdPerSecond > 0 }
+func (t *target) limitsCold() bool { return t.cold != nil }
 
 // LimitsCold reports whether a target exists and its rate is limited while it is cold.
 func (c *Chooser) LimitsCold(id string) bool {
@@ -43,9 +74,9 @@
 	if t == nil || !t.limitsCold() || !o.Known {
 		return
 	}
-	c.limits.ObserveCold(now, id, o, sentAt, t.spec.ColdPerSecond)
-	if o.Left == 0 && sentAt.After(t.notColdAt) {
-		t.notColdAt = sentAt
+	c.limits.ObserveCold(now, id, o, sentAt, t.cold.rate.PerSecond)
+	if o.Left == 0 && sentAt.After(t.cold.notColdAt) {
+		t.cold.notColdAt = sentAt
 	}
 }
 
@@ -53,19 +84,19 @@
 // cold.
 func (c *Chooser) RecordUnreachable(now time.Time, id string) {
 	t := c.targets[id]
-	if t == nil || !t.limitsCold() || now.Sub(t.notColdAt) < unreachableTime {
+	if t == nil || !t.limitsCold() || now.Sub(t.cold.notColdAt) < unreachableTime {
 		return
 	}
-	c.limits.SetColdUnknown(now, id, t.spec.ColdPerSecond, t.spec.ColdTime)
+	c.limits.SetColdUnknown(now, id, t.cold.rate.PerSecond, t.cold.rate.Time)
 }
 
 // ExpireColdEvidence makes the targets of a group count as cold that have not said for some time that
 // they are not. A host calls it while its view is old.
 func (c *Chooser) ExpireColdEvidence(now time.Time, group string) {
 	for _, t := range c.groups[group] {
-		if t.limitsCold() && now.Sub(t.notColdAt) > evidenceTime {
+		if t.limitsCold() && now.Sub(t.cold.notColdAt) > evidenceTime {
 			if _, _, isCold := c.limits.Cold(now, t.spec.ID); !isCold {
-				c.limits.SetColdUnknown(now, t.spec.ID, t.spec.ColdPerSecond, t.spec.ColdTime)
+				c.limits.SetColdUnknown(now, t.spec.ID, t.cold.rate.PerSecond, t.cold.rate.Time)
 			}
 		}
 	}
@@ -79,7 +110,7 @@
 		if len(ids) == n {
 			break
 		}
-		wanted := c.limits.ColdUnknown(now, t.spec.ID) || oldView && t.limitsCold() && now.Sub(t.notColdAt) > evidenceRenewTime
+		wanted := c.limits.ColdUnknown(now, t.spec.ID) || oldView && t.limitsCold() && now.Sub(t.cold.notColdAt) > evidenceRenewTime
 		if wanted && c.mayProbe(now, t) {
 			ids = append(ids, t.spec.ID)
 		}
--- a/internal/traffic/placement/target.go
+++ b/internal/traffic/placement/target.go
@@ -58,11 +58,6 @@
 	Started time.Time
 	// Lapsed says that the target's entry expired around an outage of the store.
 	Lapsed bool
-	// ColdPerSecond is the number of requests a second that a cold target of the service takes, over
-	// all hosts, and ColdTime the time for which it is cold after it starts. A rate of 0 means that
-	// cold targets take as many as others.
-	ColdPerSecond float64
-	ColdTime      time.Duration
 }
 
 // Config holds the parameters of a Chooser.
@@ -196,9 +191,8 @@
 	// unresponsive says that the target did not respond to the last probe.
 	unresponsive bool
 	unhealthy    bool
-	// notColdAt is the time at which the newest request was sent whose response said that the target
-	// is not cold.
-	notColdAt time.Time
+	// cold is nil if the rate of cold targets of the service is not limited.
+	cold *coldTarget
 }
 
 // sentSinceReport returns the number of attempts that are too recent for the last load
