--- a/internal/process/entry/evacuation_test.go
+++ b/internal/process/entry/evacuation_test.go
@@ -160,3 +160,38 @@
 	require.GreaterOrEqual(t, float64(l.statuses[http.StatusOK]), 0.97*float64(total), "statuses %v", l.statuses)
 	require.Contains(t, cl.hosts[0].log.String()+cl.hosts[1].log.String()+cl.hosts[2].log.String()+cl.hosts[3].log.String(), "target is cold")
 }
+
+// Guards against an evacuation that ends or is forgotten because the store is down.
+func TestEvacuationLastsWhileTheStoreIsDown(t *testing.T) {
+	t.Parallel()
+	list := []*platformtest.Target{
+		platformtest.NewTarget("t-0", "svc", "d", 3, platformtest.Behaviour{ServiceTime: 10 * time.Millisecond}),
+		platformtest.NewTarget("t-1", "svc", "e", 3, platformtest.Behaviour{ServiceTime: 10 * time.Millisecond}),
+	}
+	log := record(list[1])
+	cl := newFleet(t, fleet{hosts: 2, domains: 2}, list...)
+	cl.store.Put("op/evacuate/e", []byte("{}"))
+	time.Sleep(time.Second)
+	cl.store.SetFaults(platformtest.Faults{Down: true})
+	// A watch that began before the outage would still get the change.
+	require.Eventually(t, func() bool {
+		return strings.Contains(cl.hosts[0].log.String()+cl.hosts[1].log.String(), "store is lost")
+	}, 20*time.Second, 20*time.Millisecond)
+	from := time.Now()
+	cl.store.Delete("op/evacuate/e")
+	for n := range 40 {
+		resp, err := cl.send(t.Context(), cl.hosts[n%2], fmt.Sprintf("down-%d", n), []string{"/search/x", "/book/x"}[n%2])
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.status)
+		time.Sleep(50 * time.Millisecond)
+	}
+	require.Zero(t, log.mostIn(time.Hour, from, time.Now(), true))
+	cl.store.SetFaults(platformtest.Faults{})
+	require.Eventually(t, func() bool {
+		for n := range 6 {
+			_, err := cl.send(t.Context(), cl.hosts[n%2], fmt.Sprintf("up-%d", n), "/search/x")
+			require.NoError(t, err)
+		}
+		return log.mostIn(time.Hour, from, time.Now(), false) > 0
+	}, 10*time.Second, 100*time.Millisecond)
+}
