Cold targets: a host with an old view believes a response for 2 s

A view that counts as up to date may lack as much as 2 s, so this is no weaker. A host that may not use cold targets at all names a Retry-After of 0.3 s at most, since another host may: it was 2 to 5 s.

--- a/internal/traffic/dispatcher/cell.go
+++ b/internal/traffic/dispatcher/cell.go
@@ -230,6 +230,7 @@
 	d.updateShares(now, c)
 	capacity := d.capacity(now, c, w.request.TypicalTime)
 	retryAfter, ok := c.queue.Add(now, w.queued, capacity)
+	retryAfter = coldRetryAfter(capacity, retryAfter)
 	fields := logrus.Fields{fieldRequest: w.request.ID, fieldCell: c.id.key, "waiting": c.queue.Len(), "usual-ms": w.request.TypicalTime.Milliseconds(), "deadline-ms": w.request.Deadline.Sub(now).Milliseconds()}
 	if !ok {
 		d.cfg.Log.WithFields(fields).WithFields(limitFields(capacity)).WithField("retry-after-ms", retryAfter.Milliseconds()).Info("no place in time")
@@ -300,7 +301,7 @@
 		w.done = true
 		retryAfter := unservableRetryAfter
 		if capacity.Limited {
-			retryAfter = c.queue.RetryAfter(now, capacity)
+			retryAfter = coldRetryAfter(capacity, c.queue.RetryAfter(now, capacity))
 		}
 		d.cfg.Log.WithFields(logrus.Fields{fieldRequest: w.request.ID, fieldCell: c.id.key, "waiting": c.queue.Len()}).WithFields(limitFields(capacity)).Info("wait has become hopeless")
 		w.reply(response{rejected: newRejection(capacity, "no target has room in time any more", retryAfter)})
--- a/internal/traffic/dispatcher/cold.go
+++ b/internal/traffic/dispatcher/cold.go
@@ -21,6 +21,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/fleet/roster"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/eligibility"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/queue"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
 )
 
@@ -205,6 +206,15 @@
 	}
 }
 
+// coldRetryAfter returns the retry delay of a rejected request. It is short if this host may not use cold
+// targets at all, since another host may.
+func coldRetryAfter(c queue.Capacity, retryAfter time.Duration) time.Duration {
+	if c.Flow.Cold && c.Flow.PerSecond <= 0 {
+		return min(retryAfter, noTargetsRetryAfter)
+	}
+	return retryAfter
+}
+
 // expireColdEvidence makes the targets of a cell that have not been heard for some time count as cold
 // while the view is old, and reports whether it is. The caller holds the mutex.
 func (d *Dispatcher) expireColdEvidence(now time.Time, c *cell) (oldView bool) {
--- a/internal/traffic/placement/cold.go
+++ b/internal/traffic/placement/cold.go
@@ -15,8 +15,10 @@
 	// restarted. Single probes are lost without that, and a process does not start faster.
 	unreachableTime = 300 * time.Millisecond
 	// evidenceTime is the time for which a response that says that a target is not cold is believed by
-	// a host whose view is old: that one does not learn of a restart.
-	evidenceTime = time.Second
+	// a host whose view is old, since that one does not learn of a restart. A view that counts as up to
+	// date may lack as much. With 1 s, a host that dispatches only its own requests refused one in ten,
+	// since its part of the probe budget does not suffice; with 2 s it was one in thirty.
+	evidenceTime = 2 * time.Second
 	// evidenceRenewTime is the time after which such a host asks again.
 	evidenceRenewTime = 600 * time.Millisecond
 )
