Eligibility: the check of a granted target asks it, too; tests of the causes

The reasons for which a host returns a grant come from traffic/eligibility instead of checks of their own. The texts in the log are unchanged.

--- a/internal/traffic/dispatcher/cold_test.go
+++ b/internal/traffic/dispatcher/cold_test.go
@@ -20,6 +20,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/eligibility"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/queue"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/targets"
 )
@@ -589,3 +590,20 @@
 	require.True(t, d.isSilent(now.Add(time.Millisecond), &waiter{address: a}))
 	require.False(t, d.isSilent(now.Add(time.Hour), &waiter{}), "requests of this host")
 }
+
+func TestRejectionByHostThatMayNotUseColdTargetsSendsClientToAnotherHost(t *testing.T) {
+	tests := []struct {
+		name string
+		flow ratelimit.Flow
+		want time.Duration
+	}{
+		{name: "cold, no share", flow: ratelimit.Flow{Cold: true}, want: noTargetsRetryAfter},
+		{name: "cold, a share", flow: ratelimit.Flow{Cold: true, PerSecond: 3.6}, want: 2 * time.Second},
+		{name: "limits of zero", flow: ratelimit.Flow{}, want: 2 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			require.Equal(t, tt.want, coldRetryAfter(queue.Capacity{Limited: true, Flow: tt.flow}, 2*time.Second))
+		})
+	}
+}
--- a/internal/traffic/dispatcher/notice.go
+++ b/internal/traffic/dispatcher/notice.go
@@ -118,19 +118,20 @@
 func (d *Dispatcher) barred(g Grant) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.withheld[g.ID] == eligibility.Evacuated {
-		return "its failure domain is evacuated"
-	}
-	if d.isColdNews(time.Now(), g) {
-		return "it has just become cold"
-	}
-	if d.chooser.Leaving(g.ID) {
-		return "it leaves"
-	}
-	if _, ok := d.chooser.PausedUntil(time.Now(), g.ID); ok && g.through == "" {
-		return "it wants no requests of this host for some time"
+	now := time.Now()
+	reason := d.chooser.BarredBy(now, g.ID, g.through != "")
+	if reason == eligibility.Normal && d.isColdNews(now, g) {
+		reason = eligibility.Cold
 	}
-	return ""
+	return barredTexts[reason]
+}
+
+// barredTexts holds what the log says of the targets of grants that are returned.
+var barredTexts = map[eligibility.Reason]string{
+	eligibility.Evacuated: "its failure domain is evacuated",
+	eligibility.Leaving:   "it leaves",
+	eligibility.Paused:    "it wants no requests of this host for some time",
+	eligibility.Cold:      "it has just become cold",
 }
 
 // refusal returns the response to a request that no target of a cell can serve because of what
--- a/internal/traffic/placement/candidates.go
+++ b/internal/traffic/placement/candidates.go
@@ -70,17 +70,6 @@
 // usesLapsed reports whether lapsed targets are used, because most are.
 func usesLapsed(targets []*target) bool { return countLapsed(targets)*2 > len(targets) }
 
-// verdict returns what a target may get now and why.
-func (c *Chooser) verdict(now time.Time, t *target, r Request, useLapsed bool) eligibility.Verdict {
-	f := eligibility.Facts{Lapsed: t.spec.Lapsed && !useLapsed, Paused: r.isPaused(now, t.spec.ID) || t.backsOff(now)}
-	if !c.limits.Empty() {
-		l := c.limits.Restriction(now, t.spec.ID)
-		f.RateLimited, f.LimitPerSecond = l.Limited, l.LimitPerSecond
-		f.Cold, f.ColdUnknown, f.ColdPerSecond = l.Cold, l.Cold && !l.Known, l.ColdPerSecond
-	}
-	return eligibility.Decide(f)
-}
-
 // mayUse reports whether a request may be sent to a target about which this is decided: its rate, if
 // it is restricted, must leave room for the request.
 func (c *Chooser) mayUse(now time.Time, t *target, r Request, v eligibility.Verdict) bool {
--- a/internal/traffic/placement/cold.go
+++ b/internal/traffic/placement/cold.go
@@ -6,7 +6,6 @@
 import (
 	"time"
 
-	"tamaracktiller.example/tamaracktiller/internal/traffic/eligibility"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
 )
 
@@ -119,22 +118,3 @@
 	}
 	return ids
 }
-
-// Verdicts returns the number of targets that get less than usual from this host, by reason.
-func (c *Chooser) Verdicts(now time.Time) map[eligibility.Reason]int {
-	counts := map[eligibility.Reason]int{}
-	for _, reason := range c.withheld {
-		counts[reason]++
-	}
-	for group, list := range c.groups {
-		if n := len(c.leavers[group]); n > 0 {
-			counts[eligibility.Leaving] += n
-		}
-		r, useLapsed := Request{Paused: c.Paused(now, group)}, usesLapsed(list)
-		for _, t := range list {
-			counts[c.verdict(now, t, r, useLapsed).Reason]++
-		}
-	}
-	delete(counts, eligibility.Normal)
-	return counts
-}
