--- a/internal/traffic/dispatcher/cell.go
+++ b/internal/traffic/dispatcher/cell.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -49,6 +50,8 @@
 	// probeDivisor is the number by which the probe budget is divided to get the share of
 	// this host.
 	probeDivisor float64
+	// limitsCold is set if the rate of cold targets of the service is limited.
+	limitsCold bool
 	// home is set for the cell of the service that this host prefers.
 	home bool
 	// rank is the position of this host in the ranking since rankSince. It is one of the first
@@ -85,7 +88,8 @@
 		c.probeDivisor = 1 / dispatcherProbeShare
 	}
 	if s.Table != nil {
-		c.healthPath = s.Table.Config.Services[c.id.service].HealthPath
+		service := s.Table.Config.Services[c.id.service]
+		c.healthPath, c.limitsCold = service.HealthPath, service.ColdPerSecond > 0
 	}
 }
 
@@ -114,6 +118,8 @@
 	// host.
 	from    string
 	through bool
+	// address is that of the host; not valid for this host.
+	address netip.AddrPort
 	// queued is the request's entry in the queue; nil if it was not queued.
 	queued *queue.Request
 	reply  func(response)
@@ -122,9 +128,10 @@
 }
 
 // placementRequest returns a queued request in the form that placement takes.
-func (c *cell) placementRequest(w *waiter) placement.Request {
+// The caller holds the mutex.
+func (d *Dispatcher) placementRequest(now time.Time, c *cell, w *waiter) placement.Request {
 	r := w.request.placementRequest()
-	r.Backlogged = c.backlogged()
+	r.Backlogged, r.SpareCold = c.backlogged(), c.limitsCold && d.isSilent(now, w)
 	return r
 }
 
@@ -223,6 +230,7 @@
 	d.updateShares(now, c)
 	capacity := d.capacity(now, c, w.request.TypicalTime)
 	retryAfter, ok := c.queue.Add(now, w.queued, capacity)
+	retryAfter = coldRetryAfter(capacity, retryAfter)
 	fields := logrus.Fields{fieldRequest: w.request.ID, fieldCell: c.id.key, "waiting": c.queue.Len(), "usual-ms": w.request.TypicalTime.Milliseconds(), "deadline-ms": w.request.Deadline.Sub(now).Milliseconds()}
 	if !ok {
 		d.cfg.Log.WithFields(fields).WithFields(limitFields(capacity)).WithFields(accountFields(w)).WithField("retry-after-ms", retryAfter.Milliseconds()).Info("no place in time")
@@ -287,7 +295,7 @@
 		c.queue.RecordTurnedAway(now, r)
 		retryAfter := c.queue.UnservableRetryAfter(now, r)
 		if capacity.Limited {
-			retryAfter = c.queue.RetryAfter(now, capacity)
+			retryAfter = coldRetryAfter(capacity, c.queue.RetryAfter(now, capacity))
 		}
 		d.cfg.Log.WithFields(logrus.Fields{fieldRequest: w.request.ID, fieldCell: c.id.key, "waiting": c.queue.Len(), "retry-after-ms": retryAfter.Milliseconds()}).WithFields(limitFields(capacity)).WithFields(accountFields(w)).Info("wait has become hopeless")
 		w.reply(response{rejected: newRejection(capacity, "no target has room in time any more", retryAfter)})
@@ -312,7 +320,7 @@
 			return
 		}
 		w := c.waiters[r]
-		choice, ok := d.chooser.Best(now, c.id.key, c.placementRequest(w))
+		choice, ok := d.chooser.Best(now, c.id.key, d.placementRequest(now, c, w))
 		if ok && (choice.HasCapacity || mustSendNow(now, choice, r)) {
 			d.grantQueued(now, c, w, choice)
 		}
@@ -330,7 +338,9 @@
 			return
 		}
 		w := c.waiters[r]
-		if choice, ok := d.chooser.Best(now, c.id.key, w.request.placementRequest()); ok && choice.HasCapacity {
+		pr := w.request.placementRequest()
+		pr.SpareCold = c.limitsCold && d.isSilent(now, w)
+		if choice, ok := d.chooser.Best(now, c.id.key, pr); ok && choice.HasCapacity {
 			d.grantQueued(now, c, w, choice)
 		}
 	}
@@ -386,6 +396,8 @@
 	ForLimit ProbeCause = "limit"
 	// ForConnection: a request that is not idempotent needs a connection that responds.
 	ForConnection ProbeCause = "connection"
+	// ForCold: it is not known whether a target is cold.
+	ForCold ProbeCause = "cold"
 )
 
 // probeCandidates returns up to n targets to probe for a request, within the probe budget.
@@ -465,6 +477,9 @@
 	now := time.Now()
 	if err == nil {
 		d.observeLimit(now, id, ratelimit.Observation{Report: r.Limit, SentAt: sent, Source: ratelimit.Probe})
+		d.observeCold(now, id, r.Cold, sent, ratelimit.Probe)
+	} else {
+		d.chooser.RecordUnreachable(now, id)
 	}
 	switch {
 	case errors.Is(err, targets.ErrGone):
--- a/internal/traffic/dispatcher/request.go
+++ b/internal/traffic/dispatcher/request.go
@@ -109,6 +109,8 @@
 	// Pause is the time for which the target wants no requests of the host; zero if it did not
 	// say.
 	Pause time.Duration
+	// Cold is what the response says about the time for which the target stays cold.
+	Cold ratelimit.Cold
 }
 
 // RejectedError reports that no target was assigned to a request.
@@ -217,6 +219,9 @@
 	// Weight is the weight of the account against others; zero if it is not known.
 	Weight float64 `cbor:"41,keyasint,omitempty"`
 
+	// ColdNotice is about cold targets, in grants and in the reports of outcomes.
+	ColdNotice coldNotice `cbor:"40,keyasint,omitzero"`
+
 	// Evidence is set only in messages of kindEvidence, and Credit in those of kindCredit.
 	Evidence *crash.Evidence `cbor:"26,keyasint,omitempty"`
 	Credit   *credit.Message `cbor:"39,keyasint,omitempty"`
--- a/internal/traffic/entry/retry.go
+++ b/internal/traffic/entry/retry.go
@@ -82,6 +82,9 @@
 
 // mayRetry reports whether the request may be sent to another target.
 func (req *clientRequest) mayRetry(last attempt, retries int) bool {
+	if req.mustPlaceAgain(last) {
+		return true
+	}
 	if req.streamed || last.refusal() != nil || retries >= maxRetries || time.Until(req.endsAt()) < minTimeLeft {
 		return false
 	}
--- a/internal/traffic/placement/chooser.go
+++ b/internal/traffic/placement/chooser.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"tamaracktiller.example/tamaracktiller/internal/traffic/eligibility"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/notice"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/profile"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
@@ -26,6 +27,11 @@
 	departures *notice.Departures
 	pauses     *notice.Pauses
 	leavers    map[string][]*target
+	// withheld holds the targets that get no requests although they have an entry, with the
+	// reasons; nil if there are none.
+	withheld map[string]eligibility.Reason
+	// coldRates holds the rates of cold targets by service; nil if there are none.
+	coldRates map[string]ColdRate
 	// lastTrial is the time of the last trial of a higher concurrency, by service.
 	lastTrial map[string]time.Time
 }
@@ -55,6 +61,7 @@
 			}
 			t.spec, t.group, t.profile = spec, group, c.Profile(spec.Service)
 			c.targets[spec.ID] = t
+			t.setColdRate(c.coldRates)
 			if c.departures.Leaving(t.incarnation()) {
 				c.leavers[group] = append(c.leavers[group], t)
 				continue
@@ -63,9 +70,13 @@
 		}
 		c.groups[group] = list
 	}
-	c.limits.Retain(c.Has)
+	c.limits.Retain(func(id string) bool { return c.Has(id) || c.withheld[id] == eligibility.Evacuated })
 }
 
+// SetWithheld replaces the targets that get no requests although they have an entry, with the
+// reasons. The rate limits of evacuated ones are kept, since they hold after the evacuation.
+func (c *Chooser) SetWithheld(withheld map[string]eligibility.Reason) { c.withheld = withheld }
+
 // Profile returns the profile of a service's targets, and creates it if needed.
 func (c *Chooser) Profile(service string) *profile.Profile {
 	p := c.profiles[service]
@@ -95,6 +106,7 @@
 	c.limits.Forget(now, id)
 	if t := c.targets[id]; t != nil {
 		*t = target{spec: t.spec, group: t.group, profile: t.profile, transit: c.cfg.Transit}
+		t.setColdRate(c.coldRates)
 	}
 }
 
@@ -121,10 +133,10 @@
 
 // Slots returns the number of requests of the typical time that the targets of a group can
 // run at a time. A target with a limited rate counts as what its rate lets run.
-func (c *Chooser) Slots(group string, typicalTime time.Duration) int {
+func (c *Chooser) Slots(now time.Time, group string, typicalTime time.Duration) int {
 	slots, limited := 0, 0.0
 	for _, t := range c.groups[group] {
-		if perSecond, ok := c.limits.Limit(t.spec.ID); ok {
+		if perSecond, ok := c.limits.Rate(now, t.spec.ID); ok {
 			limited += min(float64(t.slots()), perSecond*typicalTime.Seconds())
 			continue
 		}
@@ -232,6 +244,7 @@
 	choice := Choice{
 		ID: t.spec.ID, ServiceTime: e.serviceTime, QueueTime: e.queueTime, Cost: e.cost, HasCapacity: e.hasCapacity, Full: e.full, trial: e.trial,
 		Load: t.load, LoadKnown: t.loadKnown(now, c.cfg), Age: now.Sub(t.reportedAt), Concurrency: e.concurrency, Slots: t.slots(), Cold: e.cold,
+		Restricted: !c.limits.Empty() && c.limits.Restricted(now, t.spec.ID),
 	}
 	switch {
 	case !choice.LoadKnown:
@@ -261,6 +274,6 @@
 // rate limit leaves room for a request.
 func (c *Chooser) HasFreeSlot(now time.Time, group string) bool {
 	return slices.ContainsFunc(c.groups[group], func(t *target) bool {
-		return t.running(now, c.cfg) < t.slots() && c.mayUse(now, t, Request{})
+		return t.running(now, c.cfg) < t.slots() && c.hasToken(now, t)
 	})
 }
--- a/internal/traffic/placement/target.go
+++ b/internal/traffic/placement/target.go
@@ -191,6 +191,8 @@
 	// unresponsive says that the target did not respond to the last probe.
 	unresponsive bool
 	unhealthy    bool
+	// cold is nil if the rate of cold targets of the service is not limited.
+	cold *coldTarget
 }
 
 // sentSinceReport returns the number of attempts that are too recent for the last load
--- a/internal/traffic/relay/roundtrip.go
+++ b/internal/traffic/relay/roundtrip.go
@@ -26,6 +26,9 @@
 	// BeforeSend is called directly before the request is written, and may change its header. If it
 	// returns an error, the request is not sent. It may be nil.
 	BeforeSend func() error
+	// MaySend is called when there is a connection, directly before the request is sent. If it returns
+	// an error, the request is not sent. It may be nil.
+	MaySend func() error
 	// Dial opens the connection for this request only; nil for one of the pool.
 	Dial func(ctx context.Context) (net.Conn, error)
 	// NewConnection requires a connection that has carried no request before, and IdleOnly one
@@ -88,6 +91,12 @@
 	if err != nil {
 		return nil, &Error{Address: p.address, Cause: err}
 	}
+	if o.MaySend != nil {
+		if err := o.MaySend(); err != nil {
+			p.discard(c)
+			return nil, &Error{Address: p.address, Cause: err}
+		}
+	}
 	if o.Connected != nil {
 		o.Connected(c.nc)
 	}
--- a/internal/traffic/targets/targets.go
+++ b/internal/traffic/targets/targets.go
@@ -64,6 +64,8 @@
 	ErrGone = errors.New("targets: target is gone")
 	// ErrPaused reports that the target wants no requests of this host for some time.
 	ErrPaused = errors.New("targets: target wants no requests of this host for some time")
+	// ErrEvacuated reports that the failure domain of the target is evacuated.
+	ErrEvacuated = errors.New("targets: failure domain of the target is evacuated")
 	// ErrUnresponsive reports that the target did not respond to a probe.
 	ErrUnresponsive = errors.New("targets: target did not respond")
 )
@@ -90,6 +92,8 @@
 	// Pause is the time for which the target wants no requests of this host; zero if it does
 	// not say.
 	Pause time.Duration
+	// Cold is what the target says about the time for which it stays cold.
+	Cold ratelimit.Cold
 }
 
 // Reader reads the response headers of targets.
@@ -109,6 +113,8 @@
 	LoadKnown bool
 	// Limit is the rate limit that the target reports.
 	Limit ratelimit.Report
+	// Cold is what the target says about the time for which it stays cold.
+	Cold ratelimit.Cold
 }
 
 // Link holds the connections to one target.
@@ -126,6 +132,8 @@
 	links map[string]*Link
 	// healthPaths holds the health check paths by service.
 	healthPaths map[string]string
+	// evacuated holds the targets whose failure domain is evacuated; nil if there are none.
+	evacuated map[string]bool
 
 	// reachMu guards the fields below.
 	reachMu sync.Mutex
@@ -170,6 +178,7 @@
 func (l *Links) SetTargets(s *directory.Snapshot, restarted []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.setEvacuated(s)
 	for _, id := range restarted {
 		l.remove(id)
 	}
@@ -316,6 +325,7 @@
 	through := ""
 	o.Connected = func(nc net.Conn) { through = ReachedThrough(nc) }
 	o.MatchesRequest = func(header http.Header) bool { return l.cfg.Reader.MatchesRequest(header, "") }
+	o.MaySend = func() error { return l.MaySend(id) }
 	res, err := link.Pool.RoundTrip(ctx, req, o)
 	if err != nil {
 		return ProbeResult{}, errors.Wrapf(ErrUnresponsive, "%s: %v", id, err)
@@ -332,5 +342,5 @@
 	if info.NotRun && info.Limit.Kind == ratelimit.Unlimited {
 		info.Limit = ratelimit.Report{}
 	}
-	return ProbeResult{Healthy: res.StatusCode == http.StatusOK, Full: info.NotRun && !info.LoadKnown, Load: info.Load, LoadKnown: info.LoadKnown, Limit: info.Limit}, nil
+	return ProbeResult{Healthy: res.StatusCode == http.StatusOK, Full: info.NotRun && !info.LoadKnown, Load: info.Load, LoadKnown: info.LoadKnown, Limit: info.Limit, Cold: info.Cold}, nil
 }
