Relay: a response with an invalid status ends the exchange

http.ReadResponse accepts 000, 001, 099, +20, 600 and 999. A status below 200 was taken for an informational response: the host waited until its timeout, or gave the client the second response on the connection. 600 and 999 were passed on.

The status line is now checked before the response is parsed, as soon as it has arrived: three digits from 100 to 599. The connection is closed. Informational responses are bounded in bytes, too (32 kB). After a 204 or 304 that announces a body the connection is not reused, and a 204 has no Content-Length for the client.

--- a/internal/traffic/entry/response.go
+++ b/internal/traffic/entry/response.go
@@ -93,6 +93,10 @@
 	for name, values := range r.header {
 		header[name] = values
 	}
+	if r.status == http.StatusNoContent {
+		// A faulty target may announce a body, which the client would wait for.
+		header.Del("Content-Length")
+	}
 	if r.unread == nil {
 		if req.incoming.Method != http.MethodHead && r.status != http.StatusNoContent && r.status != http.StatusNotModified {
 			header.Set("Content-Length", strconv.Itoa(len(r.body)))
--- a/internal/traffic/relay/conn.go
+++ b/internal/traffic/relay/conn.go
@@ -152,24 +152,48 @@
 	return err == nil && idle
 }
 
-// checkHeader waits for the complete response header and checks its framing. It returns an
-// error if the body length is given more than once, because sender and receiver may then
+// checkHeader waits for the complete response header, checks its status and its framing, and returns
+// its length. The error is ErrInvalidStatus as soon as the first line has arrived, or
+// ErrAmbiguousFraming if the body length is given more than once, because sender and receiver may then
 // disagree on it.
-func (c *conn) checkHeader() error {
+func (c *conn) checkHeader() (size int, err error) {
+	statusChecked := false
 	for n := 1; ; n = c.br.Buffered() + 1 {
 		if n > maxHeaderBytes {
-			return ErrHeaderTooLarge
+			return 0, ErrHeaderTooLarge
 		}
 		if _, err := c.br.Peek(n); err != nil {
-			return err
+			return 0, err
 		}
 		buffered, _ := c.br.Peek(c.br.Buffered())
-		if end := bytes.Index(buffered, []byte("\r\n\r\n")); end >= 0 {
-			return checkFraming(buffered[:end])
+		if line, _, ok := bytes.Cut(buffered, []byte("\n")); ok && !statusChecked {
+			if !hasValidStatus(line) {
+				return 0, errors.Wrapf(ErrInvalidStatus, "%q", line[:min(len(line), maxQuotedLine)])
+			}
+			statusChecked = true
+		}
+		if end := bytes.Index(buffered, headerEnd); end >= 0 {
+			return end + len(headerEnd), checkFraming(buffered[:end])
 		}
 	}
 }
 
+// headerEnd ends a header.
+var headerEnd = []byte("\r\n\r\n")
+
+// maxQuotedLine bounds the part of an invalid status line that an error quotes.
+const maxQuotedLine = 64
+
+// hasValidStatus reports whether a status line has a status of exactly three digits from 100 to 599.
+// http.ReadResponse also accepts others, such as 000, +20 and 999.
+func hasValidStatus(line []byte) bool {
+	_, rest, ok := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(" "))
+	status, _, _ := bytes.Cut(rest, []byte(" "))
+	return ok && len(status) == 3 && '1' <= status[0] && status[0] <= '5' && isDigit(status[1]) && isDigit(status[2])
+}
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
 // checkFraming returns ErrAmbiguousFraming for a header that gives the body length more
 // than once, by Content-Length, Transfer-Encoding or both.
 func checkFraming(header []byte) error {
--- a/internal/traffic/relay/pool.go
+++ b/internal/traffic/relay/pool.go
@@ -44,7 +44,10 @@
 	ErrHeaderTooLarge = errors.New("response header is too large")
 	// ErrMismatchedResponse reports responses that belong to other requests.
 	ErrMismatchedResponse = errors.New("response belongs to another request")
-	// ErrTooManyInformational reports too many informational responses to one request.
+	// ErrInvalidStatus reports a response whose status is not three digits from 100 to 599.
+	ErrInvalidStatus = errors.New("invalid response status")
+	// ErrTooManyInformational reports too many informational responses to one request, or too long
+	// ones.
 	ErrTooManyInformational = errors.New("too many informational responses")
 	// ErrUnexpectedUpgrade reports a response that switches protocols although no upgrade
 	// was requested.
--- a/internal/traffic/relay/roundtrip.go
+++ b/internal/traffic/relay/roundtrip.go
@@ -41,8 +41,10 @@
 	// maxDiscardedBytes the body of each.
 	maxMismatched     = 2
 	maxDiscardedBytes = 64 << 10
-	// maxInformational bounds the informational responses to one request.
-	maxInformational = 16
+	// maxInformational bounds the informational responses to one request, and maxInformationalBytes
+	// their length together. The context of the request bounds their time.
+	maxInformational      = 16
+	maxInformationalBytes = 32 << 10
 )
 
 // discardResponse reads a mismatched response to its end. It returns
@@ -158,13 +160,20 @@
 	}
 }
 
+// readHeader reads the header of a response and returns its length.
+func (x *exchange) readHeader() (*http.Response, int, error) {
+	size, err := x.c.checkHeader()
+	if err != nil {
+		return nil, 0, err
+	}
+	res, err := http.ReadResponse(x.c.br, x.req)
+	return res, size, err
+}
+
 // receive returns the final response to the request.
 func (x *exchange) receive(o Options) (*http.Response, error) {
-	for informational := 0; ; {
-		if err := x.c.checkHeader(); err != nil {
-			return nil, err
-		}
-		res, err := http.ReadResponse(x.c.br, x.req)
+	for informational, informationalBytes := 0, 0; ; {
+		res, size, err := x.readHeader()
 		if err != nil {
 			return nil, err
 		}
@@ -172,7 +181,9 @@
 		case res.StatusCode == http.StatusSwitchingProtocols:
 			return nil, ErrUnexpectedUpgrade
 		case res.StatusCode < http.StatusOK:
-			if informational++; informational > maxInformational {
+			informational++
+			informationalBytes += size
+			if informational > maxInformational || informationalBytes > maxInformationalBytes {
 				return nil, ErrTooManyInformational
 			}
 			if o.Informational != nil && res.StatusCode != http.StatusContinue {
@@ -194,7 +205,7 @@
 	x.c.readIdleTimeout(res.Header)
 	if res.Body == http.NoBody {
 		x.complete = true
-		x.release(!res.Close)
+		x.release(!res.Close && !mayHaveHiddenBody(res))
 		return res, nil
 	}
 	if res.ContentLength < 0 && !isChunked(res) && !x.closeDelimited {
@@ -204,6 +215,16 @@
 	return res, nil
 }
 
+// mayHaveHiddenBody reports whether the header of a response without a body announces one. A faulty
+// target may send it, and it must not be taken for the response to the next request.
+func mayHaveHiddenBody(res *http.Response) bool {
+	if res.StatusCode != http.StatusNoContent && res.StatusCode != http.StatusNotModified {
+		return false
+	}
+	length := res.Header.Get("Content-Length")
+	return isChunked(res) || length != "" && length != "0"
+}
+
 func isChunked(res *http.Response) bool {
 	return len(res.TransferEncoding) == 1 && res.TransferEncoding[0] == "chunked"
 }
