Intake: a budget for what clients make a host hold

Nothing bounded the sum of the bodies, responses, headers and connections that clients make a host hold; io.ReadAll doubled the buffer of each body, and each response was buffered up to 1 MiB while its client read slowly.

internal/intake/resource holds the sum, derived from memory_mb and max_fds (unset: no limit, no cost). Buffers of bodies and responses grow as bytes arrive, and reserve each growth. When the budget is short, the connections with the most byte seconds in a phase that their client controls are ended: a body that was sent nowhere with 503 and Retry-After, others by closing. If there are none, the reservation is refused; a response is streamed then. What lies in the buffers of sockets is measured every 100 ms while it could matter, and the buffers are bounded. Idle connections give way to new ones at the limit of connections. Tunnels of other hosts reserve their cost. A response that is given up for lack of memory does not count against its target. The runtime has a memory limit of three quarters of memory_mb; GOGC stays at 30.

--- a/cmd/tamaracktiller/entry.go
+++ b/cmd/tamaracktiller/entry.go
@@ -7,6 +7,7 @@
 	"os"
 	"runtime/debug"
 
+	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
 	"tamaracktiller.example/tamaracktiller/internal/process/entry"
 	"tamaracktiller.example/tamaracktiller/internal/process/settings"
 	"tamaracktiller.example/tamaracktiller/platform"
@@ -37,6 +38,9 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
+	if limit := resource.LimitsOf(s.MemoryBytes, s.Descriptors).RuntimeBytes; limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	p, err := entry.New(s, entry.Platform{
 		Dialect: platform.Dialect{}, Decoder: platform.Decoder{},
 		OpenStore: platform.OpenStore, ReadyPath: platform.ReadyPath, Hangups: hangups,
--- a/internal/process/crowd/crowd_test.go
+++ b/internal/process/crowd/crowd_test.go
@@ -260,9 +260,14 @@
 		res, err := r.Send(h.t.Context(), client, h.cfg.Callers)
 		served = err == nil && res.Status == http.StatusOK
 		if !served {
+			h.t.Logf("ordinary request: status %d, %v", res.Status, err)
 			time.Sleep(250 * time.Millisecond)
 		}
 	}
+	if !served {
+		log, _ := os.ReadFile(h.log)
+		h.t.Logf("last lines of the host:\n%s", log[max(0, len(log)-8<<10):])
+	}
 	require.True(h.t, served, "no ordinary request is answered")
 	require.LessOrEqual(h.t, worst.peak, int64(memoryMB*megabyte), "resident memory exceeds the memory of the host")
 	require.LessOrEqual(h.t, worst.resident, int64(memoryMB*megabyte), "resident memory and unread bytes exceed the memory of the host")
--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
+	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
 	"tamaracktiller.example/tamaracktiller/internal/process/logs"
 	"tamaracktiller.example/tamaracktiller/internal/report/burn"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/dispatcher"
@@ -28,6 +29,10 @@
 	storeCalls  *prometheus.CounterVec
 	updateDelay prometheus.Histogram
 	burnRate    *burn.Meter
+	// intakeRefused and intakeEnded count what was refused, and whose connections were ended, because
+	// clients made the host hold too much.
+	intakeRefused *prometheus.CounterVec
+	intakeEnded   *prometheus.CounterVec
 }
 
 var _ entry.Observer = (*metrics)(nil)
@@ -41,16 +46,18 @@
 func newMetrics() *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(), burnRate: burn.NewMeter(),
-		requests:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_entry_requests_total", Help: "Client requests by outcome and status."}, []string{labelService, "outcome", "status"}),
-		attempts:    prometheus.NewCounter(prometheus.CounterOpts{Name: "tamarack_entry_sends_total", Help: "Attempts to send a request to a target."}),
-		extra:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_entry_extra_attempts_total", Help: "Retries and hedges that the retry budget permitted or not."}, []string{labelService, "kind", "permitted"}),
-		latency:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "tamarack_entry_latency_seconds", Help: "Time to the final response.", Buckets: latencyBuckets}, []string{labelService}),
-		tunnels:     prometheus.NewCounter(prometheus.CounterOpts{Name: "tamarack_tunnels_total", Help: "Connections to targets that were opened for other hosts."}),
-		probes:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_entry_questions_total", Help: "Load probes sent to targets, by cause."}, []string{labelService, "cause"}),
-		updateDelay: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "tamarack_view_wait_seconds", Help: "Time that updates from the store waited to be applied.", Buckets: latencyBuckets}),
-		storeCalls:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_store_calls_total", Help: "Calls to the metadata store by operation."}, []string{"operation"}),
+		requests:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_entry_requests_total", Help: "Client requests by outcome and status."}, []string{labelService, "outcome", "status"}),
+		attempts:      prometheus.NewCounter(prometheus.CounterOpts{Name: "tamarack_entry_sends_total", Help: "Attempts to send a request to a target."}),
+		extra:         prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_entry_extra_attempts_total", Help: "Retries and hedges that the retry budget permitted or not."}, []string{labelService, "kind", "permitted"}),
+		latency:       prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "tamarack_entry_latency_seconds", Help: "Time to the final response.", Buckets: latencyBuckets}, []string{labelService}),
+		tunnels:       prometheus.NewCounter(prometheus.CounterOpts{Name: "tamarack_tunnels_total", Help: "Connections to targets that were opened for other hosts."}),
+		probes:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_entry_questions_total", Help: "Load probes sent to targets, by cause."}, []string{labelService, "cause"}),
+		updateDelay:   prometheus.NewHistogram(prometheus.HistogramOpts{Name: "tamarack_view_wait_seconds", Help: "Time that updates from the store waited to be applied.", Buckets: latencyBuckets}),
+		storeCalls:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_store_calls_total", Help: "Calls to the metadata store by operation."}, []string{"operation"}),
+		intakeRefused: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_intake_refused_total", Help: "Reservations, connections and tunnels refused because clients make the host hold too much, by kind."}, []string{"kind"}),
+		intakeEnded:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "tamarack_intake_ended_total", Help: "Connections of clients that were ended because clients make the host hold too much, by phase."}, []string{"phase"}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.extra, m.latency, m.tunnels, m.probes, m.storeCalls, m.updateDelay)
+	m.registry.MustRegister(m.requests, m.attempts, m.extra, m.latency, m.tunnels, m.probes, m.storeCalls, m.updateDelay, m.intakeRefused, m.intakeEnded)
 	return m
 }
 
@@ -93,6 +100,27 @@
 	}))
 }
 
+// registerIntake registers gauges for what clients make the host hold.
+func (m *metrics) registerIntake(b *resource.Budget) {
+	gauge := func(name, help string, value func() float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("tamarack_intake_held_bytes", "Bytes that clients and tunnels make the host hold.", func() float64 { return float64(b.Usage().Held) })
+	gauge("tamarack_intake_queued_bytes", "Bytes in the buffers of the sockets of clients, as last measured; 0 while they cannot exceed the limit.", func() float64 { return float64(b.Usage().Queued) })
+	gauge("tamarack_intake_limit_bytes", "Limit of the bytes that clients and tunnels make the host hold; 0 for none.", func() float64 { return float64(b.Limits().Bytes) })
+	gauge("tamarack_intake_connections", "Open connections of clients.", func() float64 { return float64(b.Usage().Connections) })
+	gauge("tamarack_intake_connections_limit", "Limit of the open connections of clients; 0 for none.", func() float64 { return float64(b.Limits().Connections) })
+	gauge("tamarack_intake_tunnels", "Open tunnels of other hosts.", func() float64 { return float64(b.Usage().Tunnels) })
+}
+
+// CountIntakeRefusal counts a refused reservation, connection or tunnel.
+func (m *metrics) CountIntakeRefusal(kind string) { m.intakeRefused.WithLabelValues(kind).Inc() }
+
+// CountIntakeEnded counts connections that were ended.
+func (m *metrics) CountIntakeEnded(phase string, n int) {
+	m.intakeEnded.WithLabelValues(phase).Add(float64(n))
+}
+
 // CountTunnel counts a connection to a target that was opened for another host.
 func (m *metrics) CountTunnel() { m.tunnels.Inc() }
 
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -28,6 +28,7 @@
 
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/packet"
+	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/registry"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
@@ -99,17 +100,19 @@
 
 // Process is the process of an entry host.
 type Process struct {
-	cfg             *settings.Entry
-	platform        Platform
-	store           store.Service
-	log             *logs.Log
-	logWriter       *logs.Async
-	g               *group.Group
-	services        *registry.Registry
-	directory       *directory.Directory
-	handler         *entry.Handler
-	links           *targets.Links
-	tunnels         *tunnel.Server
+	cfg       *settings.Entry
+	platform  Platform
+	store     store.Service
+	log       *logs.Log
+	logWriter *logs.Async
+	g         *group.Group
+	services  *registry.Registry
+	directory *directory.Directory
+	handler   *entry.Handler
+	links     *targets.Links
+	tunnels   *tunnel.Server
+	// clientBudget is what clients may make the host hold; nil for no limit.
+	clientBudget    *resource.Budget
 	dispatcher      *dispatcher.Dispatcher
 	packets         *packet.Conn[dispatcher.Message]
 	metrics         *metrics
@@ -147,6 +150,8 @@
 	p.store = store.NewEraGuard(platform.OpenStore(cfg.Store, p.metrics.CountStoreCall))
 	timers := timer.New()
 	p.services.Provide("timer", timers)
+	p.addClientBudget(timers)
+	limits := resource.LimitsOf(cfg.MemoryBytes, cfg.Descriptors)
 	p.directory = directory.New(directory.Config{
 		Self: p.self(), FirstStart: cfg.FirstStart, Source: p.store, Decoder: platform.Decoder, Timer: timers, Log: p.log.For("directory"),
 		ReregisterTimeout: cfg.Bounds.ReregisterTimeout, OnChange: p.applySnapshot, OnQueueWait: p.metrics.ObserveUpdateDelay,
@@ -159,10 +164,13 @@
 		OnNotice:   func(n notice.Notice) { p.dispatcher.ObserveNotice(n) },
 		Tunnels: tunnel.NewDialer(tunnel.DialerConfig{
 			Self: cfg.Name, Hosts: func() map[string]directory.Host { return p.directory.Snapshot().Hosts }, Secret: func() []byte { return p.directory.Snapshot().Secret() },
+			SocketBytes: limits.SocketBytes,
 		}, p.g),
+		SocketBytes: limits.SocketBytes,
 	}, p.g)
 	p.tunnels = tunnel.NewServer(tunnel.ServerConfig{
 		Secrets: p.fleetSecrets, Connect: p.links.ConnectFor, Available: func() bool { return !p.links.CutOff() }, Log: p.log.For("tunnels"), OnOpen: p.metrics.CountTunnel,
+		Reserve: p.clientBudget.OpenTunnel,
 	}, p.g)
 	p.metrics.registerReachability(p.links.CutOff)
 	crashes := entry.NewCrashTracker(entry.CrashTrackerConfig{
@@ -177,6 +185,7 @@
 	p.handler = entry.New(entry.Config{
 		Domain: cfg.Domain, FirstStart: cfg.FirstStart, Dialect: platform.Dialect, Placer: p.dispatcher, Links: p.links,
 		Snapshot: p.directory.Snapshot, FirstReadEnded: p.directory.FirstReadEnded(), Fresh: p.directory.Fresh, Bounds: cfg.Bounds, Log: p.log.For("entry"), Observer: p.metrics, CrashTracker: crashes,
+		SocketBytes: int64(limits.SocketBytes),
 	}, p.g)
 	p.services.Provide("directory", p.directory)
 	timers.Every("trim", closeIdlePeriod, p.links.CloseIdle)
@@ -197,9 +206,9 @@
 
 func (p *Process) addServers() {
 	errorLog := stdlog.New(p.log.For("http").WriterLevel(logrus.DebugLevel), "", 0)
-	p.clientConns = front.NewConnections()
+	p.clientConns = front.NewConnections(p.clientBudget)
 	p.clientServer = &http.Server{
-		Handler: p.handler, ErrorLog: errorLog, ConnState: p.clientConns.Track,
+		Handler: p.handler, ErrorLog: errorLog, ConnState: p.clientConns.Track, ConnContext: p.clientConns.Context,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	mux := http.NewServeMux()
@@ -398,7 +407,7 @@
 
 // serveClients serves clients and closes connections that carry ambiguous requests.
 func (p *Process) serveClients(ctx context.Context) error {
-	l, err := listen(ctx, p.cfg.Callers)
+	l, err := p.listen(ctx, p.cfg.Callers)
 	if err != nil {
 		return err
 	}
@@ -411,7 +420,7 @@
 }
 
 func (p *Process) serve(ctx context.Context, address netip.AddrPort, server *http.Server) error {
-	l, err := listen(ctx, address)
+	l, err := p.listen(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -419,12 +428,6 @@
 	return nil
 }
 
-func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
-	var cfg net.ListenConfig
-	l, err := cfg.Listen(ctx, "tcp", address.String())
-	return l, errors.Wrap(err, "entry")
-}
-
 func (p *Process) serveOn(l net.Listener, server *http.Server) {
 	p.g.Go("serve "+l.Addr().String(), func(context.Context) error {
 		err := server.Serve(l)
--- /dev/null
+++ b/internal/process/front/held.go
@@ -0,0 +1,91 @@
+package front
+
+// This file defines what connections hold of the budget for clients.
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
+)
+
+const (
+	// freeHeaderBytes is the part of a header that the fixed cost of a connection covers.
+	freeHeaderBytes = 4 << 10
+	// headerCopies is the number of copies of a header that is being read: one of the validator, and the
+	// lines that the server has parsed.
+	headerCopies = 2
+	// headerStep is the least reservation for a header, in bytes.
+	headerStep = 4 << 10
+)
+
+// errNoBudget ends a connection whose header does not fit in the budget. The server takes an error of the
+// network for the end of the connection; it responds to others with 400, which clients do not repeat.
+var errNoBudget = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("front: no memory is left for the header")}
+
+// reserveHeader reserves memory for a header after n bytes were read. The caller holds c.mu.
+func (c *trackedConn) reserveHeader(n int) bool {
+	switch c.validator.state {
+	case atBody, atChunkSize, atChunkEnd, atUnknown, atFrames:
+		return true
+	case atRequestLine, atHeader, atTrailer:
+	}
+	c.header += int64(n)
+	need := headerCopies*(c.header-freeHeaderBytes) - c.reserved
+	if need <= 0 {
+		return true
+	}
+	need = max(need, headerStep)
+	if !c.holder.Grow(need) {
+		return false
+	}
+	c.reserved += need
+	return true
+}
+
+// setReadBuffer sets the size of the receive buffer of an accepted connection. One that is already closed
+// ends when it is read.
+func (c *Connections) setReadBuffer(nc net.Conn) {
+	if c.budget == nil || c.budget.Limits().SocketBytes == 0 {
+		return
+	}
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(c.budget.Limits().SocketBytes)
+	}
+}
+
+// heldConn is a connection that the budget may end.
+type heldConn struct{ nc net.Conn }
+
+var _ resource.Conn = (*heldConn)(nil)
+
+// Interrupt implements resource.Conn.
+func (c *heldConn) Interrupt() { _ = c.nc.SetReadDeadline(time.Unix(1, 0)) }
+
+// Abort implements resource.Conn.
+func (c *heldConn) Abort() { _ = c.nc.Close() }
+
+// Queued implements resource.Conn. It returns 0 for a connection that is closed or has no socket.
+func (c *heldConn) Queued() int64 {
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	sum := 0
+	_ = raw.Control(func(fd uintptr) {
+		for _, request := range []uint{unix.SIOCINQ, unix.SIOCOUTQ} {
+			if n, err := unix.IoctlGetInt(int(fd), request); err == nil {
+				sum += n
+			}
+		}
+	})
+	return int64(sum)
+}
--- a/internal/process/front/listener.go
+++ b/internal/process/front/listener.go
@@ -14,8 +14,8 @@
 //
 // NewStoppableListener and NewConnections let a server finish all requests before it shuts down:
 //
-//	l, conns := front.NewStoppableListener(inner), front.NewConnections()
-//	server := &http.Server{Handler: handler, ConnState: conns.Track}
+//	l, conns := front.NewStoppableListener(inner), front.NewConnections(budget)
+//	server := &http.Server{Handler: handler, ConnState: conns.Track, ConnContext: conns.Context}
 //	server.Serve(conns.Listen(front.NewStrictListener(l, logRejected)))
 //	...
 //	l.Stop()
--- a/internal/process/front/stop.go
+++ b/internal/process/front/stop.go
@@ -4,6 +4,7 @@
 // request: http.Server closes connections from which a request is being read when it shuts down.
 
 import (
+	"context"
 	"maps"
 	"net"
 	"net/http"
@@ -12,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
 )
 
 // newConnectionTime is the time after which a connection that has carried no request is idle.
@@ -66,12 +69,25 @@
 // Connections tracks the connections of a server and the requests that are read from them. It is safe
 // for concurrent use.
 type Connections struct {
+	budget *resource.Budget
+
 	mu   sync.Mutex
 	open map[*trackedConn]bool
 }
 
-// NewConnections returns Connections without any.
-func NewConnections() *Connections { return &Connections{open: map[*trackedConn]bool{}} }
+// NewConnections returns Connections without any. They may hold what budget allows; nil for no limit.
+func NewConnections(budget *resource.Budget) *Connections {
+	return &Connections{budget: budget, open: map[*trackedConn]bool{}}
+}
+
+// Context returns the context of the requests on a connection. It is a function for
+// http.Server.ConnContext.
+func (c *Connections) Context(ctx context.Context, nc net.Conn) context.Context {
+	if tc, ok := nc.(*trackedConn); ok {
+		return resource.NewContext(ctx, tc.holder)
+	}
+	return ctx
+}
 
 // Listen returns a listener whose connections are tracked. The connections of inner are those of a
 // strict listener. The server must call Track.
@@ -89,6 +105,7 @@
 	case http.StateIdle:
 		tc.endRequest()
 	case http.StateHijacked, http.StateClosed:
+		tc.holder.Close()
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		delete(c.open, tc)
@@ -133,34 +150,49 @@
 	conns *Connections
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It closes connections that are more than the budget allows.
 func (l *trackingListener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	vc, ok := nc.(*validatedConn)
-	if !ok {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		vc, ok := nc.(*validatedConn)
+		if !ok {
+			_ = nc.Close()
+			return nil, errors.Errorf("front: connection of type %T can't be tracked", nc)
+		}
+		if holder, ok := l.conns.budget.Open(&heldConn{nc: vc.Conn}); ok {
+			l.conns.setReadBuffer(vc.Conn)
+			return l.track(vc, holder), nil
+		}
 		_ = nc.Close()
-		return nil, errors.Errorf("front: connection of type %T can't be tracked", nc)
 	}
-	tc := &trackedConn{validatedConn: vc, opened: time.Now()}
+}
+
+func (l *trackingListener) track(vc *validatedConn, holder *resource.Holder) net.Conn {
+	tc := &trackedConn{validatedConn: vc, holder: holder, opened: time.Now()}
 	l.conns.mu.Lock()
 	defer l.conns.mu.Unlock()
 	l.conns.open[tc] = true
-	return tc, nil
+	return tc
 }
 
 // trackedConn counts the requests of a connection. http.Server takes a connection for idle until it has
 // read the whole header of a request, and would close it meanwhile.
 type trackedConn struct {
 	*validatedConn
+	// holder is nil without a budget.
+	holder *resource.Holder
 	opened time.Time
 
 	mu sync.Mutex
 	// begun counts the requests of which bytes were read, and ended those whose response was sent.
 	begun, ended int
 	closed       bool
+	// header is the length of what was read of headers since the last response, and reserved what the
+	// holder has reserved for it.
+	header, reserved int64
 }
 
 // Read implements net.Conn.
@@ -172,6 +204,9 @@
 		return 0, net.ErrClosed
 	}
 	c.begun = c.validator.begun()
+	if c.holder != nil && !c.reserveHeader(n) {
+		return 0, errNoBudget
+	}
 	return n, err
 }
 
@@ -179,6 +214,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ended++
+	c.holder.Release(c.reserved)
+	c.header, c.reserved = 0, 0
 }
 
 func (c *trackedConn) use() (unused, active bool) {
--- a/internal/process/front/stop_test.go
+++ b/internal/process/front/stop_test.go
@@ -29,7 +29,7 @@
 func newStoppingServer(t *testing.T, handler http.HandlerFunc) *stoppingServer {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := &stoppingServer{address: inner.Addr().String(), l: NewStoppableListener(inner), conns: NewConnections(), g: group.New(t.Context())}
+	s := &stoppingServer{address: inner.Addr().String(), l: NewStoppableListener(inner), conns: NewConnections(nil), g: group.New(t.Context())}
 	s.server = &http.Server{ConnState: s.conns.Track, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		handler(w, r)
 		if s.stopped.Load() {
--- a/internal/traffic/entry/attempt.go
+++ b/internal/traffic/entry/attempt.go
@@ -4,13 +4,11 @@
 // response.
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"slices"
-
 	"time"
 
 	"github.com/pkg/errors"
@@ -154,12 +152,12 @@
 		info.Load.Running = max(0, info.Load.Running-1)
 	}
 	out := attempt{grant: grant, status: res.StatusCode, header: res.Header, info: info}
-	body, err := readBuffered(res)
+	body, more, err := req.readBuffered(res)
 	out.body = body
 	if res.ContentLength > maxStreamedResponse {
 		err = errResponseTooLarge
 	}
-	if err == nil && len(body) > maxBufferedResponse {
+	if err == nil && more {
 		out.unread = res.Body
 	} else {
 		defer res.Body.Close()
@@ -179,14 +177,6 @@
 	return out
 }
 
-// readBuffered reads the body of a response, or its beginning if it exceeds maxBufferedResponse.
-func readBuffered(res *http.Response) ([]byte, error) {
-	// ReadFrom grows a buffer with less than MinRead bytes left before it finds the end.
-	body := bytes.NewBuffer(make([]byte, 0, min(max(0, res.ContentLength), maxBufferedResponse)+bytes.MinRead))
-	_, err := body.ReadFrom(io.LimitReader(res.Body, maxBufferedResponse+1))
-	return body.Bytes(), err
-}
-
 // limit returns what the response says about the rate limit of the target. Only a response
 // that the target certainly generated itself can say that there is none.
 func (r *attempt) limit() ratelimit.Report {
@@ -207,7 +197,7 @@
 	case rejected:
 		return placement.Rejected
 	case notSent, outcomeUnknown:
-		if r.req.isDone(ctx) {
+		if r.req.isDone(ctx) || errors.Is(r.cause, errNoBudget) {
 			return placement.Cancelled
 		}
 		if errors.Is(r.cause, errLinkLost) || r.outcome == notSent && r.grant.Through() != "" {
--- a/internal/traffic/entry/body.go
+++ b/internal/traffic/entry/body.go
@@ -14,6 +14,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+
+	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
 )
 
 const (
@@ -37,8 +39,12 @@
 // if the request can't be sent to a target.
 func (req *clientRequest) readBody(w http.ResponseWriter, maxBytes int64) *finalResponse {
 	r := req.incoming
+	if rejection := req.openLease(); rejection != nil {
+		return rejection
+	}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		req.bodyRead = true
+		req.lease.SetPhase(resource.Waiting)
 		return nil
 	}
 	if maxBytes > 0 {
@@ -52,12 +58,15 @@
 		n = bodyPrefix
 	}
 	limit := req.limitBodyRead(w)
-	data, err := io.ReadAll(io.LimitReader(r.Body, n))
+	req.lease.SetPhase(resource.Body)
+	data, err := readGrowing(r.Body, r.ContentLength, n, req.lease.Grow)
 	limit.clear()
 	if err != nil {
 		return req.rejectBody(err)
 	}
+	req.lease.SetPhase(resource.Waiting)
 	if int64(len(data)) == n {
+		req.lease.SetPhase(resource.Upload)
 		req.streamed, req.prefixHash = true, xxhash.Sum64(data)
 		r.Body = &streamedBody{rest: io.MultiReader(bytes.NewReader(data), r.Body), Closer: r.Body}
 		return nil
@@ -86,6 +95,10 @@
 // rejectBody returns the response to a request whose body could not be read. One that has not
 // arrived in time is not invalid: the client may send it again.
 func (req *clientRequest) rejectBody(err error) *finalResponse {
+	if errors.Is(err, errNoBudget) || req.lease.Ended() {
+		req.bodyLate = true
+		return req.rejectForMemory("its body")
+	}
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return reject(http.StatusBadRequest, "the body could not be read: "+err.Error(), 0)
 	}
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -74,6 +74,8 @@
 	Observer Observer
 	// CrashTracker detects requests that crash targets; nil to disable.
 	CrashTracker *CrashTracker
+	// SocketBytes is the size of the receive buffer of a connection to a target; 0 if unknown.
+	SocketBytes int64
 }
 
 // Observer is notified of finished requests and extra attempts.
@@ -151,6 +153,7 @@
 	defer h.inFlight.Add(-1)
 	now := time.Now()
 	req, rejection := h.prepare(w, r, now)
+	defer req.endLease()
 	if rejection != nil {
 		h.finish(w, req, *rejection)
 		return
--- /dev/null
+++ b/internal/traffic/entry/intake.go
@@ -0,0 +1,97 @@
+package entry
+
+// This file defines how requests and responses reserve memory of the budget for clients.
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
+)
+
+const (
+	// requestBytes is the fixed cost of a request that is handled: the buffers of the connection to the
+	// target, headers, stacks, and the first firstBuffer bytes of a body and of a response.
+	requestBytes = 40 << 10
+	firstBuffer  = 4 << 10
+	// streamBytes is the cost of a response or body that is streamed, besides the buffer of the socket:
+	// the buffers of both connections and the one between them.
+	streamBytes = 64 << 10
+	// memoryRetryAfter is the Retry-After of a request that is refused because the budget for clients is
+	// short. Connections that hold most are ended within a few hundred milliseconds.
+	memoryRetryAfter = 500 * time.Millisecond
+)
+
+// errNoBudget reports that the budget for clients is short.
+var errNoBudget = errors.New("the memory for clients is in use")
+
+// openLease reserves the fixed cost of a request.
+func (req *clientRequest) openLease() *finalResponse {
+	lease, ok := resource.NewLease(resource.FromContext(req.incoming.Context()), requestBytes)
+	if !ok {
+		return req.rejectForMemory("the request")
+	}
+	req.lease = lease
+	return nil
+}
+
+// rejectForMemory returns the response to a request that was sent to no target, because the budget for
+// clients is short or its connection holds most of it. It returns what the request has reserved.
+func (req *clientRequest) rejectForMemory(what string) *finalResponse {
+	req.lease.End()
+	return reject(http.StatusServiceUnavailable, "no memory is left for "+what, memoryRetryAfter)
+}
+
+// readGrowing reads r to its end, or limit bytes of it. The buffer grows as bytes arrive, up to length if
+// that is known, which is negative if not; grow reserves each growth. If it can't, what was read is
+// returned with errNoBudget.
+func readGrowing(r io.Reader, length, limit int64, grow func(n int64) bool) ([]byte, error) {
+	largest := limit
+	if length >= 0 {
+		// The additional byte finds the end without another growth.
+		largest = min(limit, length+1)
+	}
+	data := make([]byte, 0, min(firstBuffer, largest))
+	for {
+		n, err := r.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		switch {
+		case int64(len(data)) == limit || errors.Is(err, io.EOF):
+			return data, nil
+		case err != nil:
+			return data, err
+		case len(data) < cap(data):
+			continue
+		case int64(cap(data)) >= largest:
+			largest = limit
+		}
+		size := min(2*int64(cap(data)), largest)
+		if !grow(size - int64(cap(data))) {
+			return data, errNoBudget
+		}
+		larger := make([]byte, len(data), size)
+		copy(larger, data)
+		data = larger
+	}
+}
+
+// readBuffered reads the body of a response, or its beginning if it exceeds maxBufferedResponse or the
+// budget for clients is short. more is set if the rest must be streamed. The error is errNoBudget if there
+// is no memory for that either.
+func (req *clientRequest) readBuffered(res *http.Response) (body []byte, more bool, err error) {
+	body, err = readGrowing(res.Body, res.ContentLength, maxBufferedResponse+1, req.lease.Grow)
+	short := errors.Is(err, errNoBudget)
+	if more = short || err == nil && len(body) > maxBufferedResponse; !more {
+		return body, false, err
+	}
+	if !req.lease.Grow(streamBytes + req.h.cfg.SocketBytes) {
+		return body, false, errNoBudget
+	}
+	return body, true, nil
+}
+
+// endLease returns what the request has reserved. The connection is idle again.
+func (req *clientRequest) endLease() { req.lease.End() }
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
+	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
 	"tamaracktiller.example/tamaracktiller/internal/platform/store"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
 )
@@ -65,6 +66,8 @@
 	// mayHaveRun is set when a target may have run the request.
 	mayHaveRun bool
 	target     string
+	// lease is what the request holds of the budget for clients; nil without one.
+	lease *resource.Lease
 }
 
 // prepare finds the route and reads the body. It returns a response if the request can't be
--- a/internal/traffic/entry/response.go
+++ b/internal/traffic/entry/response.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
 )
 
@@ -65,7 +66,8 @@
 // finish reports the final response and sends it.
 func (h *Handler) finish(w http.ResponseWriter, req *clientRequest, resp finalResponse) {
 	h.report(req, resp)
-	if h.shutdown.begun.Err() != nil {
+	req.lease.SetPhase(resource.Response)
+	if h.shutdown.begun.Err() != nil || req.lease.Ended() {
 		w.Header().Set("Connection", "close")
 	}
 	switch resp.outcome {
--- a/internal/traffic/targets/reach.go
+++ b/internal/traffic/targets/reach.go
@@ -147,6 +147,12 @@
 	if !ok {
 		return conn, nil
 	}
+	if l.cfg.SocketBytes > 0 {
+		if err := tcp.SetReadBuffer(l.cfg.SocketBytes); err != nil {
+			_ = tcp.Close()
+			return nil, err
+		}
+	}
 	return &heardConn{TCPConn: tcp, l: l}, nil
 }
 
--- a/internal/traffic/tunnel/dialer.go
+++ b/internal/traffic/tunnel/dialer.go
@@ -42,6 +42,8 @@
 	// Hosts returns the hosts of the fleet by name, and Secret the secret that signs.
 	Hosts  func() map[string]directory.Host
 	Secret func() []byte
+	// SocketBytes is the size of the receive buffer of a connection; 0 leaves it to the system.
+	SocketBytes int
 }
 
 // Dialer opens tunnels. It is safe for concurrent use.
@@ -59,16 +61,22 @@
 
 // NewDialer returns a dialer. Its goroutines run in g.
 func NewDialer(cfg DialerConfig, g *group.Group) *Dialer {
-	transport := &http.Transport{DialContext: dialPeer, IdleConnTimeout: idleTimeout, DisableCompression: true}
+	transport := &http.Transport{DialContext: dialPeer(cfg.SocketBytes), IdleConnTimeout: idleTimeout, DisableCompression: true}
 	return &Dialer{cfg: cfg, g: g, client: &http.Client{Transport: transport}, avoidUntil: map[string]time.Time{}, proven: map[string]time.Time{}}
 }
 
-func dialPeer(ctx context.Context, _, address string) (net.Conn, error) {
-	addr, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil, err
+func dialPeer(socketBytes int) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		addr, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, err
+		}
+		nc, err := dial.TCP(ctx, addr)
+		if tcp, ok := nc.(*net.TCPConn); ok && socketBytes > 0 {
+			_ = tcp.SetReadBuffer(socketBytes)
+		}
+		return nc, err
 	}
-	return dial.TCP(ctx, addr)
 }
 
 // Conn is a connection to a target through another host.
--- a/internal/traffic/tunnel/server.go
+++ b/internal/traffic/tunnel/server.go
@@ -40,6 +40,9 @@
 	Log       *logrus.Entry
 	// OnOpen is called for each tunnel that was opened.
 	OnOpen func()
+	// Reserve reserves the memory and the descriptors of a tunnel; nil for no limit. It returns false if
+	// there are none. release is called at the end of the tunnel.
+	Reserve func() (release func(), ok bool)
 }
 
 // Server serves tunnels to other hosts. It is safe for concurrent use.
@@ -86,6 +89,15 @@
 		http.Error(w, "not available", http.StatusServiceUnavailable)
 		return
 	}
+	if s.cfg.Reserve != nil {
+		release, ok := s.cfg.Reserve()
+		if !ok {
+			line.Info("tunnel is refused: no memory or descriptor is left for it")
+			http.Error(w, "not available", http.StatusServiceUnavailable)
+			return
+		}
+		defer release()
+	}
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(r.Context(), targetTimeout)
 	conn, err := s.cfg.Connect(ctx, target)
