Intake: streams, stalled readers, tunnels and the garbage of the runtime

A streamed body or response reserves its buffers. A client that takes no 64 kB of a response within a minute is ended: it held a connection to a target for ever. Tunnels are charged for their sockets, which are not measured; the send buffers of connections to targets are bounded, too.

Large reservations are refused while the runtime uses over 17/16 of its limit.

--- a/internal/intake/resource/budget.go
+++ b/internal/intake/resource/budget.go
@@ -26,6 +26,12 @@
 	searchPause = 20 * time.Millisecond
 	// endConnectionsDivisor gives the part of the idle connections that is closed when there are too many.
 	endConnectionsDivisor = 32
+	// checkBytes is the number of reserved bytes after which the memory of the runtime is read again, and
+	// overrunDivisor the part by which it may exceed its limit before large reservations are refused. The
+	// collector falls behind when processor time is short: 150 responses of 4 MB then took 110 MB on a
+	// host with a limit of 72 MB, although no more than 33 MB were reserved.
+	checkBytes     = 1 << 20
+	overrunDivisor = 16
 )
 
 // Conn is a connection that holds bytes.
@@ -53,6 +59,8 @@
 // Config holds the dependencies of a budget.
 type Config struct {
 	Now func() time.Time
+	// MemoryInUse returns the memory that the runtime uses, garbage included; nil if that is not checked.
+	MemoryInUse func() int64
 	// OnEnd is called after connections were ended, and OnRefuse for each refused reservation or
 	// connection. They must not block.
 	OnEnd    func(e End)
@@ -62,6 +70,7 @@
 // Refusals, for Config.OnRefuse.
 const (
 	RefusedBytes      = "bytes"
+	RefusedGarbage    = "garbage"
 	RefusedConnection = "connection"
 	RefusedTunnel     = "tunnel"
 )
@@ -75,6 +84,10 @@
 	held, queued atomic.Int64
 	// tunnels counts the tunnels.
 	tunnels atomic.Int64
+	// unchecked is the number of bytes that large reservations have reserved since the memory of the
+	// runtime was read, and overrun is set while that exceeds its limit.
+	unchecked atomic.Int64
+	overrun   atomic.Bool
 
 	// mu guards the fields below, and Holder.queued and Holder.ending.
 	mu      sync.Mutex
@@ -221,6 +234,10 @@
 	if b.limits.Bytes == 0 {
 		return true
 	}
+	if h.held.Load()+n > ConnectionBytes+smallBytes && b.overruns(n) {
+		b.cfg.OnRefuse(RefusedGarbage)
+		return false
+	}
 	total := b.held.Add(n) + b.queued.Load()
 	own := h.held.Add(n)
 	if h.closed.Load() {
@@ -235,6 +252,21 @@
 	return true
 }
 
+// overruns reports whether the runtime uses more memory than its limit, before a large reservation of n
+// bytes: the garbage of earlier ones is not collected yet.
+func (b *Budget) overruns(n int64) bool {
+	if b.cfg.MemoryInUse == nil || b.limits.RuntimeBytes == 0 {
+		return false
+	}
+	if b.unchecked.Add(n) < checkBytes && !b.overrun.Load() {
+		return false
+	}
+	b.unchecked.Store(0)
+	over := b.cfg.MemoryInUse() > b.limits.RuntimeBytes+b.limits.RuntimeBytes/overrunDivisor
+	b.overrun.Store(over)
+	return over
+}
+
 // Release returns n bytes.
 func (h *Holder) Release(n int64) {
 	if h == nil || h.b.limits.Bytes == 0 || n == 0 {
@@ -361,11 +393,12 @@
 	if b == nil {
 		return func() {}, true
 	}
+	cost := b.limits.tunnelCost()
 	open := b.tunnels.Add(1)
-	total := b.held.Add(TunnelBytes) + b.queued.Load()
+	total := b.held.Add(cost) + b.queued.Load()
 	release = func() {
 		b.tunnels.Add(-1)
-		b.held.Add(-TunnelBytes)
+		b.held.Add(-cost)
 	}
 	if l := b.limits; l.Tunnels > 0 && open > int64(l.Tunnels) || l.Bytes > 0 && total > l.Bytes {
 		release()
--- a/internal/intake/resource/limits.go
+++ b/internal/intake/resource/limits.go
@@ -41,8 +41,9 @@
 
 	// ConnectionBytes is the fixed cost of a connection: buffers and the stack of its goroutine.
 	ConnectionBytes = 16 << 10
-	// TunnelBytes is the fixed cost of a tunnel: two connections, two buffers for copying, two goroutines.
-	TunnelBytes = 96 << 10
+	// tunnelBytes is the fixed cost of a tunnel, besides the buffers of its two sockets: two connections,
+	// two buffers for copying, two goroutines.
+	tunnelBytes = 96 << 10
 
 	// fileDescriptors is the number of descriptors that a host keeps for files.
 	fileDescriptors = 200
@@ -85,7 +86,7 @@
 		l.RuntimeBytes = int64(runtimeShare * float64(memoryBytes))
 		l.SocketBytes = int(min(max(memoryBytes/socketDivisor, minSocketBytes), maxSocketBytes))
 		l.Connections = max(1, int(connectionsShare*float64(l.Bytes))/ConnectionBytes)
-		l.Tunnels = max(1, int(tunnelsShare*float64(l.Bytes))/TunnelBytes)
+		l.Tunnels = max(1, int(tunnelsShare*float64(l.Bytes))/int(l.tunnelCost()))
 	}
 	if usable := float64(descriptors - fileDescriptors); descriptors > 0 {
 		l.Connections = lower(l.Connections, max(1, int(clientDescriptors*usable)))
@@ -94,6 +95,9 @@
 	return l
 }
 
+// tunnelCost returns what one tunnel may hold. Its sockets are not measured.
+func (l Limits) tunnelCost() int64 { return tunnelBytes + 2*int64(l.SocketBytes) }
+
 // lower returns the lower one of two limits, of which the first one may be 0 for none.
 func lower(limit, other int) int {
 	if limit == 0 {
--- a/internal/process/entry/intake.go
+++ b/internal/process/entry/intake.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/netip"
+	runtimemetrics "runtime/metrics"
 	"syscall"
 	"time"
 
@@ -23,7 +24,7 @@
 	limits := resource.LimitsOf(p.cfg.MemoryBytes, p.cfg.Descriptors)
 	log := p.log.For("intake")
 	p.clientBudget = resource.New(limits, resource.Config{
-		Now: time.Now, OnRefuse: p.metrics.CountIntakeRefusal,
+		Now: time.Now, MemoryInUse: memoryInUse, OnRefuse: p.metrics.CountIntakeRefusal,
 		OnEnd: func(e resource.End) {
 			fields := logrus.Fields{"count": e.Count, "bytes": e.Bytes, "held-bytes": e.Held, "limit-bytes": limits.Bytes, "too-many": e.TooMany}
 			for phase, n := range e.Phases {
@@ -40,6 +41,13 @@
 	timers.Every("client memory", resource.SweepPeriod, p.clientBudget.Sweep)
 }
 
+// memoryInUse returns the memory that counts towards the limit of the runtime.
+func memoryInUse() int64 {
+	sample := []runtimemetrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	runtimemetrics.Read(sample)
+	return int64(sample[0].Value.Uint64() - sample[1].Value.Uint64())
+}
+
 // listen listens on address. The buffers of accepted connections are bounded if the memory of the host is
 // known: what clients have sent, or have not received, is a part of it.
 func (p *Process) listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
--- a/internal/traffic/entry/body.go
+++ b/internal/traffic/entry/body.go
@@ -66,10 +66,9 @@
 	}
 	req.lease.SetPhase(resource.Waiting)
 	if int64(len(data)) == n {
-		req.lease.SetPhase(resource.Upload)
 		req.streamed, req.prefixHash = true, xxhash.Sum64(data)
 		r.Body = &streamedBody{rest: io.MultiReader(bytes.NewReader(data), r.Body), Closer: r.Body}
-		return nil
+		return req.openStream()
 	}
 	req.body, req.bodyRead = data, true
 	return nil
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -74,7 +74,7 @@
 	Observer Observer
 	// CrashTracker detects requests that crash targets; nil to disable.
 	CrashTracker *CrashTracker
-	// SocketBytes is the size of the receive buffer of a connection to a target; 0 if unknown.
+	// SocketBytes is the size of each buffer of a connection to a target; 0 if the system chooses it.
 	SocketBytes int64
 }
 
--- a/internal/traffic/entry/intake.go
+++ b/internal/traffic/entry/intake.go
@@ -23,6 +23,10 @@
 	// memoryRetryAfter is the Retry-After of a request that is refused because the budget for clients is
 	// short. Connections that hold most are ended within a few hundred milliseconds.
 	memoryRetryAfter = 500 * time.Millisecond
+	// stalledWriteTime is the time within which a client must take pieceBytes of a response. Without it,
+	// a client that stops reading would hold a connection to a target for ever.
+	stalledWriteTime = time.Minute
+	pieceBytes       = 64 << 10
 )
 
 // errNoBudget reports that the budget for clients is short.
@@ -78,6 +82,15 @@
 	}
 }
 
+// openStream reserves the cost of a body that is streamed to a target.
+func (req *clientRequest) openStream() *finalResponse {
+	if !req.lease.Grow(streamBytes + req.h.cfg.SocketBytes) {
+		return req.rejectForMemory("its stream")
+	}
+	req.lease.SetPhase(resource.Upload)
+	return nil
+}
+
 // readBuffered reads the body of a response, or its beginning if it exceeds maxBufferedResponse or the
 // budget for clients is short. more is set if the rest must be streamed. The error is errNoBudget if there
 // is no memory for that either.
@@ -93,5 +106,38 @@
 	return body, true, nil
 }
 
+// pieceWriter writes a response to a client that must not stop reading. The size of a piece keeps clients
+// apart that read slowly and those that have stopped.
+type pieceWriter struct {
+	w  io.Writer
+	rc *http.ResponseController
+}
+
+// bodyWriter returns the writer for the body of a response. done must be called after the last write.
+// Without a budget and for a response of one piece there is no time limit.
+func (req *clientRequest) bodyWriter(w http.ResponseWriter, r attempt) (to io.Writer, done func()) {
+	if req.lease == nil || r.unread == nil && len(r.body) <= pieceBytes {
+		return w, func() {}
+	}
+	rc := http.NewResponseController(w)
+	return &pieceWriter{w: w, rc: rc}, func() { _ = rc.SetWriteDeadline(time.Time{}) }
+}
+
+// Write implements io.Writer.
+func (p *pieceWriter) Write(data []byte) (int, error) {
+	written := 0
+	for written < len(data) {
+		if err := p.rc.SetWriteDeadline(time.Now().Add(stalledWriteTime)); err != nil {
+			return written, err
+		}
+		n, err := p.w.Write(data[written:min(len(data), written+pieceBytes)])
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
 // endLease returns what the request has reserved. The connection is idle again.
 func (req *clientRequest) endLease() { req.lease.End() }
--- a/internal/traffic/entry/response.go
+++ b/internal/traffic/entry/response.go
@@ -99,17 +99,19 @@
 		// A faulty target may announce a body, which the client would wait for.
 		header.Del("Content-Length")
 	}
+	to, done := req.bodyWriter(w, r)
+	defer done()
 	if r.unread == nil {
 		if req.incoming.Method != http.MethodHead && r.status != http.StatusNoContent && r.status != http.StatusNotModified {
 			header.Set("Content-Length", strconv.Itoa(len(r.body)))
 		}
 		w.WriteHeader(r.status)
-		_, err := w.Write(r.body)
+		_, err := to.Write(r.body)
 		req.logWriteError(err)
 		return
 	}
 	w.WriteHeader(r.status)
-	if !req.streamResponse(w, r) {
+	if !req.streamResponse(to, r) {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/traffic/entry/stream.go
+++ b/internal/traffic/entry/stream.go
@@ -4,7 +4,6 @@
 
 import (
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -57,7 +56,7 @@
 
 // streamResponse passes on the buffered part of a response body and then the rest, reports
 // the outcome of the attempt, and returns whether the body was passed on to its end.
-func (req *clientRequest) streamResponse(w http.ResponseWriter, r attempt) bool {
+func (req *clientRequest) streamResponse(w io.Writer, r attempt) bool {
 	s := &stream{from: io.LimitReader(r.unread, maxStreamedResponse), to: w}
 	_, err := s.Write(r.body)
 	if err == nil {
--- a/internal/traffic/targets/reach.go
+++ b/internal/traffic/targets/reach.go
@@ -148,10 +148,9 @@
 		return conn, nil
 	}
 	if l.cfg.SocketBytes > 0 {
-		if err := tcp.SetReadBuffer(l.cfg.SocketBytes); err != nil {
-			_ = tcp.Close()
-			return nil, err
-		}
+		// A connection that is already closed fails when it is used.
+		_ = tcp.SetReadBuffer(l.cfg.SocketBytes)
+		_ = tcp.SetWriteBuffer(l.cfg.SocketBytes)
 	}
 	return &heardConn{TCPConn: tcp, l: l}, nil
 }
--- a/internal/traffic/targets/targets.go
+++ b/internal/traffic/targets/targets.go
@@ -158,8 +158,7 @@
 	SpendProbe func(target string) bool
 	// OnChange is called when the result of CutOff has changed. It may be nil.
 	OnChange func()
-	// SocketBytes is the size of the receive buffer of a connection to a target; 0 leaves it to the
-	// system.
+	// SocketBytes is the size of each buffer of a connection to a target; 0 leaves it to the system.
 	SocketBytes int
 }
 
--- a/internal/traffic/tunnel/tunnel_test.go
+++ b/internal/traffic/tunnel/tunnel_test.go
@@ -36,6 +36,8 @@
 	unavailable bool
 	// connect opens the connection to the target.
 	connect func(ctx context.Context) (net.Conn, error)
+	// reserve is ServerConfig.Reserve.
+	reserve func() (release func(), ok bool)
 }
 
 func newPeers(t testing.TB, configs ...peerConfig) (*Dialer, []*peer) {
@@ -54,6 +56,7 @@
 				return cfg.connect(ctx)
 			},
 			Available: func() bool { return !cfg.unavailable }, Log: logrus.NewEntry(log), OnOpen: func() {},
+			Reserve: cfg.reserve,
 		}, g)
 		p.http = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			p.asked.Add(1)
@@ -131,6 +134,30 @@
 	}
 }
 
+// Guards against tunnels that take the memory or the descriptors of a host from its own clients.
+func TestTunnelsBeyondTheBudgetAreRefused(t *testing.T) {
+	var open atomic.Int64
+	reserve := func() (func(), bool) {
+		if open.Add(1) > 1 {
+			open.Add(-1)
+			return nil, false
+		}
+		return func() { open.Add(-1) }, true
+	}
+	d, _ := newPeers(t, peerConfig{reserve: reserve, connect: listen(t, func(conn *net.TCPConn) { _, _ = io.Copy(io.Discard, conn) })})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	first, err := d.Dial(ctx, "t-1", "r-1")
+	require.NoError(t, err)
+	_, err = d.Dial(ctx, "t-1", "r-2")
+	require.ErrorIs(t, err, ErrNoPeer, "nothing was sent")
+	require.NoError(t, first.Close())
+	require.Eventually(t, func() bool { return open.Load() == 0 }, 5*time.Second, 5*time.Millisecond, "a tunnel that ended holds nothing")
+	again, err := d.Dial(ctx, "t-1", "r-3")
+	require.NoError(t, err)
+	require.NoError(t, again.Close())
+}
+
 // The end of a response without a length is the end of its connection, so one that broke must
 // not look like one that the target closed.
 func TestEndOfATunnelTellsClosedFromBrokenConnections(t *testing.T) {
