--- a/internal/process/crowd/crowd_test.go
+++ b/internal/process/crowd/crowd_test.go
@@ -72,6 +72,8 @@
 	exited  atomic.Bool
 	log     string
 	targets []*platformtest.Target
+	// refused counts the refusals of the last crowd.
+	refused int
 }
 
 // addresses counts the loopback addresses in use.
@@ -341,7 +343,9 @@
 
 // checkRefusals checks that no refused request has run, and that each refusal has a Retry-After.
 func (h *host) checkRefusals() {
+	h.refused = 0
 	refusals.Range(func(n, retryAfter any) bool {
+		h.refused++
 		require.NotEmpty(h.t, retryAfter, "a refusal without Retry-After")
 		for _, target := range h.targets {
 			require.Zero(h.t, target.Runs(fmt.Sprintf("crowd-%d", n)), "a refused request has run")
@@ -431,6 +435,20 @@
 	}
 }
 
+// Guards against clients that cannot tell whether their request has run: a body that was ended because it
+// held most of the memory was sent to no target, so its client gets 503.
+func TestEndedBodiesAreRefused(t *testing.T) {
+	h := startHost(t, memoryMB, 3, platformtest.Behaviour{})
+	h.load(80, func(ctx context.Context, conn net.Conn, n int) {
+		body(megabyte, 10, 0)(ctx, conn, n)
+		readRefusal(conn, n)
+	})
+	require.Positive(t, h.refused)
+	log, err := os.ReadFile(h.log)
+	require.NoError(t, err)
+	require.Contains(t, string(log), `"phase-body"`, "connections are ended while their bodies are read")
+}
+
 // Guards against limits that refuse what the configuration allows: without overload, the smallest host
 // serves one request of any legal size, and a client may read its response slowly.
 func TestSmallestHostServesLargeRequests(t *testing.T) {
--- a/internal/traffic/entry/intake.go
+++ b/internal/traffic/entry/intake.go
@@ -27,6 +27,10 @@
 	// a client that stops reading would hold a connection to a target for ever.
 	stalledWriteTime = time.Minute
 	pieceBytes       = 64 << 10
+	// lateStreamTime is the time after the deadline of a request in which the client must take what was
+	// read of a streamed response. The rest is not read from the target after the deadline, but a host that
+	// waits for the client does not notice that, and would hold the slot of the target.
+	lateStreamTime = 5 * time.Second
 )
 
 // errNoBudget reports that the budget for clients is short.
@@ -111,6 +115,8 @@
 type pieceWriter struct {
 	w  io.Writer
 	rc *http.ResponseController
+	// latest is the time by which all of the response must be written; zero for no limit.
+	latest time.Time
 }
 
 // bodyWriter returns the writer for the body of a response. done must be called after the last write.
@@ -120,14 +126,22 @@
 		return w, func() {}
 	}
 	rc := http.NewResponseController(w)
-	return &pieceWriter{w: w, rc: rc}, func() { _ = rc.SetWriteDeadline(time.Time{}) }
+	p := &pieceWriter{w: w, rc: rc}
+	if r.unread != nil {
+		p.latest = req.deadline.Add(lateStreamTime)
+	}
+	return p, func() { _ = rc.SetWriteDeadline(time.Time{}) }
 }
 
 // Write implements io.Writer.
 func (p *pieceWriter) Write(data []byte) (int, error) {
 	written := 0
 	for written < len(data) {
-		if err := p.rc.SetWriteDeadline(time.Now().Add(stalledWriteTime)); err != nil {
+		deadline := time.Now().Add(stalledWriteTime)
+		if !p.latest.IsZero() && p.latest.Before(deadline) {
+			deadline = p.latest
+		}
+		if err := p.rc.SetWriteDeadline(deadline); err != nil {
 			return written, err
 		}
 		n, err := p.w.Write(data[written:min(len(data), written+pieceBytes)])
