--- a/internal/process/crowd/crowd_test.go
+++ b/internal/process/crowd/crowd_test.go
@@ -440,6 +440,10 @@
 func TestEndedBodiesAreRefused(t *testing.T) {
 	h := startHost(t, memoryMB, 3, platformtest.Behaviour{})
 	h.load(80, func(ctx context.Context, conn net.Conn, n int) {
+		if n%2 == 1 {
+			// The first half has stalled by then.
+			time.Sleep(loadTime / 2)
+		}
 		body(megabyte, 10, 0)(ctx, conn, n)
 		readRefusal(conn, n)
 	})
