Intake: clients without progress let go of targets under pressure

In 3 of 8 runs of the crowd with responses of 4 MB, ordinary requests got 503 ("no target has room in time any more") for 13 to 15 s, and in one earlier run for 87 s: some 30 clients read at 5 kB/s, and the dispatcher counts their requests as running until the response is written.

The phases Upload and Response now last only while the host waits for the client. While over half of the budget is in use, a connection is ended after 3 s in one of them. The crowd test counts the unread bytes of all sockets of the process now, and prints the log of the host.

Streamed bodies of 8 MB that stop hold the slots of their targets until the deadline of 8 s, as before: in 6 of 8 runs four ordinary requests got 503 first.

--- a/internal/intake/resource/budget.go
+++ b/internal/intake/resource/budget.go
@@ -363,7 +363,8 @@
 }
 
 // Sweep measures what the buffers of the sockets hold, if all of them together could exceed the budget,
-// and ends connections if they do.
+// and ends connections if they do. It also ends connections that hold a target without progress, if much
+// of the budget is in use.
 func (b *Budget) Sweep(now time.Time) {
 	if b == nil || b.limits.Bytes == 0 {
 		return
@@ -384,8 +385,24 @@
 	}
 	b.queued.Store(sum)
 	e := b.free(nil, limit, now)
+	stalled := b.endStalled(now)
 	b.mu.Unlock()
 	b.report(e)
+	b.report(stalled)
+}
+
+// endStalled ends connections that hold a target without progress. The caller holds b.mu.
+func (b *Budget) endStalled(now time.Time) End {
+	if b.held.Load()+b.queued.Load() <= b.limits.Bytes/pressedDivisor {
+		return End{}
+	}
+	var list []candidate
+	for h := range b.holders {
+		if phase, since := h.state(now); holdsTarget(phase, since) && !h.ended.Load() {
+			list = append(list, candidate{holder: h})
+		}
+	}
+	return b.end(list)
 }
 
 // OpenTunnel reserves the bytes of a tunnel. release must be called at its end.
--- a/internal/intake/resource/budget_test.go
+++ b/internal/intake/resource/budget_test.go
@@ -126,6 +126,27 @@
 	require.LessOrEqual(t, u.Held+u.Queued-f.ends[0].Bytes, f.limits.Bytes)
 }
 
+// Guards against clients that hold targets without progress, so that others wait for these.
+func TestStalledClientsLetGoOfTargetsUnderPressure(t *testing.T) {
+	for _, pressed := range []bool{true, false} {
+		f := newFixture(Limits{Bytes: 8 * megabyte})
+		if pressed {
+			f.open(t, Waiting, 4*megabyte, 0)
+		}
+		_, upload := f.open(t, Upload, kilobyte, 0)
+		_, response := f.open(t, Response, kilobyte, 0)
+		_, body := f.open(t, Body, kilobyte, 0)
+		_, waiting := f.open(t, Waiting, kilobyte, 0)
+		f.now = f.now.Add(maxTargetStall - time.Millisecond)
+		_, fresh := f.open(t, Response, kilobyte, 0)
+		f.Sweep(f.now)
+		require.Empty(t, f.ends)
+		f.now = f.now.Add(time.Millisecond)
+		f.Sweep(f.now)
+		require.Equal(t, []bool{pressed, pressed, false, false, false}, []bool{upload.aborted, response.aborted, body.ended(), waiting.ended(), fresh.ended()})
+	}
+}
+
 // Guards against idle connections that keep others out, and against ending those in use.
 func TestIdleConnectionsGiveWay(t *testing.T) {
 	f := newFixture(Limits{Connections: 3})
--- a/internal/intake/resource/choice.go
+++ b/internal/intake/resource/choice.go
@@ -17,11 +17,11 @@
 	Idle Phase = iota
 	// Body: a body is read that has been sent to no target.
 	Body
-	// Upload: a body is read and sent to a target at the same time.
+	// Upload: the host waits for the next bytes of a body that it sends to a target at the same time.
 	Upload
 	// Waiting: the host or a target works on a request.
 	Waiting
-	// Response: a response is written.
+	// Response: the host waits for the client to take the next piece of a response.
 	Response
 )
 
@@ -36,6 +36,11 @@
 	// freeQueue is the part of the bytes in the buffers of a socket that is not held against its client:
 	// small pipelined requests and responses on their way.
 	freeQueue = 16 << 10
+	// maxTargetStall is the time in the phases Upload and Response from which on a connection is ended once
+	// pressedDivisor of the budget is in use: it may hold a connection and a slot of a target. Without
+	// that, some 30 clients that read 4 MB at 5 kB/s kept others waiting for targets until their deadline.
+	maxTargetStall = 3 * time.Second
+	pressedDivisor = 2
 )
 
 // candidate is a connection that may be ended.
@@ -59,6 +64,11 @@
 	return candidate{holder: h, bytes: held + queued, cost: float64(charged) * since.Seconds()}, true
 }
 
+// holdsTarget reports whether a connection may hold a target while its client does nothing.
+func holdsTarget(phase Phase, since time.Duration) bool {
+	return (phase == Upload || phase == Response) && since >= maxTargetStall
+}
+
 // choose returns the candidates that are ended to free a number of bytes, the most expensive first.
 func choose(list []candidate, need int64) []candidate {
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.cost, a.cost) })
--- a/internal/intake/resource/lease.go
+++ b/internal/intake/resource/lease.go
@@ -38,9 +38,9 @@
 	return true
 }
 
-// SetPhase records what the connection does from now on.
+// SetPhase records what the connection does from now on. It does nothing after End.
 func (l *Lease) SetPhase(p Phase) {
-	if l != nil {
+	if l != nil && !l.over.Load() {
 		l.h.SetPhase(p)
 	}
 }
--- a/internal/process/crowd/crowd_test.go
+++ b/internal/process/crowd/crowd_test.go
@@ -149,7 +149,7 @@
 
 // usage reads what the process of the host holds now.
 func (h *host) usage() usage {
-	u := usage{queued: h.queued()}
+	u := usage{}
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.process.Pid))
 	if err != nil {
 		return u
@@ -167,13 +167,23 @@
 			u.peak = kilobytes << 10
 		}
 	}
-	list, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", h.process.Pid))
+	dir := fmt.Sprintf("/proc/%d/fd", h.process.Pid)
+	list, _ := os.ReadDir(dir)
 	u.open = len(list)
+	sockets := map[string]bool{}
+	for _, entry := range list {
+		link, _ := os.Readlink(filepath.Join(dir, entry.Name()))
+		if inode, ok := strings.CutPrefix(link, "socket:["); ok {
+			sockets[strings.TrimSuffix(inode, "]")] = true
+		}
+	}
+	u.queued = h.queued(sockets)
 	return u
 }
 
-// queued returns the bytes in the receive queues of the client connections of the host.
-func (h *host) queued() int64 {
+// queued returns the bytes in the receive queues of the sockets of the host, given by their inodes, and of
+// the connections to its clients, which it may not have accepted yet.
+func (h *host) queued(sockets map[string]bool) int64 {
 	table, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		return 0
@@ -185,7 +195,7 @@
 	for lines := bufio.NewScanner(table); lines.Scan(); {
 		fields := strings.Fields(lines.Text())
 		// The receive queue of a listening socket (0A) counts connections.
-		if len(fields) < 5 || fields[1] != local || fields[3] == "0A" {
+		if len(fields) < 10 || fields[3] == "0A" || fields[1] != local && !sockets[fields[9]] {
 			continue
 		}
 		_, receive, _ := strings.Cut(fields[4], ":")
@@ -263,6 +273,9 @@
 		served = err == nil && res.Status == http.StatusOK
 		if !served {
 			h.t.Logf("ordinary request: status %d, %v", res.Status, err)
+			if n == 4 {
+				h.printLog()
+			}
 			time.Sleep(250 * time.Millisecond)
 		}
 	}
--- a/internal/traffic/entry/body.go
+++ b/internal/traffic/entry/body.go
@@ -67,7 +67,7 @@
 	req.lease.SetPhase(resource.Waiting)
 	if int64(len(data)) == n {
 		req.streamed, req.prefixHash = true, xxhash.Sum64(data)
-		r.Body = &streamedBody{rest: io.MultiReader(bytes.NewReader(data), r.Body), Closer: r.Body}
+		r.Body = &streamedBody{rest: io.MultiReader(bytes.NewReader(data), &uploadReader{r: r.Body, lease: req.lease}), Closer: r.Body}
 		return req.openStream()
 	}
 	req.body, req.bodyRead = data, true
--- a/internal/traffic/entry/intake.go
+++ b/internal/traffic/entry/intake.go
@@ -91,10 +91,23 @@
 	if !req.lease.Grow(streamBytes + req.h.cfg.SocketBytes) {
 		return req.rejectForMemory("its stream")
 	}
-	req.lease.SetPhase(resource.Upload)
 	return nil
 }
 
+// uploadReader reads a body that is streamed. The connection is in the phase Upload while the host waits
+// for bytes of the client.
+type uploadReader struct {
+	r     io.Reader
+	lease *resource.Lease
+}
+
+// Read implements io.Reader.
+func (u *uploadReader) Read(p []byte) (int, error) {
+	u.lease.SetPhase(resource.Upload)
+	defer u.lease.SetPhase(resource.Waiting)
+	return u.r.Read(p)
+}
+
 // readBuffered reads the body of a response, or its beginning if it exceeds maxBufferedResponse or the
 // budget for clients is short. more is set if the rest must be streamed. The error is errNoBudget if there
 // is no memory for that either.
@@ -113,8 +126,9 @@
 // pieceWriter writes a response to a client that must not stop reading. The size of a piece keeps clients
 // apart that read slowly and those that have stopped.
 type pieceWriter struct {
-	w  io.Writer
-	rc *http.ResponseController
+	w     io.Writer
+	rc    *http.ResponseController
+	lease *resource.Lease
 	// latest is the time by which all of the response must be written; zero for no limit.
 	latest time.Time
 }
@@ -126,7 +140,7 @@
 		return w, func() {}
 	}
 	rc := http.NewResponseController(w)
-	p := &pieceWriter{w: w, rc: rc}
+	p := &pieceWriter{w: w, rc: rc, lease: req.lease}
 	if r.unread != nil {
 		p.latest = req.deadline.Add(lateStreamTime)
 	}
@@ -144,7 +158,9 @@
 		if err := p.rc.SetWriteDeadline(deadline); err != nil {
 			return written, err
 		}
+		p.lease.SetPhase(resource.Response)
 		n, err := p.w.Write(data[written:min(len(data), written+pieceBytes)])
+		p.lease.SetPhase(resource.Waiting)
 		written += n
 		if err != nil {
 			return written, err
