--- a/internal/intake/resource/limits.go
+++ b/internal/intake/resource/limits.go
@@ -34,6 +34,9 @@
 	// runtimeShare is the share of the memory that the runtime may use, clients included. The code of the
 	// program and the buffers of sockets are not part of it.
 	runtimeShare = 0.75
+	// minRuntimeBytes is the least memory limit of the runtime. A process that serves no clients uses 10 to
+	// 20 MB; below that, the collector would run without end.
+	minRuntimeBytes = 32 << 20
 	// connectionsShare is the share of Limits.Bytes for the fixed cost of connections.
 	connectionsShare = 0.4
 	// tunnelsShare is the share of Limits.Bytes for tunnels of other hosts.
@@ -83,7 +86,7 @@
 	var l Limits
 	if memoryBytes > 0 {
 		l.Bytes = int64(bytesShare * float64(memoryBytes))
-		l.RuntimeBytes = int64(runtimeShare * float64(memoryBytes))
+		l.RuntimeBytes = max(minRuntimeBytes, int64(runtimeShare*float64(memoryBytes)))
 		l.SocketBytes = int(min(max(memoryBytes/socketDivisor, minSocketBytes), maxSocketBytes))
 		l.Connections = max(1, int(connectionsShare*float64(l.Bytes))/ConnectionBytes)
 		l.Tunnels = max(1, int(tunnelsShare*float64(l.Bytes))/int(l.tunnelCost()))
