Intake: many stalled clients are pressure, too; crowd test of tunnels

Streamed uploads that stop held the slots of their targets until the deadline while less than half of the budget was in use. With more than eight connections without progress at targets, those are ended after 3 s now.

TestHostSurvivesTunnelsOfOtherHosts: 500 tunnels whose other host reads slowly.

--- a/internal/intake/resource/budget.go
+++ b/internal/intake/resource/budget.go
@@ -364,7 +364,7 @@
 
 // Sweep measures what the buffers of the sockets hold, if all of them together could exceed the budget,
 // and ends connections if they do. It also ends connections that hold a target without progress, if much
-// of the budget is in use.
+// of the budget is in use or there are many of them.
 func (b *Budget) Sweep(now time.Time) {
 	if b == nil || b.limits.Bytes == 0 {
 		return
@@ -393,15 +393,15 @@
 
 // endStalled ends connections that hold a target without progress. The caller holds b.mu.
 func (b *Budget) endStalled(now time.Time) End {
-	if b.held.Load()+b.queued.Load() <= b.limits.Bytes/pressedDivisor {
-		return End{}
-	}
 	var list []candidate
 	for h := range b.holders {
 		if phase, since := h.state(now); holdsTarget(phase, since) && !h.ended.Load() {
 			list = append(list, candidate{holder: h})
 		}
 	}
+	if b.held.Load()+b.queued.Load() <= b.limits.Bytes/pressedDivisor && len(list) <= maxStalled {
+		return End{}
+	}
 	return b.end(list)
 }
 
--- a/internal/intake/resource/budget_test.go
+++ b/internal/intake/resource/budget_test.go
@@ -128,10 +128,22 @@
 
 // Guards against clients that hold targets without progress, so that others wait for these.
 func TestStalledClientsLetGoOfTargetsUnderPressure(t *testing.T) {
-	for _, pressed := range []bool{true, false} {
-		f := newFixture(Limits{Bytes: 8 * megabyte})
-		if pressed {
-			f.open(t, Waiting, 4*megabyte, 0)
+	tests := []struct {
+		// held is what others hold, and others the number of other clients without progress.
+		held    int64
+		others  int
+		pressed bool
+	}{
+		{},
+		{held: 4 * megabyte, pressed: true},
+		{others: maxStalled - 2},
+		{others: maxStalled - 1, pressed: true},
+	}
+	for _, tt := range tests {
+		f, pressed := newFixture(Limits{Bytes: 8 * megabyte}), tt.pressed
+		f.open(t, Waiting, tt.held, 0)
+		for range tt.others {
+			f.open(t, Upload, kilobyte, 0)
 		}
 		_, upload := f.open(t, Upload, kilobyte, 0)
 		_, response := f.open(t, Response, kilobyte, 0)
--- a/internal/intake/resource/choice.go
+++ b/internal/intake/resource/choice.go
@@ -37,10 +37,12 @@
 	// small pipelined requests and responses on their way.
 	freeQueue = 16 << 10
 	// maxTargetStall is the time in the phases Upload and Response from which on a connection is ended once
-	// pressedDivisor of the budget is in use: it may hold a connection and a slot of a target. Without
-	// that, some 30 clients that read 4 MB at 5 kB/s kept others waiting for targets until their deadline.
+	// pressedDivisor of the budget is in use, or there are more than maxStalled of them: it may hold a
+	// connection and a slot of a target. Without that, some 30 clients that read 4 MB at 5 kB/s kept others
+	// waiting for targets until their deadline.
 	maxTargetStall = 3 * time.Second
 	pressedDivisor = 2
+	maxStalled     = 8
 )
 
 // candidate is a connection that may be ended.
--- a/internal/process/crowd/crowd_test.go
+++ b/internal/process/crowd/crowd_test.go
@@ -29,7 +29,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
+	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/process/settings"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/tunnel"
 	"tamaracktiller.example/tamaracktiller/platform"
 	"tamaracktiller.example/tamaracktiller/platform/platformtest"
 )
@@ -47,6 +50,9 @@
 	samplePeriod = 20 * time.Millisecond
 )
 
+// secret is the fleet secret.
+const secret = "secret of the fleet"
+
 // program is the path of the program under test.
 var program string
 
@@ -91,6 +97,7 @@
 		h.targets = append(h.targets, target)
 		store.Put(platformtest.TargetPrefix+target.ID, target.Entry("ready"))
 	}
+	store.Put(directory.SecretKey, []byte(secret))
 	store.Put(platformtest.ConfigKey, platformtest.Config(3, []platformtest.Route{
 		{Host: "shop.example", Prefix: "/search/", Service: "svc", Safe: true, TimeoutMillis: 8000},
 		{Host: "shop.example", Prefix: "/book/", Service: "svc", TimeoutMillis: 8000},
@@ -209,8 +216,17 @@
 // stays open until the end of the test.
 type client func(ctx context.Context, conn net.Conn, n int)
 
+// dial opens the connection of a client.
+func (h *host) dial(ctx context.Context) (net.Conn, error) {
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		// What the host sends is to stay with the host.
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	return dialer.DialContext(ctx, "tcp", h.cfg.Callers.String())
+}
+
 // load runs a crowd, and checks the host while it does and afterwards.
-func (h *host) load(clients int, run client) {
+func (h *host) load(clients int, dial func(ctx context.Context) (net.Conn, error), run client) {
 	ctx, cancel := context.WithTimeout(h.t.Context(), loadTime)
 	defer cancel()
 	var all sync.WaitGroup
@@ -225,11 +241,7 @@
 	}()
 	for n := range clients {
 		all.Go(func() {
-			dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-				// What the host sends is to stay with the host.
-				return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
-			}}
-			conn, err := dialer.DialContext(ctx, "tcp", h.cfg.Callers.String())
+			conn, err := dial(ctx)
 			if err != nil {
 				return
 			}
@@ -443,16 +455,37 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			h := startHost(t, memoryMB, tt.slots, platformtest.Behaviour{ServiceTime: tt.serviceTime})
-			h.load(tt.clients, tt.run)
+			h.load(tt.clients, h.dial, tt.run)
 		})
 	}
 }
 
+// Guards against other hosts that take the memory or the descriptors of a host for their clients: they
+// request responses of 4 MB through tunnels and read them slowly.
+func TestHostSurvivesTunnelsOfOtherHosts(t *testing.T) {
+	h := startHost(t, memoryMB, 150, platformtest.Behaviour{})
+	dialer := tunnel.NewDialer(tunnel.DialerConfig{
+		Self: "host-1",
+		Hosts: func() map[string]directory.Host {
+			return map[string]directory.Host{"host-0": {Name: "host-0", PeerAddress: h.cfg.Peers}}
+		},
+		Secret: func() []byte { return []byte(secret) }, SocketBytes: 4 << 10,
+	}, group.New(t.Context()))
+	var opened atomic.Int64
+	h.load(500, func(ctx context.Context) (net.Conn, error) {
+		conn, err := dialer.DialThrough(ctx, "host-0", fmt.Sprintf("t-%d", opened.Add(1)%4), "crowd")
+		if err != nil {
+			return nil, err
+		}
+		return conn, nil
+	}, slowReader(4*megabyte))
+}
+
 // Guards against clients that cannot tell whether their request has run: a body that was ended because it
 // held most of the memory was sent to no target, so its client gets 503.
 func TestEndedBodiesAreRefused(t *testing.T) {
 	h := startHost(t, memoryMB, 3, platformtest.Behaviour{})
-	h.load(80, func(ctx context.Context, conn net.Conn, n int) {
+	h.load(80, h.dial, func(ctx context.Context, conn net.Conn, n int) {
 		if n%2 == 1 {
 			// The first half has stalled by then.
 			time.Sleep(loadTime / 2)
