Intake: check the memory of the runtime only in the process of the host

Hosts that share a process, as in tests, would refuse all larger bodies because of the memory of the others.

--- a/internal/process/entry/intake.go
+++ b/internal/process/entry/intake.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	runtimemetrics "runtime/metrics"
 	"syscall"
 	"time"
@@ -23,8 +24,13 @@
 func (p *Process) addClientBudget(timers *timer.Service) {
 	limits := resource.LimitsOf(p.cfg.MemoryBytes, p.cfg.Descriptors)
 	log := p.log.For("intake")
+	used := memoryInUse
+	if debug.SetMemoryLimit(-1) != limits.RuntimeBytes {
+		// The program has not set the limit of this host, so other hosts or tests share the process.
+		used = nil
+	}
 	p.clientBudget = resource.New(limits, resource.Config{
-		Now: time.Now, MemoryInUse: memoryInUse, OnRefuse: p.metrics.CountIntakeRefusal,
+		Now: time.Now, MemoryInUse: used, OnRefuse: p.metrics.CountIntakeRefusal,
 		OnEnd: func(e resource.End) {
 			fields := logrus.Fields{"count": e.Count, "bytes": e.Bytes, "held-bytes": e.Held, "limit-bytes": limits.Bytes, "too-many": e.TooMany}
 			for phase, n := range e.Phases {
