--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -84,6 +84,8 @@
 	CrashTracker *CrashTracker
 	// Quotas charges requests to client accounts; nil to disable.
 	Quotas Quotas
+	// SocketBytes is the size of each buffer of a connection to a target; 0 if the system chooses it.
+	SocketBytes int64
 }
 
 // Observer is notified of finished requests and extra attempts.
@@ -172,6 +174,7 @@
 	defer h.inFlight.Add(-1)
 	now := time.Now()
 	req, rejection := h.prepare(w, r, now)
+	defer req.endLease()
 	if rejection != nil {
 		h.finish(w, req, *rejection)
 		return
--- a/internal/traffic/targets/reach.go
+++ b/internal/traffic/targets/reach.go
@@ -147,6 +147,11 @@
 	if !ok {
 		return conn, nil
 	}
+	if l.cfg.SocketBytes > 0 {
+		// A connection that is already closed fails when it is used.
+		_ = tcp.SetReadBuffer(l.cfg.SocketBytes)
+		_ = tcp.SetWriteBuffer(l.cfg.SocketBytes)
+	}
 	return &heardConn{TCPConn: tcp, l: l}, nil
 }
 
