Quotas: wait for credit at a start, late requests give way, refusals end after a second

Requests that came before a process may follow a credit host got 503 although credit was about to come; they now wait up to a third of their time. While an account is beyond its quota, requests that miss their objective are refused with 429, since they take the credit of those that can meet it.

A good health response without a cold time is one of a target that is not cold: targets name the time only while they are.

--- a/internal/account/credit/issuer_test.go
+++ b/internal/account/credit/issuer_test.go
@@ -156,3 +156,35 @@
 	require.Zero(t, response.Items[0].Granted)
 	require.Equal(t, maxWaitTime, response.Items[0].Wait)
 }
+
+// Guards against requests that are refused at the start of a process although credit is about to come, and
+// against waits without a credit host that have no end.
+func TestRequestsWaitUntilTheHostMayFollow(t *testing.T) {
+	const start = time.Hour
+	s := NewSpender(start, "b", 2)
+	require.Equal(t, Wait, s.Charge(start, 1, false).Outcome)
+	require.Equal(t, followTime+MaxWait, s.WaitTime(start))
+	require.Equal(t, MaxWait, s.WaitTime(start+followTime))
+	require.Equal(t, MaxWait, s.WaitTime(start+time.Minute))
+}
+
+// Guards against credit that counts as scarce for ever, or that does not although requests are refused.
+func TestCreditIsScarceAfterARefusal(t *testing.T) {
+	const now = time.Hour
+	s := NewSpender(now, "b", 2)
+	s.Charge(now, 1, false)
+	_, scarce := s.Scarce(now, 1)
+	require.False(t, scarce)
+	s.apply(now, &Message{}, Item{Account: 1, Wait: MaxWait})
+	_, scarce = s.Scarce(now, 1)
+	require.False(t, scarce, "a short wait is no refusal")
+	s.apply(now, &Message{}, Item{Account: 1, Wait: 2 * MaxWait, Gap: 10 * time.Millisecond})
+	first, scarce := s.Scarce(now, 1)
+	require.True(t, scarce)
+	second, _ := s.Scarce(now, 1)
+	require.Equal(t, 10*time.Millisecond, second-first, "clients come back one after the other")
+	_, scarce = s.Scarce(now+scarceTime, 1)
+	require.False(t, scarce)
+	_, scarce = s.Scarce(now, 2)
+	require.False(t, scarce, "another account")
+}
--- a/internal/account/credit/spender.go
+++ b/internal/account/credit/spender.go
@@ -7,8 +7,11 @@
 )
 
 const (
-	// MaxWait bounds the wait of a request for credit.
+	// MaxWait bounds the wait of a request for credit from the time on at which this host may follow a
+	// credit host.
 	MaxWait = 150 * time.Millisecond
+	// scarceTime is the time after a refusal for which the credit of an account is scarce.
+	scarceTime = time.Second
 	// UnavailableRetryAfter is the Retry-After of requests while no credit host responds.
 	UnavailableRetryAfter = 300 * time.Millisecond
 	// DemandPeriod is the shortest interval of messages with needs that arise between heartbeats.
@@ -96,6 +99,10 @@
 	deniedUntil time.Duration
 	retryAt     time.Duration
 	gap         time.Duration
+	// creditAt is the time at which the credit host expected to have credit.
+	creditAt time.Duration
+	// scarceUntil is the time until which the credit of the account is scarce.
+	scarceUntil time.Duration
 	// unknownUntil is the time until which the credit host can't issue credit for the account.
 	unknownUntil time.Duration
 }
@@ -215,7 +222,7 @@
 			a.batches = a.batches[1:]
 		}
 		return Decision{Outcome: Charged, Lease: lease}
-	case now < a.unknownUntil || s.current == nil && s.freeAt-now > MaxWait:
+	case now < a.unknownUntil:
 		return Decision{Outcome: Unavailable, RetryAfter: UnavailableRetryAfter}
 	case now < a.deniedUntil:
 		return Decision{Outcome: Exceeded, RetryAfter: a.nextRetry(now)}
@@ -223,10 +230,30 @@
 	return Decision{Outcome: Wait}
 }
 
+// WaitTime returns the longest time for which a request should wait for credit. While this host may not
+// follow a credit host yet, that includes the time until it may: a client that is turned away would come
+// back no earlier, and to a host that may have none either.
+func (s *Spender) WaitTime(now time.Duration) time.Duration {
+	if s.current != nil {
+		return MaxWait
+	}
+	return MaxWait + max(0, s.freeAt-now)
+}
+
+// Scarce reports whether requests of an account were refused a moment ago, and the Retry-After of one
+// that is refused now.
+func (s *Spender) Scarce(now time.Duration, id AccountID) (retryAfter time.Duration, scarce bool) {
+	a := s.accounts[id]
+	if a == nil || now >= a.scarceUntil {
+		return 0, false
+	}
+	return a.nextRetry(now), true
+}
+
 // nextRetry returns the staggered Retry-After of a refused request.
 func (a *account) nextRetry(now time.Duration) time.Duration {
 	if a.retryAt < now || a.retryAt-now > maxRetryAfter {
-		a.retryAt = max(a.deniedUntil, now+DemandPeriod)
+		a.retryAt = max(a.creditAt, now+DemandPeriod)
 	}
 	after := min(a.retryAt-now, maxRetryAfter)
 	a.retryAt += a.gap
@@ -638,8 +665,9 @@
 	case item.Unknown:
 		a.unknownUntil = now + UnavailableRetryAfter
 	case item.Wait > MaxWait:
-		a.deniedUntil, a.gap = now+item.Wait, item.Gap
-		a.retryAt = max(a.retryAt, a.deniedUntil)
+		// The wait is that at the present rate, which rises with the followers and with the limit.
+		a.deniedUntil, a.creditAt, a.gap, a.scarceUntil = now+min(item.Wait, scarceTime), now+item.Wait, item.Gap, now+scarceTime
+		a.retryAt = max(a.retryAt, a.creditAt)
 	case item.Wait > 0:
 		a.askAt, a.gap = now+max(item.Wait, DemandPeriod), item.Gap
 	}
--- a/internal/account/quota/quota.go
+++ b/internal/account/quota/quota.go
@@ -35,7 +35,7 @@
 )
 
 // waitDivisor is the part of the time left for which a request waits for credit at most.
-const waitDivisor = 10
+const waitDivisor = 3
 
 // Result is the result of a charge.
 type Result string
@@ -169,6 +169,15 @@
 	return s.conclude(requestID, a, id, d, s.cfg.SinceBoot()-now)
 }
 
+// Scarce reports whether an account is beyond its quota, and when the client of a request that is refused
+// for that should come back. Requests that cannot meet their objective any more should then be refused,
+// since they would take the credit of those that can.
+func (s *Service) Scarce(a *routing.Account) (retryAfter time.Duration, scarce bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.spender.Scarce(s.cfg.SinceBoot(), credit.ID(a.Name))
+}
+
 // conclude returns the result of a charge.
 func (s *Service) conclude(requestID string, a *routing.Account, id credit.AccountID, d credit.Decision, waited time.Duration) (func(), error) {
 	var err error
@@ -201,7 +210,9 @@
 
 // await waits for credit.
 func (s *Service) await(ctx context.Context, id credit.AccountID, w *waiter) (credit.Decision, error) {
-	longest := credit.MaxWait
+	s.mu.Lock()
+	longest := s.spender.WaitTime(s.cfg.SinceBoot())
+	s.mu.Unlock()
 	if deadline, ok := ctx.Deadline(); ok {
 		longest = min(longest, time.Until(deadline)/waitDivisor)
 	}
--- a/internal/traffic/dispatcher/cold.go
+++ b/internal/traffic/dispatcher/cold.go
@@ -163,14 +163,19 @@
 		d.cold.logged = map[string]coldLog{}
 	}
 	d.cold.logged[id] = coldLog{at: now, cold: isCold}
+	level := logrus.DebugLevel
+	if c := d.cells[d.chooser.Group(id)]; c != nil && c.dispatchedBy(d.cfg.Self) {
+		// All hosts know, but only one sends most requests.
+		level = logrus.InfoLevel
+	}
 	fields := logrus.Fields{fieldTarget: id, fieldSource: source}
 	if isCold {
 		fields["rate-per-second"] = perSecond
-		d.cfg.Log.WithFields(fields).Info("target is cold")
+		d.cfg.Log.WithFields(fields).Log(level, "target is cold")
 		return
 	}
 	delete(d.cold.logged, id)
-	d.cfg.Log.WithFields(fields).Info("target is not cold any more")
+	d.cfg.Log.WithFields(fields).Log(level, "target is not cold any more")
 }
 
 // checkCold probes targets of which it is not known whether they are cold, in the cells that this host
--- a/internal/traffic/entry/quota.go
+++ b/internal/traffic/entry/quota.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -17,6 +18,9 @@
 	// Charge charges a request. refund must be called if it has not run. The error is a
 	// *quota.ExceededError, a *quota.UnavailableError or that of ctx.
 	Charge(ctx context.Context, requestID string, a *routing.Account) (refund func(), err error)
+	// Scarce reports whether an account is beyond its quota, and when the client of a request that is
+	// refused for that should come back.
+	Scarce(a *routing.Account) (retryAfter time.Duration, scarce bool)
 }
 
 // charge charges the request to its account. It returns a response if the request must not be sent.
@@ -24,6 +28,11 @@
 	if req.h.cfg.Quotas == nil || req.account == nil || req.account.PerSecond <= 0 {
 		return func() {}, nil
 	}
+	if req.isLate() {
+		if retryAfter, scarce := req.h.cfg.Quotas.Scarce(req.account); scarce {
+			return nil, reject(http.StatusTooManyRequests, "the account is beyond its quota, and the request is late", retryAfter)
+		}
+	}
 	refund, err := req.h.cfg.Quotas.Charge(ctx, req.id, req.account)
 	if err == nil {
 		return refund, nil
@@ -38,3 +47,10 @@
 	}
 	return nil, req.assignTimeoutResponse()
 }
+
+// isLate reports whether the request is not expected to meet its objective any more.
+func (req *clientRequest) isLate() bool {
+	req.h.mu.Lock()
+	defer req.h.mu.Unlock()
+	return time.Now().Add(req.h.typicalTime(req)).After(req.objective)
+}
--- a/internal/traffic/entry/quota_test.go
+++ b/internal/traffic/entry/quota_test.go
@@ -20,8 +20,12 @@
 type fakeQuotas struct {
 	err              error
 	charged, refunds int
+	// scarce makes every account one that is beyond its quota.
+	scarce bool
 }
 
+func (q *fakeQuotas) Scarce(*routing.Account) (time.Duration, bool) { return 2 * time.Second, q.scarce }
+
 func (q *fakeQuotas) Charge(ctx context.Context, _ string, _ *routing.Account) (func(), error) {
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
@@ -43,18 +47,23 @@
 		err        error
 		mayHaveRun bool
 		left       bool
-		status     int
-		outcome    Outcome
-		retryAfter time.Duration
-		charged    int
-		refunds    int
-		placed     int
+		// scarce is set if the account is beyond its quota, and late if the request misses its objective.
+		scarce, late bool
+		status       int
+		outcome      Outcome
+		retryAfter   time.Duration
+		charged      int
+		refunds      int
+		placed       int
 	}{
 		{name: "no account", status: http.StatusServiceUnavailable, outcome: Refused, retryAfter: 7 * time.Millisecond, placed: 1},
 		{name: "account without a rate", account: &routing.Account{Name: "x"}, status: http.StatusServiceUnavailable, outcome: Refused, retryAfter: 7 * time.Millisecond, placed: 1},
 		{name: "rejected by the dispatcher", account: limited, status: http.StatusServiceUnavailable, outcome: Refused, retryAfter: 7 * time.Millisecond, charged: 1, refunds: 1, placed: 1},
 		{name: "may have run", account: limited, mayHaveRun: true, status: http.StatusBadGateway, outcome: Unknown, retryAfter: 7 * time.Millisecond, charged: 1, placed: 1},
 		{name: "beyond the quota", account: limited, err: &quota.ExceededError{RetryAfter: time.Second}, status: http.StatusTooManyRequests, outcome: Denied, retryAfter: time.Second},
+		{name: "late while the account is beyond its quota", account: limited, scarce: true, late: true, status: http.StatusTooManyRequests, outcome: Denied, retryAfter: 2 * time.Second},
+		{name: "in time while the account is beyond its quota", account: limited, scarce: true, status: http.StatusServiceUnavailable, outcome: Refused, retryAfter: 7 * time.Millisecond, charged: 1, refunds: 1, placed: 1},
+		{name: "late", account: limited, late: true, status: http.StatusServiceUnavailable, outcome: Refused, retryAfter: 7 * time.Millisecond, charged: 1, refunds: 1, placed: 1},
 		{name: "no credit host", account: limited, err: &quota.UnavailableError{RetryAfter: 300 * time.Millisecond}, status: http.StatusServiceUnavailable, outcome: Refused, retryAfter: 300 * time.Millisecond},
 		{name: "client left", account: limited, left: true, status: statusClientClosed, outcome: ClientDisconnected},
 	}
@@ -62,7 +71,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			log := logrus.New()
 			log.SetOutput(io.Discard)
-			q := &fakeQuotas{err: tt.err}
+			q := &fakeQuotas{err: tt.err, scarce: tt.scarce}
 			p := &waitingPlacer{err: &dispatcher.RejectedError{Reason: "no capacity", RetryAfter: 7 * time.Millisecond}}
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
@@ -73,6 +82,10 @@
 			require.NoError(t, err)
 			h := New(Config{Placer: p, Quotas: q, Bounds: settings.Bounds{RetryWindow: 10 * time.Second}, Log: logrus.NewEntry(log)}, nil)
 			req := &clientRequest{h: h, incoming: incoming, route: &routing.Route{}, account: tt.account, mayHaveRun: tt.mayHaveRun, deadline: time.Now().Add(time.Second), started: time.Now()}
+			req.objective = req.deadline
+			if tt.late {
+				req.objective = req.started
+			}
 			resp := req.run(ctx)
 			require.Equal(t, tt.status, resp.status)
 			require.Equal(t, tt.outcome, resp.outcome)
--- a/internal/traffic/targets/targets.go
+++ b/internal/traffic/targets/targets.go
@@ -92,8 +92,10 @@
 	// Pause is the time for which the target wants no requests of this host; zero if it does
 	// not say.
 	Pause time.Duration
-	// Cold is what the target says about the time for which it stays cold.
-	Cold ratelimit.Cold
+	// Cold is what the target says about the time for which it stays cold, and ColdOmitted is set if it
+	// says nothing.
+	Cold        ratelimit.Cold
+	ColdOmitted bool
 }
 
 // Reader reads the response headers of targets.
@@ -344,5 +346,14 @@
 	if info.NotRun && info.Limit.Kind == ratelimit.Unlimited {
 		info.Limit = ratelimit.Report{}
 	}
-	return ProbeResult{Healthy: res.StatusCode == http.StatusOK, Full: info.NotRun && !info.LoadKnown, Load: info.Load, LoadKnown: info.LoadKnown, Limit: info.Limit, Cold: info.Cold}, nil
+	return ProbeResult{Healthy: res.StatusCode == http.StatusOK, Full: info.NotRun && !info.LoadKnown, Load: info.Load, LoadKnown: info.LoadKnown, Limit: info.Limit, Cold: info.healthCold(res.StatusCode)}, nil
+}
+
+// healthCold returns what a health response says about the time for which its target stays cold. A target
+// says so only while it is cold: a good response without that time is one of a target that is not.
+func (i *ResponseInfo) healthCold(status int) ratelimit.Cold {
+	if i.ColdOmitted && status == http.StatusOK {
+		return ratelimit.Cold{Known: true}
+	}
+	return i.Cold
 }
