Soak: judge rate limits of targets in every run of TestSoak

The counter included requests from the moment at which a target named its limit, while the check judges them only LimitNotice (3 s) later and from hosts that were not restarted or paused. So the counter measured requests that hosts sent before they heard of a limit, and depended on timing. The product is not at fault.

The counter now has the requests that checkLimits judged.

--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -368,14 +368,16 @@
 }
 
 // checkLimits verifies that targets get no more requests than their rate limits allow. It
-// ignores requests of hosts that were killed, stopped or paused.
-func (c *checker) checkLimits() {
+// ignores requests of hosts that were killed, stopped or paused. It returns the number of requests
+// that were judged.
+func (c *checker) checkLimits() (judged int) {
 	hosts := map[string]int{}
 	for _, a := range c.h.Attempts {
 		hosts[a.ID] = a.Host
 	}
 	for _, span := range c.h.Limits {
 		times := c.limitedRequests(span, hosts)
+		judged += len(times)
 		allowed := c.b.LimitRatio*span.PerSecond*c.b.LimitWindow.Seconds() + c.b.LimitSlack
 		for i, at := range times {
 			if n := i + 1 - countBefore(times, at-c.b.LimitWindow); float64(n) > allowed {
@@ -384,6 +386,7 @@
 			}
 		}
 	}
+	return judged
 }
 
 // limitedRequests returns the sorted times of the requests that a target got while its rate
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -293,24 +293,31 @@
 // nameLimit makes a target name a rate limit for the length of the fault, unless another
 // fault changes the limit before.
 func (b *backend) nameLimit(ctx context.Context, t *platformtest.Target, f Fault) {
-	span := &LimitSpan{Target: t.ID, PerSecond: limits[int(f.At/time.Millisecond)%len(limits)]}
-	setLimit := func(limit string) time.Duration {
-		t.UpdateBehaviour(func(b *platformtest.Behaviour) { b.Limit = limit })
-		return b.r.sinceStart(time.Now())
-	}
-	b.r.mu.Lock()
-	span.From = setLimit(strconv.FormatFloat(span.PerSecond, 'f', -1, 64))
-	b.r.endLimit(t.ID, span.From)
-	b.r.history.Limits = append(b.r.history.Limits, span)
-	b.r.mu.Unlock()
+	span := b.r.startLimit(t, limits[int(f.At/time.Millisecond)%len(limits)])
 	timer.Sleep(ctx, f.Length)
 	b.r.mu.Lock()
 	defer b.r.mu.Unlock()
 	if span.To == 0 {
-		span.To = setLimit("")
+		span.To = b.r.setLimit(t, "")
 	}
 }
 
+// startLimit makes a target name a rate limit in place of its current one.
+func (r *run) startLimit(t *platformtest.Target, perSecond float64) *LimitSpan {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	span := &LimitSpan{Target: t.ID, PerSecond: perSecond, From: r.setLimit(t, strconv.FormatFloat(perSecond, 'f', -1, 64))}
+	r.endLimit(t.ID, span.From)
+	r.history.Limits = append(r.history.Limits, span)
+	return span
+}
+
+// setLimit sets the rate limit that a target names and returns the time.
+func (r *run) setLimit(t *platformtest.Target, limit string) time.Duration {
+	t.UpdateBehaviour(func(b *platformtest.Behaviour) { b.Limit = limit })
+	return r.sinceStart(time.Now())
+}
+
 // endLimit ends the current rate limit of a target. The caller holds the mutex.
 func (r *run) endLimit(target string, at time.Duration) {
 	for _, span := range r.history.Limits {
--- a/internal/bench/soak/result.go
+++ b/internal/bench/soak/result.go
@@ -11,8 +11,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"tamaracktiller.example/tamaracktiller/platform/platformtest"
 )
 
 // Result is the outcome of a run.
@@ -27,7 +25,7 @@
 	LateStatuses map[int]int `json:"late-statuses"`
 	Probes       int         `json:"probes"`
 	Versions     int         `json:"versions"`
-	// LimitedRequests counts the requests that targets got while they named rate limits.
+	// LimitedRequests counts the requests to targets with rate limits that were judged.
 	LimitedRequests int `json:"limited-requests"`
 	// JudgedPauses counts the pauses of targets that were judged, and Leavers the targets of
 	// which hosts passed on that they leave.
@@ -44,11 +42,7 @@
 
 func newResult(cfg Config, faults []Fault, h *History, b Bounds) *Result {
 	r := &Result{Seed: cfg.Seed, Hosts: cfg.Hosts, Faults: faults, Statuses: map[int]int{}, LateStatuses: map[int]int{}, Versions: len(h.Versions), Violations: Check(h, b), CutRequests: (&checker{h: h, b: b}).checkCuts(), attempts: h.Attempts, disturbances: h.Disturbances}
-	for _, e := range h.TargetEvents {
-		if e.Kind != platformtest.Probed && slices.ContainsFunc(h.Limits, func(s *LimitSpan) bool { return s.Target == e.Target && e.At >= s.From && (s.To == 0 || e.At <= s.To) }) {
-			r.LimitedRequests++
-		}
-	}
+	r.LimitedRequests = (&checker{h: h, b: b}).checkLimits()
 	r.LateRequests = (&checker{h: h, b: b}).checkStops()
 	r.JudgedPauses = (&checker{h: h, b: b}).checkPauses()
 	leavers := map[string]bool{}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -44,6 +44,9 @@
 	Length time.Duration
 	// Hosts, Targets and Callers are the numbers of each.
 	Hosts, Targets, Callers int
+	// Limit adds a target that no fault disturbs, which names this rate limit all the time, in requests
+	// a second; 0 for none.
+	Limit float64
 	// Only limits the kinds of faults; empty means all.
 	Only []Kind
 	// UpgradeFrom is the path of an older build; empty for none. Hosts start with it, and each
@@ -157,6 +160,14 @@
 		}
 		r.targets = append(r.targets, b)
 	}
+	if r.cfg.Limit > 0 {
+		b := &backend{r: r, index: r.cfg.Targets}
+		if err := b.start(ctx); err != nil {
+			return err
+		}
+		r.targets = append(r.targets, b)
+		r.startLimit(b.target, r.cfg.Limit)
+	}
 	for n := range r.cfg.Hosts {
 		link, err := platformtest.NewProxy(ctx, r.store.Address(), r.g)
 		if err != nil {
@@ -209,6 +220,9 @@
 	for i := range r.history.Versions {
 		r.history.Versions[i].Written -= startupTime
 	}
+	for _, span := range r.history.Limits {
+		span.From -= startupTime
+	}
 	for host := range r.olderSince {
 		r.olderSince[host] = 0
 	}
