Soak: client accounts whose keys are removed under faults

Callers have keys of three accounts and claim another account's name; one request in eight has a removed, unknown or missing key. The numbered routes are public. New kinds of faults replace a key: at any time (key-remove), and while the store is down for longer than revoke_ms (key-remove-unseen).

The checks: targets see no key and only the right account; no request that was sent later than revoke_ms after the acknowledgement of the removal runs, whatever happens to hosts; a key that is known for the time in which a view counts as up to date gets no 401; during an outage of the store that is longer than that time there are at most three 401; public routes need no key. A removal that the store loses counts from its repetition.

revoke_ms is 3 s here, so that the outage of key-remove-unseen (5 s) exceeds it.

--- a/cmd/tamarackbench/soak.go
+++ b/cmd/tamarackbench/soak.go
@@ -49,7 +49,7 @@
 		if err := result.Write(dir); err != nil {
 			return err
 		}
-		fmt.Printf("seed %d: %d faults, %d versions, statuses %s, late in stops %s (%d judged), %d configuration probes, %d pauses, %d leavers, %d violations\n", seed, len(result.Faults), result.Versions, toJSON(result.Statuses), toJSON(result.LateStatuses), result.LateRequests, result.Probes, result.JudgedPauses, result.Leavers, len(result.Violations))
+		fmt.Printf("seed %d: %d faults, %d versions, statuses %s, late in stops %s (%d judged), %d configuration probes, %d pauses, %d leavers, bad keys %s (%d judged as removed), %d violations\n", seed, len(result.Faults), result.Versions, toJSON(result.Statuses), toJSON(result.LateStatuses), result.LateRequests, result.Probes, result.JudgedPauses, result.Leavers, toJSON(result.BadKeyStatuses), result.RemovedKeyRequests, len(result.Violations))
 		for _, v := range result.Violations {
 			fmt.Printf("  %.3f s %s: %s %s\n", v.At.Seconds(), v.Guarantee, v.Request, v.Text)
 		}
--- a/internal/bench/soak/callers.go
+++ b/internal/bench/soak/callers.go
@@ -48,7 +48,9 @@
 			if unsafe {
 				path = "/book/x"
 			}
-			if r.send(ctx, client, h, path, Attempt{Unsafe: unsafe}).Status == 0 {
+			a := Attempt{Unsafe: unsafe}
+			r.drawKey(rng, &a)
+			if r.send(ctx, client, h, path, a).Status == 0 {
 				break
 			}
 			timer.Sleep(ctx, randomDuration(rng, thinkTime))
@@ -82,7 +84,9 @@
 		if _, ok := h.running(); ok {
 			latest := r.latestVersion()
 			route := max(1, latest-rng.IntN(keptRoutes+2))
-			r.send(ctx, client, h, fmt.Sprintf("/r%d/x", route), Attempt{Route: route})
+			a := Attempt{Route: route}
+			r.drawKey(rng, &a)
+			r.send(ctx, client, h, fmt.Sprintf("/r%d/x", route), a)
 		}
 		timer.Sleep(ctx, configProbeInterval)
 	}
@@ -90,17 +94,27 @@
 
 // send sends a request to a host and adds the attempt to the history, unless ctx is done. a holds
 // what the attempt says of the request; without an incarnation it is sent to the running process,
-// and without a timeout it has requestTimeout.
+// without a timeout it has requestTimeout, and without a key or BadKey it has the current key of an account.
 func (r *run) send(ctx context.Context, client *http.Client, h *host, path string, a Attempt) Attempt {
 	a.ID, a.Host = fmt.Sprintf("s%d-%d", r.cfg.Seed, r.lastID.Add(1)), h.index
 	if a.Incarnation == 0 {
 		a.Incarnation, _ = h.running()
 	}
+	if a.Key == "" && !a.BadKey {
+		r.mu.Lock()
+		if k := r.currentKey(int(r.lastID.Load())); k != nil {
+			a.Key = k.Key
+		}
+		r.mu.Unlock()
+	}
 	a.Start = r.sinceStart(time.Now())
-	req := platformtest.Request{ID: a.ID, Host: routeHost, Path: path, TimeLeft: cmp.Or(a.Timeout, requestTimeout), ServiceTime: a.ServiceTime}
+	req := platformtest.Request{ID: a.ID, Host: routeHost, Path: path, TimeLeft: cmp.Or(a.Timeout, requestTimeout), ServiceTime: a.ServiceTime, Key: a.Key}
 	if a.Unsafe {
 		req.Body = unsafeBody
 	}
+	if a.Key != "" {
+		req.Account = claimedAccount
+	}
 	resp, err := req.Send(ctx, client, h.callerAddress())
 	a.Status, a.Signed, a.Body, a.Leaver, a.End = resp.Status, resp.Signed, resp.Body, resp.Leaver, r.sinceStart(time.Now())
 	if err != nil {
--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -37,7 +37,10 @@
 	Late bool `json:"late,omitempty"`
 	// Timeout is that of the request, if it is not Bounds.Timeout. ServiceTime is the service time
 	// that it asked for, if not the usual one.
-	Timeout     time.Duration `json:"timeout-ns,omitempty"`
+	Timeout time.Duration `json:"timeout-ns,omitempty"`
+	// Key is the key of a client account. BadKey is set if it was removed or unknown, or if there is none.
+	Key         string        `json:"key,omitempty"`
+	BadKey      bool          `json:"bad-key,omitempty"`
 	ServiceTime time.Duration `json:"service-time-ns,omitempty"`
 }
 
@@ -88,8 +91,11 @@
 	// Hosts are the indexes of all hosts.
 	Hosts []int
 	// Cuts are the periods in which hosts were separated from all targets.
-	Cuts   []*CutSpan
-	Length time.Duration
+	Cuts []*CutSpan
+	// Keys are those of all client accounts, and Headers the account headers that targets saw, by request.
+	Keys    []*KeySpan
+	Headers map[string][]platformtest.AccountHeaders
+	Length  time.Duration
 }
 
 // LimitSpan is a period in which a target named a rate limit. To is 0 until it ends.
@@ -146,6 +152,12 @@
 	// that is no reason to break off requests sent later than StopNotice after the SIGTERM.
 	// TimeoutMargin is the time by which a host may respond before the timeout.
 	StableWindow, StopNotice, Grace, TimeoutMargin time.Duration
+	// Revoke is the time after which no new request with a removed key runs.
+	Revoke time.Duration
+	// FreshAge is the time within which a host learns of a new key, or notices that its view is old.
+	// RefusalSlack is the number of refusals by hosts with an old view in one outage of the store.
+	FreshAge     time.Duration
+	RefusalSlack int
 	// MinServedShare is the minimum share of requests that are served after all faults ended.
 	MinServedShare float64
 }
@@ -183,6 +195,7 @@
 	c.checkLeaving()
 	c.checkPauses()
 	c.checkCuts()
+	c.checkKeys()
 	c.checkRecovery()
 	return c.violations
 }
@@ -465,7 +478,7 @@
 	const settleTime = 3 * time.Second
 	served, total := 0, 0
 	for _, a := range c.h.Attempts {
-		if a.Route == 0 && !a.Late && a.Start > c.h.Length-recoveryTime+settleTime && a.End < c.h.Length {
+		if a.Route == 0 && !a.Late && !a.BadKey && a.Start > c.h.Length-recoveryTime+settleTime && a.End < c.h.Length {
 			total++
 			if a.Status == http.StatusOK {
 				served++
--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -73,7 +73,40 @@
 	h.Disturbances = append(h.Disturbances, Span{Kind: HostStop, From: a.Start - sent, To: a.Start + 3*time.Second})
 }
 
+// addKeyed adds keys, of which key-0 is removed at second 8, and requests with a key. Those with status
+// 504 run on target t, which sees header.
+func addKeyed(h *History, key string, at time.Duration, status, n int, header platformtest.AccountHeaders, modify func(a *Attempt)) {
+	h.Headers = map[string][]platformtest.AccountHeaders{}
+	h.Keys = []*KeySpan{{Key: "key-0", Account: "a", Added: -time.Second, Removed: 8 * time.Second}, {Key: "key-1", Account: "a", Added: -time.Second}, {Key: "key-2", Account: "b", Added: 10 * time.Second}}
+	for i := range n {
+		a := Attempt{ID: fmt.Sprintf("key-%d", i), Host: 1, Incarnation: 1, Start: at, End: at + 20*ms, Status: status, Key: key}
+		if modify != nil {
+			modify(&a)
+		}
+		h.Attempts = append(h.Attempts, a)
+		if status == 504 {
+			h.TargetEvents = append(h.TargetEvents, TargetEvent{Target: "t", Kind: platformtest.Started, At: at + 10*ms, ID: a.ID})
+			h.Headers[a.ID] = []platformtest.AccountHeaders{header}
+		}
+	}
+}
+
 func TestCheck(t *testing.T) {
+	const (
+		removedKey = "no use of removed keys"
+		knownKey   = "known keys are not refused"
+		atTarget   = "account at the target"
+		oldView    = "no refusals by hosts with an old view"
+	)
+	ofA, none := platformtest.AccountHeaders{Tenant: []string{"a"}}, platformtest.AccountHeaders{}
+	public := func(a *Attempt) { a.Route = 2 }
+	storeDown := func(h *History) {
+		h.Disturbances = append(h.Disturbances, Span{Kind: StoreDown, Host: allHosts, From: 11 * time.Second, To: 15 * time.Second})
+	}
+	storeRestored := func(h *History) {
+		h.Disturbances = append(h.Disturbances, Span{Kind: StoreRestore, Host: allHosts, From: 10500 * ms, To: 11 * time.Second})
+	}
+
 	const stopped = "response of the target around a planned stop"
 	probe := func(at time.Duration, status, route int) Attempt {
 		return unsafeAttempt(status, func(a *Attempt) {
@@ -324,6 +357,71 @@
 			stoppedRequest(h, 4800*ms, 800*ms, 502, nil)
 			h.Breaks = append(h.Breaks, LinkSpan{Target: "t", From: 4 * time.Second, To: 4900 * ms})
 		}, want: stopped},
+		{name: "request with a known key", modify: func(h *History) { addKeyed(h, "key-1", 5*time.Second, 504, 1, ofA, nil) }},
+		{name: "request with a removed key runs", modify: func(h *History) { addKeyed(h, "key-0", 11100*ms, 504, 1, ofA, nil) }, want: removedKey},
+		{name: "request with a removed key runs on a paused host", modify: func(h *History) {
+			addKeyed(h, "key-0", 11100*ms, 504, 1, ofA, nil)
+			h.Disturbances = append(h.Disturbances, Span{Kind: HostPause, Host: 1, From: 7 * time.Second, To: 11 * time.Second})
+		}, want: removedKey},
+		{name: "request with a removed key runs while the store is down", modify: func(h *History) {
+			addKeyed(h, "key-0", 11100*ms, 504, 1, ofA, nil)
+			h.Disturbances = append(h.Disturbances, Span{Kind: StoreDown, Host: allHosts, From: 7 * time.Second, To: 12 * time.Second})
+		}, want: removedKey},
+		{name: "request with a removed key runs before the bound", modify: func(h *History) { addKeyed(h, "key-0", 10900*ms, 504, 1, ofA, nil) }},
+		{name: "request with a removed key runs after the store lost the removal", modify: func(h *History) {
+			addKeyed(h, "key-0", 11100*ms, 504, 1, ofA, nil)
+			storeRestored(h)
+		}},
+		{name: "request with a removed key runs long after the store lost the removal", modify: func(h *History) {
+			addKeyed(h, "key-0", 14100*ms, 504, 1, ofA, nil)
+			storeRestored(h)
+		}, want: removedKey},
+		{name: "request with a removed key is refused", modify: func(h *History) { addKeyed(h, "key-0", 11100*ms, 401, 1, none, nil) }},
+		{name: "request with a removed key runs on a public route", modify: func(h *History) { addKeyed(h, "key-0", 12100*ms, 504, 1, none, public) }},
+		{name: "known key is refused", modify: func(h *History) { addKeyed(h, "key-1", 5*time.Second, 401, 1, none, nil) }, want: knownKey},
+		{name: "key is refused before its removal", modify: func(h *History) { addKeyed(h, "key-0", 7800*ms, 401, 1, none, nil) }, want: knownKey},
+		{name: "key is refused as it is removed", modify: func(h *History) { addKeyed(h, "key-0", 7990*ms, 401, 1, none, nil) }},
+		{name: "new key is refused", modify: func(h *History) { addKeyed(h, "key-2", 12*time.Second, 401, 1, none, nil) }},
+		{name: "new key is refused for too long", modify: func(h *History) { addKeyed(h, "key-2", 12300*ms, 401, 1, none, nil) }, want: knownKey},
+		{name: "new key that the store lost is refused", modify: func(h *History) {
+			addKeyed(h, "key-2", 12300*ms, 401, 1, none, nil)
+			storeRestored(h)
+		}},
+		{name: "public route needs a key", modify: func(h *History) { addKeyed(h, "", 12*time.Second, 401, 1, none, public) }, want: "public routes need no key"},
+		{name: "target sees a key", modify: func(h *History) {
+			addKeyed(h, "key-1", 5*time.Second, 504, 1, platformtest.AccountHeaders{Tenant: []string{"a"}, Credential: []string{"key-1"}}, nil)
+		}, want: atTarget},
+		{name: "target of a public route sees a key", modify: func(h *History) {
+			addKeyed(h, unknownKey, 12*time.Second, 504, 1, platformtest.AccountHeaders{Credential: []string{unknownKey}}, public)
+		}, want: atTarget},
+		{name: "target sees another account", modify: func(h *History) {
+			addKeyed(h, "key-1", 5*time.Second, 504, 1, platformtest.AccountHeaders{Tenant: []string{"b"}}, nil)
+		}, want: atTarget},
+		{name: "target sees two accounts", modify: func(h *History) {
+			addKeyed(h, "key-1", 5*time.Second, 504, 1, platformtest.AccountHeaders{Tenant: []string{"a", claimedAccount}}, nil)
+		}, want: atTarget},
+		{name: "target sees no account", modify: func(h *History) { addKeyed(h, "key-1", 5*time.Second, 504, 1, none, nil) }, want: atTarget},
+		{name: "target of a public route sees no account", modify: func(h *History) { addKeyed(h, "key-1", 12*time.Second, 504, 1, none, public) }},
+		{name: "target of a public route sees the account that the client claims", modify: func(h *History) {
+			addKeyed(h, unknownKey, 12*time.Second, 504, 1, platformtest.AccountHeaders{Tenant: []string{claimedAccount}}, public)
+		}, want: atTarget},
+		{name: "request with an unknown key reaches a target", modify: func(h *History) { addKeyed(h, unknownKey, 5*time.Second, 504, 1, none, nil) }, want: atTarget},
+		{name: "request without a key reaches a target", modify: func(h *History) { addKeyed(h, "", 5*time.Second, 504, 1, none, nil) }, want: atTarget},
+		{name: "hosts refuse keys while the store is down", modify: func(h *History) {
+			addKeyed(h, unknownKey, 13300*ms, 401, 4, none, nil)
+			storeDown(h)
+		}, want: oldView},
+		{name: "hosts refuse a few keys while the store is down", modify: func(h *History) {
+			addKeyed(h, unknownKey, 13300*ms, 401, 3, none, nil)
+			storeDown(h)
+		}},
+		{name: "hosts refuse keys shortly after the store went down", modify: func(h *History) {
+			addKeyed(h, unknownKey, 13*time.Second, 401, 4, none, nil)
+			storeDown(h)
+		}},
+		{name: "bad keys are refused after the faults", modify: func(h *History) {
+			addKeyed(h, unknownKey, 19*time.Second, 401, 4, none, func(a *Attempt) { a.BadKey = true })
+		}},
 		{name: "requests are not served after the faults", modify: func(h *History) { h.Attempts[19].Status = 503; h.TargetEvents = h.TargetEvents[:19] }, want: "recovery after the faults"},
 	}
 	for _, tt := range tests {
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -55,6 +55,10 @@
 			r.injectStoreFault(ctx, f)
 		}
 		r.recordSpan(f.Kind, allHosts, start)
+	case f.Kind == KeyRemove:
+		r.removeKey(f.Index)
+	case f.Kind == KeyRemoveUnseen:
+		r.removeKeyUnseen(ctx, f)
 	case f.Kind == ConfigChange:
 		r.writeNextVersion()
 	case f.Kind == ConfigBurst:
@@ -195,6 +199,9 @@
 	}
 	b.r.applyCutsTo(link)
 	b.target, b.link = t, link
+	b.r.mu.Lock()
+	b.r.allTargets = append(b.r.allTargets, t)
+	b.r.mu.Unlock()
 	b.r.store.Put(platformtest.TargetPrefix+id, t.EntryAt(link.Address(), "ready"))
 	return nil
 }
--- a/internal/bench/soak/host.go
+++ b/internal/bench/soak/host.go
@@ -64,7 +64,7 @@
 		MemoryBytes: 200 * megabyte, Heartbeat: time.Second,
 		Bounds: settings.Bounds{
 			RetryRatio: r.bounds.RetryRatio, RetrySlack: r.bounds.RetrySlack, RetryWindow: r.bounds.RetryWindow, ProbesPerSecond: r.bounds.ProbesPerSecond,
-			ConfigApply: r.bounds.ConfigApply, Drain: r.bounds.Drain, Grace: gracePeriod, MinLease: time.Second,
+			ConfigApply: r.bounds.ConfigApply, Drain: r.bounds.Drain, Grace: gracePeriod, MinLease: time.Second, StrictRevoke: true, Revoke: r.bounds.Revoke,
 		},
 	}
 }
--- a/internal/bench/soak/result.go
+++ b/internal/bench/soak/result.go
@@ -21,6 +21,11 @@
 	// Statuses counts the callers' requests by response status; 0 means no complete
 	// response. Configuration probes are counted in Probes instead.
 	Statuses map[int]int `json:"statuses"`
+	// BadKeyStatuses counts the requests with removed, unknown or missing keys. RemovedKeyRequests
+	// counts those with keys whose removal had to be in force, and RefusedKeys those that got 401.
+	BadKeyStatuses     map[int]int `json:"bad-key-statuses"`
+	RemovedKeyRequests int         `json:"removed-key-requests"`
+	RefusedKeys        int         `json:"refused-keys"`
 	// LateStatuses counts the requests on connections that are held open in planned stops.
 	LateStatuses map[int]int `json:"late-statuses"`
 	Probes       int         `json:"probes"`
@@ -41,8 +46,10 @@
 }
 
 func newResult(cfg Config, faults []Fault, h *History, b Bounds) *Result {
-	r := &Result{Seed: cfg.Seed, Hosts: cfg.Hosts, Faults: faults, Statuses: map[int]int{}, LateStatuses: map[int]int{}, Versions: len(h.Versions), Violations: Check(h, b), CutRequests: (&checker{h: h, b: b}).checkCuts(), attempts: h.Attempts, disturbances: h.Disturbances}
+	r := &Result{Seed: cfg.Seed, Hosts: cfg.Hosts, Faults: faults, Statuses: map[int]int{}, LateStatuses: map[int]int{}, BadKeyStatuses: map[int]int{}, Versions: len(h.Versions), Violations: Check(h, b), CutRequests: (&checker{h: h, b: b}).checkCuts(), attempts: h.Attempts, disturbances: h.Disturbances}
 	r.LimitedRequests = (&checker{h: h, b: b}).checkLimits()
+	keys := (&checker{h: h, b: b}).checkKeys()
+	r.RemovedKeyRequests, r.RefusedKeys = keys.removed, keys.refused
 	r.LateRequests = (&checker{h: h, b: b}).checkStops()
 	r.JudgedPauses = (&checker{h: h, b: b}).checkPauses()
 	leavers := map[string]bool{}
@@ -56,6 +63,8 @@
 		switch {
 		case a.Route > 0:
 			r.Probes++
+		case a.BadKey:
+			r.BadKeyStatuses[a.Status]++
 		case a.Late:
 			r.LateStatuses[a.Status]++
 		default:
--- a/internal/bench/soak/schedule.go
+++ b/internal/bench/soak/schedule.go
@@ -64,6 +64,10 @@
 	ConfigChange   Kind = "config-change"
 	ConfigBurst    Kind = "config-storm"
 	MalformedEntry Kind = "strange-entry"
+
+	// KeyRemove replaces a key of a client account. KeyRemoveUnseen does so while the store is down.
+	KeyRemove       Kind = "key-remove"
+	KeyRemoveUnseen Kind = "key-remove-unseen"
 )
 
 // kinds are the kinds that Schedule draws from; a kind listed twice is drawn twice as
@@ -72,7 +76,7 @@
 	HostKill, HostPause, HostStop, HostReload, HostStoreSlow, HostStoreSilent, HostStoreOneWay, HostStoreReset, CutSilent, CutReset, CutRefuse, HostKillSeries,
 	StoreDown, StoreSlow, StoreDropResponses, StoreDelayWrites, StoreSuppressEvents, StoreCompact, StoreRestore,
 	TargetSlow, TargetFail, TargetShed, TargetDropResponses, TargetCrash, TargetDrain, TargetLateEntry, TargetLinkSilent, TargetLinkOneWay, TargetLinkReset, TargetLinkSlow, TargetLimit, TargetLimit, TargetSayLeaving, TargetPause, TargetPause,
-	ConfigChange, ConfigChange, ConfigBurst, MalformedEntry,
+	ConfigChange, ConfigChange, ConfigBurst, MalformedEntry, KeyRemove, KeyRemove, KeyRemoveUnseen,
 }
 
 // Fault is one fault of a schedule.
@@ -123,6 +127,8 @@
 		switch {
 		case f.Kind == TargetLimit:
 			f.Length *= limitFactor
+		case f.Kind == KeyRemoveUnseen:
+			f.Length = unseenRemoval
 		case f.isCut():
 			f.Length *= cutFactor
 		}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -8,7 +8,8 @@
 // unavailable or slow, sends no watch events, drops responses, delays writes, compacts
 // its history or is restored from a backup. Targets become slow, fail, shed load, drop
 // responses, name rate limits and pauses, say that they leave, crash and drain. The configuration changes, also in bursts, and malformed
-// entries appear in the store.
+// entries appear in the store. Callers have keys of client accounts, which are removed, also while
+// the store is down. Numbered routes are public.
 //
 // # Usage
 //
@@ -68,6 +69,7 @@
 		StableWindow: 3 * time.Second, StopNotice: 3 * time.Second, Grace: gracePeriod, TimeoutMargin: 20 * time.Millisecond,
 		LimitNotice: 3 * time.Second, LimitWindow: 4 * time.Second, LimitRatio: 1.5, LimitSlack: 5,
 		Leaving: 2 * time.Second, PauseNotice: 500 * time.Millisecond, InPause: 2,
+		Revoke: 3 * time.Second, FreshAge: 2200 * time.Millisecond, RefusalSlack: 3,
 		CutNotice: 3 * time.Second, MinCutRatio: 2.0 / 3, CutSlack: 10, CutShare: 1.0 / 50,
 	}
 }
@@ -81,7 +83,9 @@
 	store   *platformtest.Store
 	hosts   []*host
 	targets []*backend
-	lastID  atomic.Int64
+	// allTargets also has the targets that were replaced.
+	allTargets []*platformtest.Target
+	lastID     atomic.Int64
 	// restoring is set from the backup of the store until the lost writes are repeated.
 	restoring atomic.Bool
 
@@ -117,6 +121,7 @@
 	r.mu.Unlock()
 	r.settle()
 	r.endBuilds()
+	r.recordHeaders()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return newResult(cfg, faults, &r.history, r.bounds), nil
@@ -151,6 +156,7 @@
 // until the hosts are ready.
 func (r *run) startFleet(ctx context.Context) error {
 	r.started = time.Now()
+	r.addAccounts()
 	r.writeNextVersion()
 	first, next := r.cfg.programs(ctx)
 	for n := range r.cfg.Targets {
@@ -220,6 +226,9 @@
 	for i := range r.history.Versions {
 		r.history.Versions[i].Written -= startupTime
 	}
+	for _, k := range r.history.Keys {
+		k.Added -= startupTime
+	}
 	for _, span := range r.history.Limits {
 		span.From -= startupTime
 	}
@@ -280,6 +289,11 @@
 func (r *run) writeNextVersion() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.writeVersion()
+}
+
+// writeVersion is writeNextVersion. The caller holds the mutex.
+func (r *run) writeVersion() {
 	number := len(r.history.Versions) + 1
 	routes := []platformtest.Route{
 		{Host: routeHost, Prefix: "/read/", Service: serviceName, Safe: true, TimeoutMillis: int(requestTimeout.Milliseconds())},
@@ -288,8 +302,8 @@
 		{Host: routeHost, Prefix: "/long/book/", Service: serviceName, TimeoutMillis: int(longTimeout.Milliseconds())},
 	}
 	for n := max(1, number-keptRoutes+1); n <= number; n++ {
-		routes = append(routes, platformtest.Route{Host: routeHost, Prefix: fmt.Sprintf("/r%d/", n), Service: serviceName, Safe: true, TimeoutMillis: int(requestTimeout.Milliseconds())})
+		routes = append(routes, platformtest.Route{Host: routeHost, Prefix: fmt.Sprintf("/r%d/", n), Service: serviceName, Safe: true, TimeoutMillis: int(requestTimeout.Milliseconds()), Public: true})
 	}
-	r.store.Put(platformtest.ConfigKey, platformtest.Config(number, routes))
+	r.store.Put(platformtest.ConfigKey, platformtest.ConfigWithAccounts(number, routes, r.accounts()))
 	r.history.Versions = append(r.history.Versions, Version{Number: number, Written: r.sinceStart(time.Now())})
 }
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -51,14 +51,16 @@
 	binary := build(t, dir)
 	result, err := Run(t.Context(), Config{
 		Seed: 6, Length: 24 * time.Second, Hosts: 3, Targets: 4, Callers: 10, Limit: 12, Binary: binary, Dir: filepath.Join(dir, "run"),
-		Only: []Kind{HostKill, HostKillSeries, HostPause, HostStop, HostReload, StoreSuppressEvents, StoreDown, StoreRestore, TargetCrash, TargetDrain, TargetLateEntry, TargetDropResponses, TargetLimit, TargetLimit, TargetSayLeaving, TargetSayLeaving, TargetPause, TargetPause, ConfigChange},
+		Only: []Kind{HostKill, HostKillSeries, HostPause, HostStop, HostReload, StoreSuppressEvents, StoreDown, StoreRestore, TargetCrash, TargetDrain, TargetLateEntry, TargetDropResponses, TargetLimit, TargetLimit, TargetSayLeaving, TargetSayLeaving, TargetPause, TargetPause, ConfigChange, KeyRemove, KeyRemove, KeyRemoveUnseen},
 	})
 	require.NoError(t, err)
 	require.Empty(t, result.Violations, result.Timeline())
 	require.Greater(t, result.Statuses[200], 100)
 	require.Positive(t, result.Probes)
-	t.Log("judged requests to targets with rate limits:", result.LimitedRequests)
+	t.Logf("judged requests: %d to targets with rate limits, %d with removed keys, %d refused; bad keys %v", result.LimitedRequests, result.RemovedKeyRequests, result.RefusedKeys, result.BadKeyStatuses)
 	require.Greater(t, result.LimitedRequests, 20, "requests to targets while their rate limits had to hold")
+	require.Positive(t, result.RemovedKeyRequests, "requests with removed keys")
+	require.Positive(t, result.RefusedKeys, "bad keys that got 401")
 	require.Positive(t, result.JudgedPauses, "pauses of targets")
 	require.Positive(t, result.Leavers, "targets that said that they leave")
 }
