Soak: evacuation of a failure domain

The fault kind evacuate writes op/evacuate/DOMAIN for 9 s. No request that was sent later than evacuate_ms (5 s) after the acknowledgement may reach a target of the domain, if nothing disturbed its host and the host that sent it in that time. One domain is evacuated at a time. A removal of the key that a restore of the store loses is repeated, as for the configuration.

--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -92,6 +92,9 @@
 	Hosts []int
 	// Cuts are the periods in which hosts were separated from all targets.
 	Cuts []*CutSpan
+	// Evacuations are those of failure domains, and Domains maps targets to theirs.
+	Evacuations []EvacuationSpan
+	Domains     map[string]string
 	// Keys are those of all client accounts, and Headers the account headers that targets saw, by request.
 	Keys    []*KeySpan
 	Headers map[string][]platformtest.AccountHeaders
@@ -152,6 +155,8 @@
 	// that is no reason to break off requests sent later than StopNotice after the SIGTERM.
 	// TimeoutMargin is the time by which a host may respond before the timeout.
 	StableWindow, StopNotice, Grace, TimeoutMargin time.Duration
+	// Evacuate is the time after which an evacuated domain gets no new requests.
+	Evacuate time.Duration
 	// Revoke is the time after which no new request with a removed key runs.
 	Revoke time.Duration
 	// FreshAge is the time within which a host learns of a new key, or notices that its view is old.
@@ -196,6 +201,7 @@
 	c.checkPauses()
 	c.checkCuts()
 	c.checkKeys()
+	c.checkEvacuations()
 	c.checkRecovery()
 	return c.violations
 }
--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -73,6 +73,12 @@
 	h.Disturbances = append(h.Disturbances, Span{Kind: HostStop, From: a.Start - sent, To: a.Start + 3*time.Second})
 }
 
+// evacuate adds an evacuation of the domain of target t, from second 4.5 to 13.
+func evacuate(h *History) {
+	h.Domains = map[string]string{"t": "d-0"}
+	h.Evacuations = []EvacuationSpan{{Domain: "d-0", From: 4500 * ms, To: 13 * time.Second}}
+}
+
 // addKeyed adds keys, of which key-0 is removed at second 8, and requests with a key. Those with status
 // 504 run on target t, which sees header.
 func addKeyed(h *History, key string, at time.Duration, status, n int, header platformtest.AccountHeaders, modify func(a *Attempt)) {
@@ -357,6 +363,30 @@
 			stoppedRequest(h, 4800*ms, 800*ms, 502, nil)
 			h.Breaks = append(h.Breaks, LinkSpan{Target: "t", From: 4 * time.Second, To: 4900 * ms})
 		}, want: stopped},
+		{name: "request to an evacuated domain", modify: func(h *History) { evacuate(h) }, want: "no requests to an evacuated domain"},
+		{name: "request to another domain than the evacuated one", modify: func(h *History) {
+			evacuate(h)
+			h.Domains["t"] = "d-1"
+		}},
+		{name: "requests before the evacuation must hold", modify: func(h *History) {
+			evacuate(h)
+			h.Evacuations[0].To = 9500 * ms
+		}},
+		{name: "request to an evacuated domain from a disturbed host", modify: func(h *History) {
+			evacuate(h)
+			h.Disturbances = append(h.Disturbances, Span{Kind: HostStoreSilent, From: 9 * time.Second, To: 12 * time.Second})
+		}},
+		{name: "request to an evacuated domain while another host is disturbed", modify: func(h *History) {
+			evacuate(h)
+			h.Disturbances = append(h.Disturbances, Span{Kind: HostStoreSilent, Host: 1, From: 9 * time.Second, To: 12 * time.Second})
+		}, want: "no requests to an evacuated domain"},
+		{name: "request to an evacuated domain that arrives later from a disturbed helper", modify: func(h *History) {
+			evacuate(h)
+			for i := range h.TargetEvents {
+				h.TargetEvents[i].From = 1
+			}
+			h.Disturbances = append(h.Disturbances, Span{Kind: HostPause, Host: 1, From: 9 * time.Second, To: 12 * time.Second})
+		}},
 		{name: "request with a known key", modify: func(h *History) { addKeyed(h, "key-1", 5*time.Second, 504, 1, ofA, nil) }},
 		{name: "request with a removed key runs", modify: func(h *History) { addKeyed(h, "key-0", 11100*ms, 504, 1, ofA, nil) }, want: removedKey},
 		{name: "request with a removed key runs on a paused host", modify: func(h *History) {
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -55,6 +55,8 @@
 			r.injectStoreFault(ctx, f)
 		}
 		r.recordSpan(f.Kind, allHosts, start)
+	case f.Kind == Evacuate:
+		r.evacuate(ctx, f)
 	case f.Kind == KeyRemove:
 		r.removeKey(f.Index)
 	case f.Kind == KeyRemoveUnseen:
@@ -148,7 +150,7 @@
 	r.adjustStoreFaults(StoreDown, -1)
 	timer.Sleep(context.WithoutCancel(ctx), rewriteDelay)
 	r.store.Reapply(backup, lost, func(key string) bool {
-		return key == platformtest.ConfigKey || strings.HasPrefix(key, platformtest.TargetPrefix)
+		return key == platformtest.ConfigKey || strings.HasPrefix(key, platformtest.TargetPrefix) || strings.HasPrefix(key, platformtest.EvacuationPrefix)
 	})
 	return start
 }
@@ -189,7 +191,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.generation++
-	t := platformtest.NewTarget(fmt.Sprintf("t-%d-%d", b.index, b.generation), serviceName, fmt.Sprintf("d-%d", b.index%2), targetSlots, platformtest.Behaviour{ServiceTime: typicalServiceTime})
+	t := platformtest.NewTarget(fmt.Sprintf("t-%d-%d", b.index, b.generation), serviceName, domainName(b.index), targetSlots, platformtest.Behaviour{ServiceTime: typicalServiceTime})
 	id := t.ID
 	t.OnEvent = func(e platformtest.Event) { b.r.recordEvent(id, e) }
 	t.OnNotice = func(n platformtest.Notice) { b.r.recordNotice(id, n) }
@@ -201,6 +203,7 @@
 	b.target, b.link = t, link
 	b.r.mu.Lock()
 	b.r.allTargets = append(b.r.allTargets, t)
+	b.r.history.Domains[id] = t.Zone
 	b.r.mu.Unlock()
 	b.r.store.Put(platformtest.TargetPrefix+id, t.EntryAt(link.Address(), "ready"))
 	return nil
--- a/internal/bench/soak/schedule.go
+++ b/internal/bench/soak/schedule.go
@@ -68,10 +68,13 @@
 	// KeyRemove replaces a key of a client account. KeyRemoveUnseen does so while the store is down.
 	KeyRemove       Kind = "key-remove"
 	KeyRemoveUnseen Kind = "key-remove-unseen"
+
+	// Evacuate evacuates a failure domain.
+	Evacuate Kind = "evacuate"
 )
 
 // kinds are the kinds that Schedule draws from; a kind listed twice is drawn twice as
-// often. isHostFault and isStoreFault depend on the order.
+// often. Evacuate is not drawn, since hosts do not evacuate domains yet. isHostFault and isStoreFault depend on the order.
 var kinds = []Kind{
 	HostKill, HostPause, HostStop, HostReload, HostStoreSlow, HostStoreSilent, HostStoreOneWay, HostStoreReset, CutSilent, CutReset, CutRefuse, HostKillSeries,
 	StoreDown, StoreSlow, StoreDropResponses, StoreDelayWrites, StoreSuppressEvents, StoreCompact, StoreRestore,
@@ -129,6 +132,8 @@
 			f.Length *= limitFactor
 		case f.Kind == KeyRemoveUnseen:
 			f.Length = unseenRemoval
+		case f.Kind == Evacuate:
+			f.Length = evacuationLength
 		case f.isCut():
 			f.Length *= cutFactor
 		}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -69,7 +69,7 @@
 		StableWindow: 3 * time.Second, StopNotice: 3 * time.Second, Grace: gracePeriod, TimeoutMargin: 20 * time.Millisecond,
 		LimitNotice: 3 * time.Second, LimitWindow: 4 * time.Second, LimitRatio: 1.5, LimitSlack: 5,
 		Leaving: 2 * time.Second, PauseNotice: 500 * time.Millisecond, InPause: 2,
-		Revoke: 3 * time.Second, FreshAge: 2200 * time.Millisecond, RefusalSlack: 3,
+		Evacuate: 5 * time.Second, Revoke: 3 * time.Second, FreshAge: 2200 * time.Millisecond, RefusalSlack: 3,
 		CutNotice: 3 * time.Second, MinCutRatio: 2.0 / 3, CutSlack: 10, CutShare: 1.0 / 50,
 	}
 }
@@ -88,6 +88,8 @@
 	lastID     atomic.Int64
 	// restoring is set from the backup of the store until the lost writes are repeated.
 	restoring atomic.Bool
+	// evacuating is set while a failure domain is evacuated.
+	evacuating atomic.Bool
 
 	mu         sync.Mutex
 	inRotation []*host
@@ -109,7 +111,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r := &run{cfg: cfg, bounds: DefaultBounds(), g: group.New(ctx), store: platformtest.NewStore(), storeFaults: map[Kind]int{}, cuts: map[int]cutState{}, olderSince: map[int]time.Duration{}}
-	r.history.DrainStarts, r.history.Stops = map[string]time.Duration{}, map[process]time.Duration{}
+	r.history.DrainStarts, r.history.Stops, r.history.Domains = map[string]time.Duration{}, map[process]time.Duration{}, map[string]string{}
 	defer r.close()
 	if err := r.startFleet(ctx); err != nil {
 		return nil, err
@@ -183,7 +185,7 @@
 		// ephemeral port can collide with a port of a host.
 		const firstOctet, octets = 100, 100
 		ip := netip.AddrFrom4([4]byte{127, byte(firstOctet + os.Getpid()%octets), byte(r.cfg.Seed), byte(1 + n)})
-		h := &host{index: n, name: fmt.Sprintf("host-%d", n), ip: ip, domain: fmt.Sprintf("d-%d", n%2), dir: r.cfg.Dir, first: first, next: next, storeLink: link, g: r.g}
+		h := &host{index: n, name: fmt.Sprintf("host-%d", n), ip: ip, domain: domainName(n), dir: r.cfg.Dir, first: first, next: next, storeLink: link, g: r.g}
 		h.onStart = func(older bool) { r.recordBuild(h, older) }
 		h.settings = r.hostSettings(h)
 		r.hosts = append(r.hosts, h)
