Soak: a client account with a quota

Config.Quota adds an account whose requests, one in eight, exceed its quota. Of its requests that are sent within any span of quota_window_s (5 s), at most (5 r + b) x 1.1 + 20 may arrive at targets and run within that span, over all hosts. No fault excuses a host from it.

--- a/cmd/tamarackbench/soak.go
+++ b/cmd/tamarackbench/soak.go
@@ -22,6 +22,8 @@
 	Hosts       int           `default:"5" help:"Number of hosts."`
 	Targets     int           `default:"6" help:"Number of targets."`
 	Callers     int           `default:"24" help:"Number of callers."`
+	QuotaRate   float64       `help:"Quota of a client account, in requests a second; 0 for no such account."`
+	QuotaBurst  float64       `help:"Burst of that account."`
 	Only        []soak.Kind   `help:"Kinds of faults to inject; default all."`
 	Binary      string        `default:"bin/tamaracktiller" type:"existingfile" help:"Path of the load balancer binary."`
 	UpgradeFrom string        `type:"existingfile" help:"Path of an older binary with which the hosts start; each restart brings the other one."`
@@ -37,7 +39,7 @@
 		seed := c.Seed + uint64(n)
 		dir := filepath.Join(c.Dir, fmt.Sprintf("seed-%d", seed))
 		result, err := soak.Run(ctx, soak.Config{
-			Seed: seed, Length: c.Length, Hosts: c.Hosts, Targets: c.Targets, Callers: c.Callers, Only: c.Only, Binary: c.Binary, UpgradeFrom: c.UpgradeFrom, Downgrade: c.Downgrade, Dir: dir,
+			Seed: seed, Length: c.Length, Hosts: c.Hosts, Targets: c.Targets, Callers: c.Callers, Quota: soak.Quota{PerSecond: c.QuotaRate, Burst: c.QuotaBurst}, Only: c.Only, Binary: c.Binary, UpgradeFrom: c.UpgradeFrom, Downgrade: c.Downgrade, Dir: dir,
 			Progress: func(at time.Duration, requests int) {
 				fmt.Fprintf(os.Stderr, "\rseed %d: %4.1f of %s, %d requests ", seed, at.Seconds(), c.Length, requests)
 			},
@@ -49,7 +51,7 @@
 		if err := result.Write(dir); err != nil {
 			return err
 		}
-		fmt.Printf("seed %d: %d faults, %d versions, statuses %s, late in stops %s (%d judged), %d configuration probes, %d pauses, %d leavers, bad keys %s (%d judged as removed), %d violations\n", seed, len(result.Faults), result.Versions, toJSON(result.Statuses), toJSON(result.LateStatuses), result.LateRequests, result.Probes, result.JudgedPauses, result.Leavers, toJSON(result.BadKeyStatuses), result.RemovedKeyRequests, len(result.Violations))
+		fmt.Printf("seed %d: %d faults, %d versions, statuses %s, late in stops %s (%d judged), %d configuration probes, %d pauses, %d leavers, bad keys %s (%d judged as removed), account with a quota %s, %d violations\n", seed, len(result.Faults), result.Versions, toJSON(result.Statuses), toJSON(result.LateStatuses), result.LateRequests, result.Probes, result.JudgedPauses, result.Leavers, toJSON(result.BadKeyStatuses), result.RemovedKeyRequests, toJSON(result.LimitedStatuses), len(result.Violations))
 		for _, v := range result.Violations {
 			fmt.Printf("  %.3f s %s: %s %s\n", v.At.Seconds(), v.Guarantee, v.Request, v.Text)
 		}
--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -39,11 +39,16 @@
 	// that it asked for, if not the usual one.
 	Timeout time.Duration `json:"timeout-ns,omitempty"`
 	// Key is the key of a client account. BadKey is set if it was removed or unknown, or if there is none.
-	Key         string        `json:"key,omitempty"`
-	BadKey      bool          `json:"bad-key,omitempty"`
+	Key    string `json:"key,omitempty"`
+	BadKey bool   `json:"bad-key,omitempty"`
+	// Limited is set for requests of the account with a quota.
+	Limited     bool          `json:"limited,omitempty"`
 	ServiceTime time.Duration `json:"service-time-ns,omitempty"`
 }
 
+// mayBeRefused reports whether hosts may refuse a request because of its account.
+func (a Attempt) mayBeRefused() bool { return a.BadKey || a.Limited }
+
 // TargetEvent is an event that a target recorded.
 type TargetEvent struct {
 	Target string
@@ -92,6 +97,8 @@
 	Hosts []int
 	// Cuts are the periods in which hosts were separated from all targets.
 	Cuts []*CutSpan
+	// Quota is that of quotaAccount.
+	Quota Quota
 	// Evacuations are those of failure domains, and Domains maps targets to theirs.
 	Evacuations []EvacuationSpan
 	Domains     map[string]string
@@ -155,6 +162,9 @@
 	// that is no reason to break off requests sent later than StopNotice after the SIGTERM.
 	// TimeoutMargin is the time by which a host may respond before the timeout.
 	StableWindow, StopNotice, Grace, TimeoutMargin time.Duration
+	// QuotaWindow, QuotaOverage and QuotaSlack bound the requests of an account with a quota.
+	QuotaWindow              time.Duration
+	QuotaOverage, QuotaSlack float64
 	// Evacuate is the time after which an evacuated domain gets no new requests.
 	Evacuate time.Duration
 	// Revoke is the time after which no new request with a removed key runs.
@@ -202,6 +212,7 @@
 	c.checkCuts()
 	c.checkKeys()
 	c.checkEvacuations()
+	c.checkQuota()
 	c.checkRecovery()
 	return c.violations
 }
@@ -484,7 +495,7 @@
 	const settleTime = 3 * time.Second
 	served, total := 0, 0
 	for _, a := range c.h.Attempts {
-		if a.Route == 0 && !a.Late && !a.BadKey && a.Start > c.h.Length-recoveryTime+settleTime && a.End < c.h.Length {
+		if a.Route == 0 && !a.Late && !a.mayBeRefused() && a.Start > c.h.Length-recoveryTime+settleTime && a.End < c.h.Length {
 			total++
 			if a.Status == http.StatusOK {
 				served++
--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -73,6 +73,15 @@
 	h.Disturbances = append(h.Disturbances, Span{Kind: HostStop, From: a.Start - sent, To: a.Start + 3*time.Second})
 }
 
+// limitedRequests adds requests of an account with a quota of 0.5 a second, of which 25 may run in 5 s.
+func limitedRequests(h *History, n, hosts int) {
+	h.Quota = Quota{PerSecond: 0.5, Burst: 2.1}
+	addAttempts(h, n)
+	for i := range n {
+		h.Attempts[20+i].Limited, h.Attempts[20+i].Host = true, i%hosts
+	}
+}
+
 // evacuate adds an evacuation of the domain of target t, from second 4.5 to 13.
 func evacuate(h *History) {
 	h.Domains = map[string]string{"t": "d-0"}
@@ -363,6 +372,24 @@
 			stoppedRequest(h, 4800*ms, 800*ms, 502, nil)
 			h.Breaks = append(h.Breaks, LinkSpan{Target: "t", From: 4 * time.Second, To: 4900 * ms})
 		}, want: stopped},
+		{name: "requests within a quota", modify: func(h *History) { limitedRequests(h, 25, 1) }},
+		{name: "requests beyond a quota", modify: func(h *History) { limitedRequests(h, 26, 1) }, want: "quota of an account"},
+		{name: "requests beyond a quota at several hosts", modify: func(h *History) { limitedRequests(h, 26, 2) }, want: "quota of an account"},
+		{name: "requests beyond a quota at killed hosts", modify: func(h *History) {
+			limitedRequests(h, 26, 2)
+			h.Disturbances = append(h.Disturbances, Span{Kind: HostKill, From: 9 * time.Second, To: 9500 * ms})
+		}, want: "quota of an account"},
+		{name: "refused requests beyond a quota", modify: func(h *History) {
+			limitedRequests(h, 40, 1)
+			h.TargetEvents = h.TargetEvents[:20+25]
+		}},
+		{name: "requests beyond a quota that were sent before", modify: func(h *History) {
+			limitedRequests(h, 40, 1)
+			for i := range h.Attempts[20:40] {
+				h.Attempts[20+i].Start -= 5 * time.Second
+				h.Attempts[20+i].Timeout = longTimeout
+			}
+		}},
 		{name: "request to an evacuated domain", modify: func(h *History) { evacuate(h) }, want: "no requests to an evacuated domain"},
 		{name: "request to another domain than the evacuated one", modify: func(h *History) {
 			evacuate(h)
--- a/internal/bench/soak/cut.go
+++ b/internal/bench/soak/cut.go
@@ -116,7 +116,7 @@
 	for _, span := range c.h.Cuts {
 		var cut, others cutTally
 		for _, a := range c.h.Attempts {
-			if a.Route != 0 || a.Late || a.BadKey || a.Start < span.From+c.b.CutNotice || a.Start > span.To || !c.inTouch(a) {
+			if a.Route != 0 || a.Late || a.mayBeRefused() || a.Start < span.From+c.b.CutNotice || a.Start > span.To || !c.inTouch(a) {
 				continue
 			}
 			switch {
--- a/internal/bench/soak/keys.go
+++ b/internal/bench/soak/keys.go
@@ -52,6 +52,9 @@
 	for n := range accountCount * keysPerAccount {
 		r.addKey(fmt.Sprintf("account-%d", n%accountCount))
 	}
+	if r.history.Quota = r.cfg.Quota; r.cfg.Quota.PerSecond > 0 {
+		r.quotaKey = r.addKey(quotaAccount).Key
+	}
 }
 
 // accounts returns the accounts with their keys. The caller holds the mutex.
@@ -62,6 +65,9 @@
 		if i < 0 {
 			i = len(accounts)
 			accounts = append(accounts, platformtest.Account{Name: k.Account})
+			if k.Account == quotaAccount {
+				accounts[i].PerSecond, accounts[i].Burst = r.cfg.Quota.PerSecond, r.cfg.Quota.Burst
+			}
 		}
 		if k.Removed == 0 {
 			accounts[i].Keys = append(accounts[i].Keys, k.Key)
@@ -114,6 +120,10 @@
 	if current == nil {
 		return
 	}
+	if a.Limited = r.quotaKey != "" && a.Route == 0 && rng.IntN(quotaInterval) == 0; a.Limited {
+		a.Key = r.quotaKey
+		return
+	}
 	a.Key, a.BadKey = current.Key, rng.IntN(badKeyInterval) == 0
 	if !a.BadKey {
 		return
--- a/internal/bench/soak/result.go
+++ b/internal/bench/soak/result.go
@@ -26,6 +26,8 @@
 	BadKeyStatuses     map[int]int `json:"bad-key-statuses"`
 	RemovedKeyRequests int         `json:"removed-key-requests"`
 	RefusedKeys        int         `json:"refused-keys"`
+	// LimitedStatuses counts the requests of the account with a quota.
+	LimitedStatuses map[int]int `json:"limited-statuses"`
 	// EvacuationRequests counts the requests that were judged while a failure domain was evacuated.
 	EvacuationRequests int `json:"evacuation-requests"`
 	// LateStatuses counts the requests on connections that are held open in planned stops.
@@ -48,7 +50,7 @@
 }
 
 func newResult(cfg Config, faults []Fault, h *History, b Bounds) *Result {
-	r := &Result{Seed: cfg.Seed, Hosts: cfg.Hosts, Faults: faults, Statuses: map[int]int{}, LateStatuses: map[int]int{}, BadKeyStatuses: map[int]int{}, Versions: len(h.Versions), Violations: Check(h, b), CutRequests: (&checker{h: h, b: b}).checkCuts(), attempts: h.Attempts, disturbances: h.Disturbances}
+	r := &Result{Seed: cfg.Seed, Hosts: cfg.Hosts, Faults: faults, Statuses: map[int]int{}, LateStatuses: map[int]int{}, BadKeyStatuses: map[int]int{}, LimitedStatuses: map[int]int{}, Versions: len(h.Versions), Violations: Check(h, b), CutRequests: (&checker{h: h, b: b}).checkCuts(), attempts: h.Attempts, disturbances: h.Disturbances}
 	r.LimitedRequests = (&checker{h: h, b: b}).checkLimits()
 	r.EvacuationRequests = (&checker{h: h, b: b}).checkEvacuations()
 	keys := (&checker{h: h, b: b}).checkKeys()
@@ -66,6 +68,8 @@
 		switch {
 		case a.Route > 0:
 			r.Probes++
+		case a.Limited:
+			r.LimitedStatuses[a.Status]++
 		case a.BadKey:
 			r.BadKeyStatuses[a.Status]++
 		case a.Late:
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -48,6 +48,8 @@
 	// Limit adds a target that no fault disturbs, which names this rate limit all the time, in requests
 	// a second; 0 for none.
 	Limit float64
+	// Quota is that of a client account whose requests exceed it; zero for none.
+	Quota Quota
 	// Only limits the kinds of faults; empty means all.
 	Only []Kind
 	// UpgradeFrom is the path of an older build; empty for none. Hosts start with it, and each
@@ -69,7 +71,7 @@
 		StableWindow: 3 * time.Second, StopNotice: 3 * time.Second, Grace: gracePeriod, TimeoutMargin: 20 * time.Millisecond,
 		LimitNotice: 3 * time.Second, LimitWindow: 4 * time.Second, LimitRatio: 1.5, LimitSlack: 5,
 		Leaving: 2 * time.Second, PauseNotice: 500 * time.Millisecond, InPause: 2,
-		Evacuate: 5 * time.Second, Revoke: 3 * time.Second, FreshAge: 2200 * time.Millisecond, RefusalSlack: 3,
+		QuotaWindow: 5 * time.Second, QuotaOverage: 0.1, QuotaSlack: 20, Evacuate: 5 * time.Second, Revoke: 3 * time.Second, FreshAge: 2200 * time.Millisecond, RefusalSlack: 3,
 		CutNotice: 3 * time.Second, MinCutRatio: 2.0 / 3, CutSlack: 10, CutShare: 1.0 / 50,
 	}
 }
@@ -88,6 +90,8 @@
 	lastID     atomic.Int64
 	// restoring is set from the backup of the store until the lost writes are repeated.
 	restoring atomic.Bool
+	// quotaKey is the key of quotaAccount; empty for none.
+	quotaKey string
 	// evacuating is set while a failure domain is evacuated.
 	evacuating atomic.Bool
 
