--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -27,8 +27,12 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
+	"tamaracktiller.example/tamaracktiller/internal/account/credit"
+	"tamaracktiller.example/tamaracktiller/internal/account/quota"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/packet"
+	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
+	"tamaracktiller.example/tamaracktiller/internal/kernel/clock"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/registry"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
@@ -100,18 +104,21 @@
 
 // Process is the process of an entry host.
 type Process struct {
-	cfg             *settings.Entry
-	platform        Platform
-	store           store.Service
-	log             *logs.Log
-	logWriter       *logs.Async
-	g               *group.Group
-	services        *registry.Registry
-	directory       *directory.Directory
-	handler         *entry.Handler
-	links           *targets.Links
-	tunnels         *tunnel.Server
+	cfg       *settings.Entry
+	platform  Platform
+	store     store.Service
+	log       *logs.Log
+	logWriter *logs.Async
+	g         *group.Group
+	services  *registry.Registry
+	directory *directory.Directory
+	handler   *entry.Handler
+	links     *targets.Links
+	tunnels   *tunnel.Server
+	// clientBudget is what clients may make the host hold; nil for no limit.
+	clientBudget    *resource.Budget
 	dispatcher      *dispatcher.Dispatcher
+	quotas          *quota.Service
 	packets         *packet.Conn[dispatcher.Message]
 	metrics         *metrics
 	clientServer    *http.Server
@@ -150,6 +157,8 @@
 	p.store = store.NewEraGuard(platform.OpenStore(cfg.Store, p.metrics.CountStoreCall))
 	timers := timer.New()
 	p.services.Provide("timer", timers)
+	p.addClientBudget(timers)
+	limits := resource.LimitsOf(cfg.MemoryBytes, cfg.Descriptors)
 	p.directory = directory.New(directory.Config{
 		Self: p.self(), FirstStart: cfg.FirstStart, Source: p.store, Decoder: platform.Decoder, Timer: timers, Log: p.log.For("directory"),
 		ReregisterTimeout: cfg.Bounds.ReregisterTimeout, OnChange: p.applySnapshot, OnQueueWait: p.metrics.ObserveUpdateDelay,
@@ -162,28 +171,37 @@
 		OnNotice:   func(n notice.Notice) { p.dispatcher.ObserveNotice(n) },
 		Tunnels: tunnel.NewDialer(tunnel.DialerConfig{
 			Self: cfg.Name, Hosts: func() map[string]directory.Host { return p.directory.Snapshot().Hosts }, Secret: func() []byte { return p.directory.Snapshot().Secret() },
+			SocketBytes: limits.SocketBytes,
 		}, p.g),
+		SocketBytes: limits.SocketBytes,
 	}, p.g)
 	p.tunnels = tunnel.NewServer(tunnel.ServerConfig{
 		Secrets: p.fleetSecrets, Connect: p.links.ConnectFor, Available: func() bool { return !p.links.CutOff() }, Log: p.log.For("tunnels"), OnOpen: p.metrics.CountTunnel,
+		Reserve: p.clientBudget.OpenTunnel,
 	}, p.g)
 	p.metrics.registerReachability(p.links.CutOff)
 	crashes := entry.NewCrashTracker(entry.CrashTrackerConfig{
 		Self: cfg.Name, Hosts: func() map[string]directory.Host { return p.directory.Snapshot().Hosts },
 		Send: p.sendEvidence, ConnectionRefused: p.links.RefusesConnections, Log: p.log.For("crashes"),
 	}, p.g)
+	p.quotas = quota.New(quota.Config{
+		Self: p.self(), Send: p.sendCredit, ViewAge: p.directory.SoundAge, SinceBoot: clock.SinceBoot, Bounds: cfg.Bounds, Observer: p.metrics, Log: p.log.For("quota"),
+	})
+	p.metrics.registerQuotas(p.quotas.Status)
 	p.dispatcher = dispatcher.New(dispatcher.Config{
 		Self: cfg.Name, Prober: p.links, Placement: placement.DefaultConfig(), ProbesPerSecond: cfg.Bounds.ProbesPerSecond,
-		Send: p.send, Fresh: p.directory.Fresh, Log: p.log.For("dispatcher"), OnProbe: p.metrics.CountProbe, OnEvidence: crashes.HandleEvidence,
+		Send: p.send, Fresh: p.directory.Fresh, Log: p.log.For("dispatcher"), OnProbe: p.metrics.CountProbe, OnEvidence: crashes.HandleEvidence, OnCredit: p.quotas.Receive,
 	}, p.g)
 	p.metrics.registerDispatcher(p.dispatcher)
 	p.handler = entry.New(entry.Config{
 		Domain: cfg.Domain, FirstStart: cfg.FirstStart, Dialect: platform.Dialect, Placer: p.dispatcher, Links: p.links,
-		Snapshot: p.directory.Snapshot, FirstReadEnded: p.directory.FirstReadEnded(), Fresh: p.directory.Fresh, SoundAge: p.directory.SoundAge, Bounds: cfg.Bounds, Log: p.log.For("entry"), Observer: p.metrics, CrashTracker: crashes,
+		Snapshot: p.directory.Snapshot, FirstReadEnded: p.directory.FirstReadEnded(), Fresh: p.directory.Fresh, SoundAge: p.directory.SoundAge, Bounds: cfg.Bounds, Log: p.log.For("entry"), Observer: p.metrics, CrashTracker: crashes, Quotas: p.quotas,
+		SocketBytes: int64(limits.SocketBytes),
 	}, p.g)
 	p.services.Provide("directory", p.directory)
 	timers.Every("trim", closeIdlePeriod, p.links.CloseIdle)
 	timers.Every("wants", dispatcherTickPeriod, p.dispatcher.Tick)
+	timers.Every("credit", credit.PollPeriod, p.quotas.Tick)
 	timers.Every("loads", p.dispatcher.LoadPeriod(), p.dispatcher.ReportLoads)
 	p.addServers()
 	return p, nil
@@ -192,6 +210,7 @@
 func (p *Process) applySnapshot(s *directory.Snapshot, restarted []string) {
 	p.links.SetTargets(s, restarted)
 	p.dispatcher.SetSnapshot(s, restarted)
+	p.quotas.SetSnapshot(s)
 }
 
 // applyReachability makes other hosts dispatch while this host does not reach the targets by
@@ -200,9 +219,9 @@
 
 func (p *Process) addServers() {
 	errorLog := stdlog.New(p.log.For("http").WriterLevel(logrus.DebugLevel), "", 0)
-	p.clientConns = front.NewConnections()
+	p.clientConns = front.NewConnections(p.clientBudget)
 	p.clientServer = &http.Server{
-		Handler: p.handler, ErrorLog: errorLog, ConnState: p.clientConns.Track,
+		Handler: p.handler, ErrorLog: errorLog, ConnState: p.clientConns.Track, ConnContext: p.clientConns.Context,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	mux := http.NewServeMux()
@@ -261,6 +280,7 @@
 	if err := p.servePeers(ctx); err != nil {
 		return err
 	}
+	p.quotas.Start()
 	if err := p.serveClients(ctx); err != nil {
 		return err
 	}
@@ -406,6 +426,10 @@
 
 func (p *Process) send(to netip.AddrPort, m dispatcher.Message) error { return p.packets.Send(to, m) }
 
+func (p *Process) sendCredit(to netip.AddrPort, m credit.Message) error {
+	return p.send(to, dispatcher.CreditMessage(m))
+}
+
 // sendEvidence sends crash evidence to another host. If the message is lost, one more
 // target crashes before the request is blocked.
 func (p *Process) sendEvidence(to netip.AddrPort, e crash.Evidence) {
@@ -416,7 +440,7 @@
 
 // serveClients serves clients and closes connections that carry ambiguous requests.
 func (p *Process) serveClients(ctx context.Context) error {
-	l, err := listen(ctx, p.cfg.Callers)
+	l, err := p.listen(ctx, p.cfg.Callers)
 	if err != nil {
 		return err
 	}
@@ -429,7 +453,7 @@
 }
 
 func (p *Process) serve(ctx context.Context, address netip.AddrPort, server *http.Server) error {
-	l, err := listen(ctx, address)
+	l, err := p.listen(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -437,12 +461,6 @@
 	return nil
 }
 
-func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
-	var cfg net.ListenConfig
-	l, err := cfg.Listen(ctx, "tcp", address.String())
-	return l, errors.Wrap(err, "entry")
-}
-
 func (p *Process) serveOn(l net.Listener, server *http.Server) {
 	p.g.Go("serve "+l.Addr().String(), func(context.Context) error {
 		err := server.Serve(l)
@@ -478,6 +496,7 @@
 	close(p.draining)
 	p.beginShutdown(started, log)
 	p.dispatcher.Drain()
+	p.quotas.Resign()
 	p.tunnels.Refuse()
 	drainCtx := p.end.Context()
 	deadline, _ := p.end.At()
--- a/internal/traffic/dispatcher/cell.go
+++ b/internal/traffic/dispatcher/cell.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -49,6 +50,8 @@
 	// probeDivisor is the number by which the probe budget is divided to get the share of
 	// this host.
 	probeDivisor float64
+	// limitsCold is set if the rate of cold targets of the service is limited.
+	limitsCold bool
 	// home is set for the cell of the service that this host prefers.
 	home bool
 	// rank is the position of this host in the ranking since rankSince. It is one of the first
@@ -85,7 +88,8 @@
 		c.probeDivisor = 1 / dispatcherProbeShare
 	}
 	if s.Table != nil {
-		c.healthPath = s.Table.Config.Services[c.id.service].HealthPath
+		service := s.Table.Config.Services[c.id.service]
+		c.healthPath, c.limitsCold = service.HealthPath, service.ColdPerSecond > 0
 	}
 }
 
@@ -114,6 +118,8 @@
 	// host.
 	from    string
 	through bool
+	// address is that of the host; not valid for this host.
+	address netip.AddrPort
 	// queued is the request's entry in the queue; nil if it was not queued.
 	queued *queue.Request
 	reply  func(response)
@@ -122,9 +128,10 @@
 }
 
 // placementRequest returns a queued request in the form that placement takes.
-func (c *cell) placementRequest(w *waiter) placement.Request {
+// The caller holds the mutex.
+func (d *Dispatcher) placementRequest(now time.Time, c *cell, w *waiter) placement.Request {
 	r := w.request.placementRequest()
-	r.Backlogged = c.backlogged()
+	r.Backlogged, r.SpareCold = c.backlogged(), c.limitsCold && d.isSilent(now, w)
 	return r
 }
 
@@ -223,9 +230,10 @@
 	d.updateShares(now, c)
 	capacity := d.capacity(now, c, w.request.TypicalTime)
 	retryAfter, ok := c.queue.Add(now, w.queued, capacity)
+	retryAfter = coldRetryAfter(capacity, retryAfter)
 	fields := logrus.Fields{fieldRequest: w.request.ID, fieldCell: c.id.key, "waiting": c.queue.Len(), "usual-ms": w.request.TypicalTime.Milliseconds(), "deadline-ms": w.request.Deadline.Sub(now).Milliseconds()}
 	if !ok {
-		d.cfg.Log.WithFields(fields).WithFields(limitFields(capacity)).WithField("retry-after-ms", retryAfter.Milliseconds()).Info("no place in time")
+		d.cfg.Log.WithFields(fields).WithFields(limitFields(capacity)).WithFields(accountFields(w)).WithField("retry-after-ms", retryAfter.Milliseconds()).Info("no place in time")
 		w.reply(response{rejected: newRejection(capacity, "no target will have room in time", retryAfter)})
 		return
 	}
@@ -246,7 +254,7 @@
 	d.chooser.RecordAttempt(now, choice)
 	c.queue.RecordStart(now, w.request.queueRequest())
 	w.done = true
-	grant := Grant{Choice: choice, at: now, cell: c.id.key}
+	grant := Grant{Choice: choice, at: now, cell: c.id.key, account: w.request.Account, typicalTime: w.request.TypicalTime}
 	if w.through {
 		grant.through = d.helper(now, choice.ID, w.from)
 	}
@@ -259,7 +267,9 @@
 	defer d.mu.Unlock()
 	w.done = true
 	if w.queued != nil {
-		c.queue.Remove(w.queued)
+		if c.queue.Remove(w.queued) {
+			c.queue.RecordTurnedAway(time.Now(), w.queued)
+		}
 		delete(c.waiters, w.queued)
 	}
 }
@@ -275,49 +285,67 @@
 	if c.backlogged() {
 		d.dispatchInTime(now, c)
 	}
-	for _, r := range c.queue.Ordered(now) {
-		if !d.chooser.HasFreeSlot(now, c.id.key) {
-			break
-		}
-		w := c.waiters[r]
-		choice, ok := d.chooser.Best(now, c.id.key, c.placementRequest(w))
-		if ok && (choice.HasCapacity || mustSendNow(now, choice, r)) {
-			d.grantQueued(now, c, w, choice)
-		}
-	}
+	d.dispatchOrdered(now, c)
 	capacity := d.capacity(now, c, 0)
 	for _, r := range c.queue.Unservable(now, capacity) {
 		w := c.waiters[r]
 		c.queue.Remove(r)
 		delete(c.waiters, r)
 		w.done = true
-		retryAfter := unservableRetryAfter
+		c.queue.RecordTurnedAway(now, r)
+		retryAfter := c.queue.UnservableRetryAfter(now, r)
 		if capacity.Limited {
-			retryAfter = c.queue.RetryAfter(now, capacity)
+			retryAfter = coldRetryAfter(capacity, c.queue.RetryAfter(now, capacity))
 		}
-		d.cfg.Log.WithFields(logrus.Fields{fieldRequest: w.request.ID, fieldCell: c.id.key, "waiting": c.queue.Len()}).WithFields(limitFields(capacity)).Info("wait has become hopeless")
+		d.cfg.Log.WithFields(logrus.Fields{fieldRequest: w.request.ID, fieldCell: c.id.key, "waiting": c.queue.Len(), "retry-after-ms": retryAfter.Milliseconds()}).WithFields(limitFields(capacity)).WithFields(accountFields(w)).Info("wait has become hopeless")
 		w.reply(response{rejected: newRejection(capacity, "no target has room in time any more", retryAfter)})
 	}
 }
 
+// accountFields returns the log fields of a rejection that are about the client account.
+func accountFields(w *waiter) logrus.Fields {
+	if w.request.Account == "" {
+		return nil
+	}
+	return logrus.Fields{"account": w.request.Account, "priority": w.request.Priority}
+}
+
+// dispatchOrdered assigns targets to the queued requests in their order. The caller holds the mutex.
+func (d *Dispatcher) dispatchOrdered(now time.Time, c *cell) {
+	if !d.chooser.HasFreeSlot(now, c.id.key) {
+		return
+	}
+	for _, r := range c.queue.Ordered(now) {
+		if !d.chooser.HasFreeSlot(now, c.id.key) {
+			return
+		}
+		w := c.waiters[r]
+		choice, ok := d.chooser.Best(now, c.id.key, d.placementRequest(now, c, w))
+		if ok && (choice.HasCapacity || mustSendNow(now, choice, r)) {
+			d.grantQueued(now, c, w, choice)
+		}
+	}
+}
+
 // dispatchInTime assigns targets to the queued requests that will meet their objectives there. The
 // caller holds the mutex.
 func (d *Dispatcher) dispatchInTime(now time.Time, c *cell) {
+	if !d.chooser.HasFreeSlot(now, c.id.key) {
+		return
+	}
 	for _, r := range c.queue.InTime(now) {
 		if !d.chooser.HasFreeSlot(now, c.id.key) {
 			return
 		}
 		w := c.waiters[r]
-		if choice, ok := d.chooser.Best(now, c.id.key, w.request.placementRequest()); ok && choice.HasCapacity {
+		pr := w.request.placementRequest()
+		pr.SpareCold = c.limitsCold && d.isSilent(now, w)
+		if choice, ok := d.chooser.Best(now, c.id.key, pr); ok && choice.HasCapacity {
 			d.grantQueued(now, c, w, choice)
 		}
 	}
 }
 
-// unservableRetryAfter is the retry delay of a request that was queued and then rejected.
-// The overload lasts longer than that, but the client has little time left.
-const unservableRetryAfter = 400 * time.Millisecond
-
 // grantQueued takes a request from the queue and grants it a target.
 func (d *Dispatcher) grantQueued(now time.Time, c *cell, w *waiter, choice placement.Choice) {
 	c.queue.Remove(w.queued)
@@ -338,8 +366,7 @@
 	for ctx.Err() == nil {
 		d.mu.Lock()
 		d.dispatchQueue(time.Now(), c)
-		r := c.queue.Next(time.Now())
-		if r == nil {
+		if c.queue.Len() == 0 {
 			c.polling = false
 			d.mu.Unlock()
 			return
@@ -369,6 +396,8 @@
 	ForLimit ProbeCause = "limit"
 	// ForConnection: a request that is not idempotent needs a connection that responds.
 	ForConnection ProbeCause = "connection"
+	// ForCold: it is not known whether a target is cold.
+	ForCold ProbeCause = "cold"
 )
 
 // probeCandidates returns up to n targets to probe for a request, within the probe budget.
@@ -448,6 +477,9 @@
 	now := time.Now()
 	if err == nil {
 		d.observeLimit(now, id, ratelimit.Observation{Report: r.Limit, SentAt: sent, Source: ratelimit.Probe})
+		d.observeCold(now, id, r.Cold, sent, ratelimit.Probe)
+	} else {
+		d.chooser.RecordUnreachable(now, id)
 	}
 	switch {
 	case errors.Is(err, targets.ErrGone):
--- a/internal/traffic/dispatcher/dispatcher.go
+++ b/internal/traffic/dispatcher/dispatcher.go
@@ -13,10 +13,12 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"tamaracktiller.example/tamaracktiller/internal/account/credit"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/budget"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/crash"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/eligibility"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/targets"
@@ -57,6 +59,9 @@
 	// OnEvidence is called with the evidence of crashes that other hosts report. It must not
 	// block, and may be nil.
 	OnEvidence func(e crash.Evidence)
+	// OnCredit is called with the messages of other hosts on the quotas of client accounts. It must
+	// not block, and may be nil.
+	OnCredit func(from netip.AddrPort, m credit.Message)
 	// Fresh reports whether the snapshot is up to date. If it is nil, it always is.
 	Fresh func(now time.Time) bool
 }
@@ -78,6 +83,9 @@
 	limits   *ratelimit.Limits
 	probes   *budget.Probes
 	snapshot *directory.Snapshot
+	// withheld holds the targets that get no requests although they have an entry, with the
+	// reasons; nil if there are none.
+	withheld map[string]eligibility.Reason
 	// cells holds the cells by key, and services those of the current snapshot by service.
 	cells    map[string]*cell
 	services map[string][]*cell
@@ -98,6 +106,8 @@
 	profilesChecked time.Time
 	// loggedLimits holds the targets about whose rate limits a line was logged a moment ago.
 	loggedLimits map[string]*loggedLimit
+	// cold is what is known of cold targets beyond limits.
+	cold coldTracker
 	// hostPauses holds the times until which targets want no requests of other hosts, by target
 	// and host.
 	hostPauses map[string]map[string]time.Time
@@ -129,7 +139,7 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	d.dropGoneHosts(now, d.snapshot.Hosts, s.Hosts)
-	d.snapshot = s
+	d.snapshot, d.withheld = s, withheldTargets(s)
 	for _, id := range restarted {
 		d.chooser.Reset(now, id)
 		delete(d.hostPauses, id)
@@ -137,7 +147,7 @@
 	all := map[string][]placement.Spec{}
 	d.services = map[string][]*cell{}
 	for service, list := range s.Targets {
-		for id, part := range splitCells(service, list) {
+		for id, part := range splitCells(service, list, countEvacuated(s.Withheld[service])) {
 			c := d.cells[id.key]
 			if c == nil {
 				c = newCell(id)
@@ -149,7 +159,10 @@
 		}
 		d.setHome(d.services[service])
 	}
+	d.chooser.SetWithheld(d.withheld)
+	d.chooser.SetColdRates(coldRates(s))
 	d.chooser.SetTargets(all)
+	d.updateCold(now, s)
 	d.probes.Retain(d.chooser.Has)
 	for key, c := range d.cells {
 		if _, ok := all[key]; !ok {
@@ -237,17 +250,23 @@
 func (d *Dispatcher) place(ctx context.Context, req Request) (Grant, error) {
 	c := d.selectCell(req)
 	if c == nil {
-		return Grant{}, &RejectedError{Reason: "service has no targets", RetryAfter: noTargetsRetryAfter}
+		return Grant{}, d.noTargets(req.Service)
 	}
-	grant, err := d.placeInCell(ctx, c, req)
-	var redirect *redirectError
-	if !errors.As(err, &redirect) {
-		return grant, err
+	for range maxRedirects {
+		grant, err := d.placeInCell(ctx, c, req)
+		var redirect *redirectError
+		if !errors.As(err, &redirect) {
+			return grant, err
+		}
+		c, req.Redirected = redirect.to, true
 	}
-	req.Redirected = true
-	return d.placeInCell(ctx, redirect.to, req)
+	return Grant{}, d.noTargets(req.Service)
 }
 
+// maxRedirects bounds the cells that a request is sent to. One redirect is for lack of capacity; the
+// others are for cells that lose all their targets while the request waits there.
+const maxRedirects = 4
+
 // redirectError reports that a request should go to another cell, which has more capacity.
 type redirectError struct{ to *cell }
 
@@ -357,6 +376,7 @@
 
 // endAttempt records the end of an attempt of a host for which this host made the grant.
 func (d *Dispatcher) endAttempt(now time.Time, host string, g Grant, o Outcome) {
+	d.chargeAccount(now, g, o)
 	if g.through != "" && o.Result == placement.Lost {
 		d.recordHostPauses(now, g.through, []Pause{{Target: g.ID, Left: helperRetryTime}})
 	}
@@ -367,6 +387,19 @@
 	d.chooser.DoneBy(now, host, g.at, g.ID, o.Result)
 }
 
+// chargeAccount records what a request took for the share of its account.
+func (d *Dispatcher) chargeAccount(now time.Time, g Grant, o Outcome) {
+	c := d.cells[g.cell]
+	switch {
+	case c == nil:
+	case o.Result == placement.Rejected:
+		c.queue.RecordNotRun(g.account, g.typicalTime)
+	case o.Result == placement.Served && g.ServiceTime > 0:
+		took := float64(now.Sub(g.at)-g.QueueTime) * float64(g.typicalTime) / float64(g.ServiceTime)
+		c.queue.RecordEnd(g.account, g.typicalTime, time.Duration(max(0, took)))
+	}
+}
+
 // recordOutcome records what the outcome of an attempt says about the target.
 func (d *Dispatcher) recordOutcome(now time.Time, g Grant, o Outcome) {
 	id := g.ID
@@ -374,6 +407,10 @@
 		d.chooser.MarkGone(now, id)
 	}
 	d.observeLimit(now, id, ratelimit.Observation{Report: o.Limit, SentAt: g.at, Source: ratelimit.Response})
+	d.observeCold(now, id, o.Cold, g.at, ratelimit.Response)
+	if o.Result == placement.Unreachable {
+		d.chooser.RecordUnreachable(now, id)
+	}
 	if o.Result == placement.Served {
 		d.chooser.RecordResponse(id, o.LoadKnown)
 	}
--- a/internal/traffic/dispatcher/notice.go
+++ b/internal/traffic/dispatcher/notice.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"tamaracktiller.example/tamaracktiller/internal/fleet/packet"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/eligibility"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/notice"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
 )
@@ -108,7 +109,7 @@
 		}
 		d.cfg.Log.WithFields(logrus.Fields{fieldRequest: req.ID, fieldTarget: grant.ID, "dispatcher": grant.dispatchedBy, "why": reason}).Info("grant is returned")
 		d.Done(grant, Outcome{Result: placement.Cancelled})
-		req.Avoid = append(slices.Clone(req.Avoid), grant.ID)
+		req.Avoid = append(append(slices.Clone(req.Avoid), grant.ID), d.evacuatedTargets(req.Service)...)
 	}
 	return Grant{}, &RejectedError{Reason: "targets that were granted are not to be used", RetryAfter: noTargetsRetryAfter}
 }
@@ -117,13 +118,20 @@
 func (d *Dispatcher) barred(g Grant) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.chooser.Leaving(g.ID) {
-		return "it leaves"
-	}
-	if _, ok := d.chooser.PausedUntil(time.Now(), g.ID); ok && g.through == "" {
-		return "it wants no requests of this host for some time"
+	now := time.Now()
+	reason := d.chooser.BarredBy(now, g.ID, g.through != "")
+	if reason == eligibility.Normal && d.isColdNews(now, g) {
+		reason = eligibility.Cold
 	}
-	return ""
+	return barredTexts[reason]
+}
+
+// barredTexts holds what the log says of the targets of grants that are returned.
+var barredTexts = map[eligibility.Reason]string{
+	eligibility.Evacuated: "its failure domain is evacuated",
+	eligibility.Leaving:   "it leaves",
+	eligibility.Paused:    "it wants no requests of this host for some time",
+	eligibility.Cold:      "it has just become cold",
 }
 
 // refusal returns the response to a request that no target of a cell can serve because of what
@@ -144,13 +152,13 @@
 	return &response{rejected: &RejectedError{Reason: reasonPaused, RetryAfter: until.Sub(now) + rand.N(pauseSpread)}}
 }
 
-// emptyRejection returns the rejection of a request for a cell without available targets.
+// emptyRejection returns the rejection of a request for a cell without available targets. The
+// caller holds the mutex.
 func (d *Dispatcher) emptyRejection(c *cell) *RejectedError {
-	reason := "service has no targets"
 	if c.registered > 0 {
-		reason = reasonLeaving
+		return &RejectedError{Reason: reasonLeaving, RetryAfter: noTargetsRetryAfter}
 	}
-	return &RejectedError{Reason: reason, RetryAfter: noTargetsRetryAfter}
+	return d.noTargetsLocked(c.id.service)
 }
 
 // otherCell returns another cell of the same service that has available targets; nil if there is
--- a/internal/traffic/dispatcher/request.go
+++ b/internal/traffic/dispatcher/request.go
@@ -25,6 +25,7 @@
 	"fmt"
 	"time"
 
+	"tamaracktiller.example/tamaracktiller/internal/account/credit"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/crash"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/notice"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
@@ -42,6 +43,8 @@
 	Priority int
 	// Account is the client account of the request; empty for none.
 	Account string
+	// Weight is the weight of the account against others; zero if it is not known.
+	Weight float64
 	// A response has its full value until Objective, and none after Deadline.
 	Objective time.Time
 	Deadline  time.Time
@@ -62,7 +65,7 @@
 
 // queueRequest returns the request in the form that the queue takes.
 func (r *Request) queueRequest() *queue.Request {
-	return &queue.Request{Priority: r.Priority, Objective: r.Objective, Deadline: r.Deadline, TypicalTime: r.TypicalTime}
+	return &queue.Request{Priority: r.Priority, Objective: r.Objective, Deadline: r.Deadline, TypicalTime: r.TypicalTime, Account: r.Account, Weight: r.Weight}
 }
 
 // placementRequest returns the request in the form that placement takes.
@@ -83,6 +86,9 @@
 	id uint64
 	// through is the host through which the request must be sent; empty for directly.
 	through string
+	// account and typicalTime are those of the request, if this host made the grant.
+	account     string
+	typicalTime time.Duration
 }
 
 // Through returns the host through which the request must be sent; empty for directly.
@@ -103,6 +109,8 @@
 	// Pause is the time for which the target wants no requests of the host; zero if it did not
 	// say.
 	Pause time.Duration
+	// Cold is what the response says about the time for which the target stays cold.
+	Cold ratelimit.Cold
 }
 
 // RejectedError reports that no target was assigned to a request.
@@ -142,6 +150,8 @@
 	kindEvidence
 	// kindPauses tells a host that targets turned away requests which were sent through it.
 	kindPauses
+	// kindCredit carries a message on the quotas of client accounts.
+	kindCredit
 )
 
 // Message is exchanged between hosts. Its times are relative, since the clocks of hosts
@@ -206,14 +216,23 @@
 
 	// Account is the client account of a request.
 	Account string `cbor:"38,keyasint,omitempty"`
+	// Weight is the weight of the account against others; zero if it is not known.
+	Weight float64 `cbor:"41,keyasint,omitempty"`
 
-	// Evidence is set only in messages of kindEvidence.
+	// ColdNotice is about cold targets, in grants and in the reports of outcomes.
+	ColdNotice coldNotice `cbor:"40,keyasint,omitzero"`
+
+	// Evidence is set only in messages of kindEvidence, and Credit in those of kindCredit.
 	Evidence *crash.Evidence `cbor:"26,keyasint,omitempty"`
+	Credit   *credit.Message `cbor:"39,keyasint,omitempty"`
 }
 
 // EvidenceMessage returns the message that carries evidence of crashes.
 func EvidenceMessage(e crash.Evidence) Message { return Message{Kind: kindEvidence, Evidence: &e} }
 
+// CreditMessage returns the message that carries a message on the quotas of client accounts.
+func CreditMessage(m credit.Message) Message { return Message{Kind: kindCredit, Credit: &m} }
+
 // CellLoad is the load of a cell as reported by a host.
 type CellLoad struct {
 	Cell string `cbor:"1,keyasint"`
@@ -229,13 +248,13 @@
 	return Message{
 		Kind: kindRequest, ID: id, Cell: cell, RequestID: r.ID, Domain: r.Domain, Priority: r.Priority,
 		ObjectiveLeft: r.Objective.Sub(now), DeadlineLeft: r.Deadline.Sub(now), TypicalTime: r.TypicalTime,
-		Avoid: r.Avoid, Hedge: r.Hedge, Redirected: r.Redirected, Account: r.Account,
+		Avoid: r.Avoid, Hedge: r.Hedge, Redirected: r.Redirected, Account: r.Account, Weight: r.Weight,
 	}
 }
 
 func (m *Message) request(now time.Time) Request {
 	return Request{
-		ID: m.RequestID, Account: m.Account, Domain: m.Domain, Priority: m.Priority, TypicalTime: m.TypicalTime, Avoid: m.Avoid, Hedge: m.Hedge, Redirected: m.Redirected,
+		ID: m.RequestID, Account: m.Account, Weight: m.Weight, Domain: m.Domain, Priority: m.Priority, TypicalTime: m.TypicalTime, Avoid: m.Avoid, Hedge: m.Hedge, Redirected: m.Redirected,
 		Paused: pausedTargets(now, m.Pauses), Objective: now.Add(m.ObjectiveLeft), Deadline: now.Add(m.DeadlineLeft),
 	}
 }
--- a/internal/traffic/entry/account.go
+++ b/internal/traffic/entry/account.go
@@ -14,6 +14,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/process/settings"
+	"tamaracktiller.example/tamaracktiller/internal/traffic/fairshare"
 )
 
 const (
@@ -220,3 +221,12 @@
 	}
 	return req.account.Name
 }
+
+// accountWeight returns the weight of the request's account where accounts share the targets of a
+// service; zero for none.
+func (req *clientRequest) accountWeight() float64 {
+	if req.account == nil {
+		return 0
+	}
+	return fairshare.Weight(req.account.PerSecond)
+}
--- a/internal/traffic/entry/attempt.go
+++ b/internal/traffic/entry/attempt.go
@@ -4,13 +4,11 @@
 // response.
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"slices"
-
 	"time"
 
 	"github.com/pkg/errors"
@@ -85,7 +83,9 @@
 		defer req.endExtraAttempt()
 	}
 	out := attempt{grant: grant, outcome: notSent, cause: targets.ErrGone}
-	if l, ok := req.h.cfg.Links.Find(grant.ID); ok {
+	if err := req.h.cfg.Links.MaySend(grant.ID); err != nil {
+		out.cause = err
+	} else if l, ok := req.h.cfg.Links.Find(grant.ID); ok {
 		w := req.watch(ctx, grant)
 		out = req.roundTrip(w, l, grant)
 		out.via, out.released = w.stop()
@@ -124,6 +124,7 @@
 		Idempotent: req.route.Idempotent, AllowCloseDelimited: true, Connected: w.connected, Dial: req.dialThrough(grant), BeforeSend: req.beforeSend(out),
 		// A late copy of the response to the first attempt has the same ID.
 		NewConnection:  newConnection,
+		MaySend:        func() error { return req.h.cfg.Links.MaySend(grant.ID) },
 		MatchesRequest: func(header http.Header) bool { return req.h.cfg.Dialect.MatchesRequest(header, req.id) },
 	})
 	switch {
@@ -155,12 +156,12 @@
 		info.Load.Running = max(0, info.Load.Running-1)
 	}
 	out := attempt{grant: grant, status: res.StatusCode, header: res.Header, info: info}
-	body, err := readBuffered(res)
+	body, more, err := req.readBuffered(res)
 	out.body = body
 	if res.ContentLength > maxStreamedResponse {
 		err = errResponseTooLarge
 	}
-	if err == nil && len(body) > maxBufferedResponse {
+	if err == nil && more {
 		out.unread = res.Body
 	} else {
 		defer res.Body.Close()
@@ -180,14 +181,6 @@
 	return out
 }
 
-// readBuffered reads the body of a response, or its beginning if it exceeds maxBufferedResponse.
-func readBuffered(res *http.Response) ([]byte, error) {
-	// ReadFrom grows a buffer with less than MinRead bytes left before it finds the end.
-	body := bytes.NewBuffer(make([]byte, 0, min(max(0, res.ContentLength), maxBufferedResponse)+bytes.MinRead))
-	_, err := body.ReadFrom(io.LimitReader(res.Body, maxBufferedResponse+1))
-	return body.Bytes(), err
-}
-
 // limit returns what the response says about the rate limit of the target. Only a response
 // that the target certainly generated itself can say that there is none.
 func (r *attempt) limit() ratelimit.Report {
@@ -197,6 +190,15 @@
 	return r.info.Limit
 }
 
+// cold returns what the response says about the cold time of the target. Only a response that the
+// target certainly generated itself can say that it is not cold.
+func (r *attempt) cold() ratelimit.Cold {
+	if r.info.Misdirected || r.info.Cold.Left == 0 && !r.info.Signed {
+		return ratelimit.Cold{}
+	}
+	return r.info.Cold
+}
+
 // typicalTimeGain is the weight of a new sample in the typical service time of a route.
 const typicalTimeGain = 0.05
 
@@ -208,7 +210,7 @@
 	case rejected:
 		return placement.Rejected
 	case notSent, outcomeUnknown:
-		if r.req.isDone(ctx) || r.refusal() != nil {
+		if r.req.isDone(ctx) || r.refusal() != nil || errors.Is(r.cause, targets.ErrEvacuated) || errors.Is(r.cause, errNoBudget) {
 			return placement.Cancelled
 		}
 		if errors.Is(r.cause, errLinkLost) || r.outcome == notSent && r.grant.Through() != "" {
@@ -225,7 +227,7 @@
 // reportDone reports the end of an attempt to the dispatcher and the crash tracker.
 func (h *Handler) reportDone(r *attempt, result placement.Result) {
 	if !r.released {
-		h.cfg.Placer.Done(r.grant, dispatcher.Outcome{Result: result, Gone: r.info.Misdirected, Load: r.info.Load, LoadKnown: r.info.LoadKnown, Limit: r.limit(), Pause: r.info.Pause})
+		h.cfg.Placer.Done(r.grant, dispatcher.Outcome{Result: result, Gone: r.info.Misdirected, Load: r.info.Load, LoadKnown: r.info.LoadKnown, Limit: r.limit(), Pause: r.info.Pause, Cold: r.cold()})
 	}
 	if result == placement.Served {
 		h.updateTypicalTime(r.req, r)
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -82,6 +82,10 @@
 	Observer Observer
 	// CrashTracker detects requests that crash targets; nil to disable.
 	CrashTracker *CrashTracker
+	// Quotas charges requests to client accounts; nil to disable.
+	Quotas Quotas
+	// SocketBytes is the size of each buffer of a connection to a target; 0 if the system chooses it.
+	SocketBytes int64
 }
 
 // Observer is notified of finished requests and extra attempts.
@@ -130,6 +134,8 @@
 	// maxKeyAge is the age of the view, in nanoseconds, from which on keys are not used; 0 means no
 	// limit.
 	maxKeyAge atomic.Int64
+	// awaitBudget is the number of requests that wait for the retry budget.
+	awaitBudget atomic.Int64
 
 	// mu guards the fields below.
 	mu           sync.Mutex
@@ -168,6 +174,7 @@
 	defer h.inFlight.Add(-1)
 	now := time.Now()
 	req, rejection := h.prepare(w, r, now)
+	defer req.endLease()
 	if rejection != nil {
 		h.finish(w, req, *rejection)
 		return
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -13,6 +13,7 @@
 
 	"tamaracktiller.example/tamaracktiller/internal/account/keyring"
 	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
+	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
 	"tamaracktiller.example/tamaracktiller/internal/platform/store"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
 )
@@ -55,7 +56,9 @@
 	// by which it should be sent, counted from the client's first attempt.
 	deadline  time.Time
 	objective time.Time
-	body      []byte
+	// returned is set if the client was refused before and has come back.
+	returned bool
+	body     []byte
 	// streamed is set when the body was not buffered. The request can then be sent only
 	// once, and prefixHash is the hash of what was read of the body before.
 	streamed   bool
@@ -70,6 +73,8 @@
 	// mayHaveRun is set when a target may have run the request.
 	mayHaveRun bool
 	target     string
+	// lease is what the request holds of the budget for clients; nil without one.
+	lease *resource.Lease
 }
 
 // prepare finds the route and reads the body. It returns a response if the request can't be
@@ -148,6 +153,7 @@
 	if req.route.Timeout > 0 {
 		left = min(left, req.route.Timeout)
 	}
+	req.returned = spent > 0
 	req.deadline = now.Add(left - min(responseMargin, left/4))
 	req.objective = now.Add(req.route.Objective - spent)
 	if req.route.Objective <= 0 {
--- a/internal/traffic/entry/response.go
+++ b/internal/traffic/entry/response.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
 )
 
@@ -71,7 +72,8 @@
 // finish reports the final response and sends it.
 func (h *Handler) finish(w http.ResponseWriter, req *clientRequest, resp finalResponse) {
 	h.report(req, resp)
-	if h.shutdown.begun.Err() != nil || resp.closeConnection {
+	req.lease.SetPhase(resource.Response)
+	if h.shutdown.begun.Err() != nil || resp.closeConnection || req.lease.Ended() {
 		w.Header().Set("Connection", "close")
 	}
 	switch resp.outcome {
@@ -99,17 +101,23 @@
 	for name, values := range r.header {
 		header[name] = values
 	}
+	if r.status == http.StatusNoContent {
+		// A faulty target may announce a body, which the client would wait for.
+		header.Del("Content-Length")
+	}
+	to, done := req.bodyWriter(w, r)
+	defer done()
 	if r.unread == nil {
 		if req.incoming.Method != http.MethodHead && r.status != http.StatusNoContent && r.status != http.StatusNotModified {
 			header.Set("Content-Length", strconv.Itoa(len(r.body)))
 		}
 		w.WriteHeader(r.status)
-		_, err := w.Write(r.body)
+		_, err := to.Write(r.body)
 		req.logWriteError(err)
 		return
 	}
 	w.WriteHeader(r.status)
-	if !req.streamResponse(w, r) {
+	if !req.streamResponse(to, r) {
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -129,7 +137,11 @@
 // writeError sends a response that the load balancer generates itself. The reason may
 // contain addresses, so the client gets only the outcome and the status text.
 func (req *clientRequest) writeError(w http.ResponseWriter, resp finalResponse) {
-	req.h.cfg.Dialect.SetRejection(w.Header(), req.id, min(resp.retryAfter, max(0, time.Until(req.deadline))))
+	retryAfter := resp.retryAfter
+	if resp.status != http.StatusTooManyRequests {
+		retryAfter = min(retryAfter, max(0, time.Until(req.deadline)))
+	}
+	req.h.cfg.Dialect.SetRejection(w.Header(), req.id, retryAfter)
 	w.Header().Set("Content-Type", "application/json")
 	body, err := json.Marshal(errorBody{Outcome: resp.outcome, Reason: http.StatusText(resp.status)})
 	if err != nil {
