--- a/cmd/tamarackbench/soak.go
+++ b/cmd/tamarackbench/soak.go
@@ -22,8 +22,8 @@
 	Hosts       int           `default:"5" help:"Number of hosts."`
 	Targets     int           `default:"6" help:"Number of targets."`
 	Callers     int           `default:"24" help:"Number of callers."`
-	QuotaRate   float64       `help:"Quota of a client account, in requests a second; 0 for no such account."`
-	QuotaBurst  float64       `help:"Burst of that account."`
+	QuotaRate   float64       `default:"5" help:"Quota of a client account, in requests a second; 0 for no such account."`
+	QuotaBurst  float64       `default:"5" help:"Burst of that account."`
 	Only        []soak.Kind   `help:"Kinds of faults to inject; default all."`
 	Binary      string        `default:"bin/tamaracktiller" type:"existingfile" help:"Path of the load balancer binary."`
 	UpgradeFrom string        `type:"existingfile" help:"Path of an older binary with which the hosts start; each restart brings the other one."`
--- a/internal/bench/soak/schedule.go
+++ b/internal/bench/soak/schedule.go
@@ -74,12 +74,12 @@
 )
 
 // kinds are the kinds that Schedule draws from; a kind listed twice is drawn twice as
-// often. Evacuate is not drawn, since hosts do not evacuate domains yet. isHostFault and isStoreFault depend on the order.
+// often. isHostFault and isStoreFault depend on the order.
 var kinds = []Kind{
 	HostKill, HostPause, HostStop, HostReload, HostStoreSlow, HostStoreSilent, HostStoreOneWay, HostStoreReset, CutSilent, CutReset, CutRefuse, HostKillSeries,
 	StoreDown, StoreSlow, StoreDropResponses, StoreDelayWrites, StoreSuppressEvents, StoreCompact, StoreRestore,
 	TargetSlow, TargetFail, TargetShed, TargetDropResponses, TargetCrash, TargetDrain, TargetLateEntry, TargetLinkSilent, TargetLinkOneWay, TargetLinkReset, TargetLinkSlow, TargetLimit, TargetLimit, TargetSayLeaving, TargetPause, TargetPause,
-	ConfigChange, ConfigChange, ConfigBurst, MalformedEntry, KeyRemove, KeyRemove, KeyRemoveUnseen,
+	ConfigChange, ConfigChange, ConfigBurst, MalformedEntry, KeyRemove, KeyRemove, KeyRemoveUnseen, Evacuate,
 }
 
 // Fault is one fault of a schedule.
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -25,11 +25,13 @@
 	result, err := Run(t.Context(), Config{
 		Seed: 2, Length: 24 * time.Second, Hosts: 5, Targets: 6, Callers: 16, Binary: build(t, dir), Dir: filepath.Join(dir, "run"),
 		// Frequent changes of the configuration leave times in which few hosts are cut off.
-		Only: []Kind{CutSilent, CutReset, CutRefuse, ConfigChange, ConfigChange, ConfigChange, ConfigChange, ConfigChange, ConfigChange},
+		Only: []Kind{CutSilent, CutReset, CutRefuse, ConfigChange, ConfigChange, ConfigChange, ConfigChange, ConfigChange, Evacuate},
 	})
 	require.NoError(t, err)
 	require.Empty(t, result.Violations, result.Timeline())
+	t.Logf("judged requests: %d at separated hosts, %d during evacuations", result.CutRequests, result.EvacuationRequests)
 	require.Positive(t, result.CutRequests, "requests at hosts that are separated from all targets")
+	require.Positive(t, result.EvacuationRequests, "requests during evacuations")
 }
 
 // TestSoakStopsHosts does a short run with real processes in which hosts are stopped as planned, and
@@ -50,7 +52,7 @@
 	dir := t.TempDir()
 	binary := build(t, dir)
 	result, err := Run(t.Context(), Config{
-		Seed: 6, Length: 24 * time.Second, Hosts: 3, Targets: 4, Callers: 10, Limit: 12, Binary: binary, Dir: filepath.Join(dir, "run"),
+		Seed: 6, Length: 24 * time.Second, Hosts: 3, Targets: 4, Callers: 10, Limit: 12, Quota: Quota{PerSecond: 5, Burst: 5}, Binary: binary, Dir: filepath.Join(dir, "run"),
 		Only: []Kind{HostKill, HostKillSeries, HostPause, HostStop, HostReload, StoreSuppressEvents, StoreDown, StoreRestore, TargetCrash, TargetDrain, TargetLateEntry, TargetDropResponses, TargetLimit, TargetLimit, TargetSayLeaving, TargetSayLeaving, TargetPause, TargetPause, ConfigChange, KeyRemove, KeyRemove, KeyRemoveUnseen},
 	})
 	require.NoError(t, err)
@@ -61,6 +63,9 @@
 	require.Greater(t, result.LimitedRequests, 20, "requests to targets while their rate limits had to hold")
 	require.Positive(t, result.RemovedKeyRequests, "requests with removed keys")
 	require.Positive(t, result.RefusedKeys, "bad keys that got 401")
+	t.Log("requests of the account with a quota:", result.LimitedStatuses)
+	require.Positive(t, result.LimitedStatuses[200], "served requests of the account with a quota")
+	require.Positive(t, result.LimitedStatuses[429], "requests beyond the quota")
 	require.Positive(t, result.JudgedPauses, "pauses of targets")
 	require.Positive(t, result.Leavers, "targets that said that they leave")
 }
