Accounts: names of at most 256 bytes; sound age of hosts without accounts; refusals end with their reason

A name of 1,400 bytes passed and no datagram that carries it was sent. A suspended host whose view has no accounts renewed the sound age of a host with accounts to 100 ms after 10 s without a read; its older data now proves nothing. A change of the credit host ends refusals of the one before. Each has a test that failed before.

--- a/internal/account/credit/issuer_test.go
+++ b/internal/account/credit/issuer_test.go
@@ -188,3 +188,18 @@
 	_, scarce = s.Scarce(now, 2)
 	require.False(t, scarce, "another account")
 }
+
+// Guards against requests that are refused for up to a minute although the limit, the followers or the
+// credit host have changed since the refusal.
+func TestRefusalDoesNotOutliveItsReason(t *testing.T) {
+	const now = time.Hour
+	s := NewSpender(now, "b", 2)
+	s.Charge(now, 1, false)
+	s.apply(now, &Message{}, Item{Account: 1, Wait: time.Minute, Gap: time.Second})
+	refused := s.Charge(now, 1, false)
+	require.Equal(t, Exceeded, refused.Outcome)
+	require.Equal(t, Wait, s.Charge(now+scarceTime, 1, false).Outcome, "credit is asked for again")
+	s.apply(now, &Message{}, Item{Account: 1, Wait: time.Minute, Gap: time.Second})
+	s.unfollow()
+	require.Equal(t, Wait, s.Charge(now, 1, false).Outcome, "another credit host decides anew")
+}
--- a/internal/account/credit/spender.go
+++ b/internal/account/credit/spender.go
@@ -407,6 +407,8 @@
 	s.width, s.widenAt = 1, 0
 	for _, a := range s.accounts {
 		a.returned, a.asked = nil, 0
+		// The next credit host decides anew.
+		a.askAt, a.deniedUntil, a.unknownUntil = 0, 0, 0
 	}
 }
 
--- a/internal/contract/routing/account.go
+++ b/internal/contract/routing/account.go
@@ -9,6 +9,10 @@
 	"strings"
 )
 
+// MaxNameBytes bounds the name of an account. Hosts send it to each other in datagrams, which carry at
+// most 1,400 bytes.
+const MaxNameBytes = 256
+
 // MaxKeyBytes is the maximum length of a key.
 const MaxKeyBytes = 256
 
@@ -56,6 +60,8 @@
 	case !isHeaderValue(a.Name) || strings.Trim(a.Name, " \t") != a.Name:
 		// Targets get the name in a header. They would see another name.
 		return "its name cannot be sent in a header"
+	case len(a.Name) > MaxNameBytes:
+		return fmt.Sprintf("its name has %d bytes, the limit is %d", len(a.Name), MaxNameBytes)
 	case !isLimit(a.PerSecond):
 		return "its rate is not a number from 0 on"
 	case !isLimit(a.Burst):
--- a/internal/fleet/directory/peers.go
+++ b/internal/fleet/directory/peers.go
@@ -237,6 +237,6 @@
 	transit := max(0, receivedAt.Sub(start)-max(0, c.Held))
 	return update{
 		page: store.Page{Items: decoded, Revision: c.Revision}, full: c.Full, newest: c.Newest, source: host.Name, origin: c.Origin,
-		receivedAt: receivedAt, age: max(0, c.Age) + transit, soundAsOf: c.peerSoundAsOf(sent, d.bootNow()),
+		receivedAt: receivedAt, age: max(0, c.Age) + transit, soundAsOf: d.peerSoundAsOf(&c, sent),
 	}, nil
 }
--- a/internal/fleet/directory/soundage.go
+++ b/internal/fleet/directory/soundage.go
@@ -73,3 +73,13 @@
 	age := soundAgeOf(now, asOf)
 	c.SoundAge, c.SoundHeld = &age, now-start
 }
+
+// peerSoundAsOf returns the time up to which a response of another host to a poll at sent is complete;
+// zero if that is not known. A host whose view has no accounts does not know its sound age: if its data is
+// older than this host's, it may have been suspended since, and its response proves nothing.
+func (d *Directory) peerSoundAsOf(c *changesResponse, sent time.Duration) time.Duration {
+	if c.SoundAge == nil && d.Snapshot().Keys != nil && d.cache.applied().After(c.Revision) {
+		return 0
+	}
+	return c.peerSoundAsOf(sent, d.bootNow())
+}
--- a/internal/fleet/directory/soundage_test.go
+++ b/internal/fleet/directory/soundage_test.go
@@ -259,3 +259,21 @@
 		require.NotContains(t, fields, 9)
 	})
 }
+
+// Guards against a key that is used too long: a host whose view has no accounts does not send its sound
+// age, so that its age says nothing of a suspension after its last read.
+func TestSuspendedHostWithoutAccountsDoesNotRenewTheSoundAgeOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &suspension{}
+		server := startDirectory(t, Config{Self: Host{Name: "a"}, Source: &scriptedSource{config: "1"}, SinceBoot: s.clock(time.Hour)})
+		(&watcher{d: server, active: true}).step(t.Context())
+		time.Sleep(100 * time.Millisecond)
+		transport := &pollTransport{to: server, request: func() {}, response: func() {}}
+		d := startDirectory(t, Config{Self: Host{Name: "b"}, Source: &scriptedSource{revision: 1, config: accountsPrefix + "1"}, SinceBoot: s.clock(7 * time.Hour), PeerTransport: transport})
+		(&watcher{d: d, active: true}).step(t.Context())
+		require.NotNil(t, d.Snapshot().Keys)
+		s.add(suspended)
+		require.NoError(t, d.pollPeer(t.Context(), peerA, 0))
+		require.GreaterOrEqual(t, d.SoundAge(), suspended)
+	})
+}
