--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -187,7 +187,7 @@
 		}
 		// Hosts do not use 127.0.0.1, the source address of outgoing connections, so that no
 		// ephemeral port can collide with a port of a host.
-		const firstOctet, octets = 100, 100
+		const firstOctet, octets = 100, 80
 		ip := netip.AddrFrom4([4]byte{127, byte(firstOctet + os.Getpid()%octets), byte(r.cfg.Seed), byte(1 + n)})
 		h := &host{index: n, name: fmt.Sprintf("host-%d", n), ip: ip, domain: domainName(n), dir: r.cfg.Dir, first: first, next: next, storeLink: link, g: r.g}
 		h.onStart = func(older bool) { r.recordBuild(h, older) }
--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -86,7 +86,7 @@
 // they can't take a port on it.
 func freeAddress() netip.Addr {
 	n := hostAddresses.Add(1)
-	return netip.AddrFrom4([4]byte{127, byte(77 + os.Getpid()%100), byte(n >> 8), byte(n)})
+	return netip.AddrFrom4([4]byte{127, byte(2 + os.Getpid()%60), byte(n >> 8), byte(n)})
 }
 
 func newCluster(t *testing.T, hosts int, targets ...*platformtest.Target) *cluster {
