Quotas: a process that replaces a follower of the same credit host follows it at once

After hosts were killed, their successors waited 600 ms for credit, since their predecessors might still count elsewhere. A credit host that counted the predecessor knows that it did not, and says so. Field 13 of credit messages; older builds ignore it and the process waits as before.

--- a/internal/account/credit/issuer.go
+++ b/internal/account/credit/issuer.go
@@ -202,6 +202,7 @@
 	if f.run == m.Run && m.Stamp <= f.stamp {
 		return Message{}, false
 	}
+	replaced := f.run != m.Run && f.until > now
 	f.run, f.stamp, f.seen = m.Run, m.Stamp, now
 	i.nextEnd = min(i.nextEnd, now+followTime)
 	response = Message{Sender: i.self, Run: i.run, ReceiverRun: m.Run, Stamp: now, Echo: m.Stamp, Response: true}
@@ -215,6 +216,7 @@
 	switch {
 	case !m.Follow:
 		i.setUntil(f, 0)
+		response.Replaced = replaced
 	case m.ReceiverRun == i.run && m.Echo <= now && m.Echo+followTime > now:
 		joined = f.until == 0
 		i.setUntil(f, max(f.until, m.Echo+followTime))
--- a/internal/account/credit/issuer_test.go
+++ b/internal/account/credit/issuer_test.go
@@ -203,3 +203,53 @@
 	s.unfollow()
 	require.Equal(t, Wait, s.Charge(now, 1, false).Outcome, "another credit host decides anew")
 }
+
+// Guards against a restarted process that waits for credit although its predecessor counted at the same
+// credit host, and against one that does not wait although its predecessor may count at another.
+func TestRestartedProcessFollowsTheSameCreditHostAtOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		// predecessor is set if an earlier process follows the credit host, until down before the start.
+		predecessor bool
+		down        time.Duration
+		waits       time.Duration
+	}{
+		{name: "predecessor counted a moment ago", predecessor: true, down: followTime / 4, waits: 30 * ms},
+		{name: "predecessor counts no more", predecessor: true, down: followTime + 50*ms, waits: followTime + 30*ms},
+		{name: "no predecessor", waits: followTime + 30*ms},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Hour
+			i := NewIssuer(now, "a", 1)
+			i.SetLimits(now, map[AccountID]Limit{1: {PerSecond: 10}})
+			i.SetView(now, View{Hosts: 2})
+			// run runs a process of host b until it follows the credit host or limit has passed.
+			run := func(process uint64, limit time.Duration) time.Duration {
+				s, start := NewSpender(now, "b", process), now
+				s.SetCandidates([]string{"a", "b"})
+				for now-start < limit && s.Following() != "a" {
+					for _, out := range s.Poll(now, View{Hosts: 2}) {
+						if response, ok := i.Handle(now, out.Message); ok && out.To == "a" {
+							s.Receive(now, response)
+						}
+					}
+					now += 10 * ms
+				}
+				for _, out := range s.Poll(now, View{Hosts: 2}) {
+					if out.To == "a" {
+						i.Handle(now, out.Message)
+					}
+				}
+				return now - start
+			}
+			if tt.predecessor {
+				run(2, 2*time.Second)
+				now += tt.down
+			}
+			waited := run(3, 2*time.Second)
+			require.LessOrEqual(t, waited, tt.waits)
+			require.Greater(t, waited, tt.waits-60*ms)
+		})
+	}
+}
--- a/internal/account/credit/message.go
+++ b/internal/account/credit/message.go
@@ -98,6 +98,9 @@
 	Settled bool `cbor:"12,keyasint,omitempty"`
 	// Unavailable is set in the response of a host that issues no credit and counts no followers.
 	Unavailable bool `cbor:"8,keyasint,omitempty"`
+	// Replaced is set in a response if the receiver's host counted as a follower through an earlier
+	// process, and does not any more. That process followed no other host.
+	Replaced bool `cbor:"13,keyasint,omitempty"`
 	// Hosts is the number of hosts in the view of the sender of a request, and ViewAge the age of the view.
 	Hosts   int           `cbor:"9,keyasint,omitempty"`
 	ViewAge time.Duration `cbor:"10,keyasint,omitempty"`
--- a/internal/account/credit/spender.go
+++ b/internal/account/credit/spender.go
@@ -589,6 +589,10 @@
 		return false
 	}
 	s.observe(now, c, &m)
+	if m.Replaced && s.current == nil && s.leaving == nil {
+		// The earlier process of this host counted there and nowhere else.
+		s.freeAt, again = now, true
+	}
 	if m.Echo >= s.followStamp && !m.Follow && (c == s.leaving || c == s.current && m.Unavailable) {
 		s.release(now, c)
 		again = true
