Count only headers as header bytes, and refuse a body that does not fit with 503

The state of the validator was read after a read, so a read that completed a body charged all of its bytes as a header: a 60 kB upload in flight held 159,521 bytes. The validator now counts what it consumes at request lines, headers and trailers. The error of a short budget is resource.ErrShort everywhere, so that such an upload gets 503 with a Retry-After instead of 400.

--- a/internal/intake/resource/budget.go
+++ b/internal/intake/resource/budget.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -34,6 +36,9 @@
 	overrunDivisor = 16
 )
 
+// ErrShort reports that the budget is short.
+var ErrShort = errors.New("the memory for clients is in use")
+
 // Conn is a connection that holds bytes.
 type Conn interface {
 	// Interrupt makes the read in progress fail, so that the request can be refused.
--- a/internal/process/entry/export_test.go
+++ b/internal/process/entry/export_test.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
+	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
 )
 
 // Kill ends the process without the steps of a shutdown: requests in flight get no response,
@@ -20,6 +21,9 @@
 
 var errKilled = errors.New("entry: killed")
 
+// Budget returns the budget for clients, or nil.
+func (p *Process) Budget() *resource.Budget { return p.clientBudget }
+
 // LastStart is lastStart, for tests.
 var LastStart = lastStart
 
--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -50,6 +50,8 @@
 	// mu guards hosts, to which tests add while others send requests.
 	mu    sync.Mutex
 	hosts []*host
+	// memory is the memory of each host in bytes.
+	memory int64
 }
 
 type host struct {
@@ -113,11 +115,13 @@
 	// revoke is the bound of strict revocation; 0 means that revocation is not strict. Each host has a
 	// proxy before the store then.
 	revoke time.Duration
+	// memory is the memory of each host in bytes; 0 means that clients have no budget.
+	memory int64
 }
 
 func newFleet(t *testing.T, f fleet, targets ...*platformtest.Target) *cluster {
 	t.Helper()
-	cl := &cluster{t: t, store: platformtest.NewStore(), targets: targets, firstStart: f.firstStart, domains: max(1, f.domains), grace: f.grace, revoke: f.revoke}
+	cl := &cluster{t: t, store: platformtest.NewStore(), targets: targets, firstStart: f.firstStart, domains: max(1, f.domains), grace: f.grace, revoke: f.revoke, memory: f.memory}
 	if f.revoke > 0 {
 		cl.storeProxies = map[string]*platformtest.Proxy{}
 	}
@@ -184,7 +188,7 @@
 	cfg := &settings.Entry{
 		Name: name, Domain: []string{"d", "e", "f"}[domain], FirstStart: cl.firstStart, Source: ip, Callers: netip.AddrPortFrom(ip, 8381), Observe: netip.AddrPortFrom(ip, 8388),
 		Peers: netip.AddrPortFrom(ip, 7200), Metrics: netip.AddrPortFrom(ip, 7201),
-		Store: cl.store.Address(), LogLevel: "debug",
+		Store: cl.store.Address(), LogLevel: "debug", MemoryBytes: cl.memory,
 		Bounds: settings.Bounds{
 			RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, ProbesPerSecond: 60,
 			ConfigApply: 2 * time.Second, Drain: 2 * time.Second, Grace: cmp.Or(cl.grace, 6*time.Second), ReregisterTimeout: 2 * time.Second,
--- a/internal/process/front/held.go
+++ b/internal/process/front/held.go
@@ -25,17 +25,12 @@
 
 // errNoBudget ends a connection whose header does not fit in the budget. The server takes an error of the
 // network for the end of the connection; it responds to others with 400, which clients do not repeat.
-var errNoBudget = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("front: no memory is left for the header")}
+var errNoBudget = &net.OpError{Op: "read", Net: "tcp", Err: errors.Wrap(resource.ErrShort, "front: header")}
 
-// reserveHeader reserves memory for a header after n bytes were read. The caller holds c.mu.
-func (c *trackedConn) reserveHeader(n int) bool {
-	switch c.validator.state {
-	case atBody, atChunkSize, atChunkEnd, atUnknown, atFrames:
-		return true
-	case atRequestLine, atHeader, atTrailer:
-	}
-	c.header += int64(n)
-	need := headerCopies*(c.header-freeHeaderBytes) - c.reserved
+// reserveHeader reserves memory for what was read of headers. The caller holds c.mu.
+func (c *trackedConn) reserveHeader() bool {
+	c.header += c.validator.takeHeaderBytes()
+	need := headerCopies*(c.header+c.validator.partialChunkLine()-freeHeaderBytes) - c.reserved
 	if need <= 0 {
 		return true
 	}
--- a/internal/process/front/stop.go
+++ b/internal/process/front/stop.go
@@ -204,7 +204,9 @@
 		return 0, net.ErrClosed
 	}
 	c.begun = c.validator.begun()
-	if c.holder != nil && !c.reserveHeader(n) {
+	if c.holder != nil && !c.reserveHeader() {
+		// What was read is lost, so no later read may succeed.
+		c.err = errNoBudget
 		return 0, errNoBudget
 	}
 	return n, err
--- a/internal/process/front/validator.go
+++ b/internal/process/front/validator.go
@@ -69,6 +69,8 @@
 	remaining int64
 	// requests counts the request lines that have been read.
 	requests int
+	// headerBytes counts the bytes of request lines, headers and trailers since takeHeaderBytes.
+	headerBytes int64
 
 	// The remaining fields describe the current request.
 	method    string
@@ -96,16 +98,36 @@
 			at += int(n)
 			v.endBody()
 		default:
+			before := v.state
 			n, err := v.feedLine(p[at:])
 			if err != nil {
 				return at, err
 			}
+			if before == atRequestLine || before == atHeader || before == atTrailer {
+				v.headerBytes += int64(n)
+			}
 			at += n
 		}
 	}
 	return len(p), nil
 }
 
+// takeHeaderBytes returns the number of bytes of request lines, headers and trailers that were fed since
+// the last call, those of a line whose end is missing included.
+func (v *validator) takeHeaderBytes() int64 {
+	n := v.headerBytes
+	v.headerBytes = 0
+	return n
+}
+
+// partialChunkLine returns the length of the stored start of a line between chunks.
+func (v *validator) partialChunkLine() int64 {
+	if v.state != atChunkSize && v.state != atChunkEnd {
+		return 0
+	}
+	return int64(len(v.partial))
+}
+
 // begun returns the number of requests of which bytes have been read.
 func (v *validator) begun() int {
 	if v.state == atRequestLine && len(v.partial) > 0 {
@@ -181,7 +203,7 @@
 	if len(parts) != 3 || !isToken(parts[0]) || parts[1] == "" || strings.Contains(line, "\t") {
 		return ErrRequestLine
 	}
-	*v = validator{http2: v.http2, partial: v.partial, requests: v.requests + 1, state: atHeader, method: parts[0], version: parts[2]}
+	*v = validator{http2: v.http2, partial: v.partial, requests: v.requests + 1, headerBytes: v.headerBytes, state: atHeader, method: parts[0], version: parts[2]}
 	if v.method == "CONNECT" {
 		return errors.Wrap(ErrRequestLine, "CONNECT")
 	}
--- a/internal/traffic/entry/attempt.go
+++ b/internal/traffic/entry/attempt.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/dispatcher"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/ratelimit"
@@ -210,7 +211,7 @@
 	case rejected:
 		return placement.Rejected
 	case notSent, outcomeUnknown:
-		if r.req.isDone(ctx) || r.refusal() != nil || errors.Is(r.cause, targets.ErrEvacuated) || errors.Is(r.cause, errNoBudget) {
+		if r.req.isDone(ctx) || r.refusal() != nil || errors.Is(r.cause, targets.ErrEvacuated) || errors.Is(r.cause, resource.ErrShort) {
 			return placement.Cancelled
 		}
 		if errors.Is(r.cause, errLinkLost) || r.outcome == notSent && r.grant.Through() != "" {
--- a/internal/traffic/entry/body.go
+++ b/internal/traffic/entry/body.go
@@ -94,7 +94,7 @@
 // rejectBody returns the response to a request whose body could not be read. One that has not
 // arrived in time is not invalid: the client may send it again.
 func (req *clientRequest) rejectBody(err error) *finalResponse {
-	if errors.Is(err, errNoBudget) || req.lease.Ended() {
+	if errors.Is(err, resource.ErrShort) || req.lease.Ended() {
 		req.bodyLate = true
 		return req.rejectForMemory("its body")
 	}
--- a/internal/traffic/entry/intake.go
+++ b/internal/traffic/entry/intake.go
@@ -33,9 +33,6 @@
 	lateStreamTime = 5 * time.Second
 )
 
-// errNoBudget reports that the budget for clients is short.
-var errNoBudget = errors.New("the memory for clients is in use")
-
 // openLease reserves the fixed cost of a request.
 func (req *clientRequest) openLease() *finalResponse {
 	lease, ok := resource.NewLease(resource.FromContext(req.incoming.Context()), requestBytes)
@@ -55,7 +52,7 @@
 
 // readGrowing reads r to its end, or limit bytes of it. The buffer grows as bytes arrive, up to length if
 // that is known, which is negative if not; grow reserves each growth. If it can't, what was read is
-// returned with errNoBudget.
+// returned with resource.ErrShort.
 func readGrowing(r io.Reader, length, limit int64, grow func(n int64) bool) ([]byte, error) {
 	largest := limit
 	if length >= 0 {
@@ -78,7 +75,7 @@
 		}
 		size := min(2*int64(cap(data)), largest)
 		if !grow(size - int64(cap(data))) {
-			return data, errNoBudget
+			return data, resource.ErrShort
 		}
 		larger := make([]byte, len(data), size)
 		copy(larger, data)
@@ -109,16 +106,16 @@
 }
 
 // readBuffered reads the body of a response, or its beginning if it exceeds maxBufferedResponse or the
-// budget for clients is short. more is set if the rest must be streamed. The error is errNoBudget if there
+// budget for clients is short. more is set if the rest must be streamed. The error is resource.ErrShort if there
 // is no memory for that either.
 func (req *clientRequest) readBuffered(res *http.Response) (body []byte, more bool, err error) {
 	body, err = readGrowing(res.Body, res.ContentLength, maxBufferedResponse+1, req.lease.Grow)
-	short := errors.Is(err, errNoBudget)
+	short := errors.Is(err, resource.ErrShort)
 	if more = short || err == nil && len(body) > maxBufferedResponse; !more {
 		return body, false, err
 	}
 	if !req.lease.Grow(streamBytes + req.h.cfg.SocketBytes) {
-		return body, false, errNoBudget
+		return body, false, resource.ErrShort
 	}
 	return body, true, nil
 }
--- a/internal/traffic/entry/intake_test.go
+++ b/internal/traffic/entry/intake_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
 )
 
 // Guards against buffers that grow by what a client announces, or beyond what was reserved.
@@ -29,13 +31,13 @@
 		{name: "small, unknown length", sent: 100, length: -1, read: 100},
 		{name: "first buffer", sent: firstBuffer, length: firstBuffer, budget: 1, read: firstBuffer},
 		{name: "60 kB", sent: 60_000, length: 60_000, budget: 60_001 - firstBuffer, read: 60_000},
-		{name: "60 kB, budget short by a byte", sent: 60_000, length: 60_000, budget: 60_000 - firstBuffer, read: 32 << 10, err: errNoBudget},
+		{name: "60 kB, budget short by a byte", sent: 60_000, length: 60_000, budget: 60_000 - firstBuffer, read: 32 << 10, err: resource.ErrShort},
 		{name: "announces more than it sends", sent: 5000, length: 1 << 40, budget: firstBuffer, read: 5000},
 		{name: "sends more than it announces", sent: 50_000, length: 20_000, budget: limit, read: 50_000},
 		{name: "up to the limit", sent: limit, length: limit, budget: limit, read: limit},
 		{name: "over the limit", sent: 2 * limit, length: 2 * limit, budget: limit, read: limit},
 		{name: "over the limit, unknown length", sent: 2 * limit, length: -1, budget: limit, read: limit},
-		{name: "no budget", sent: 10_000, length: 10_000, read: firstBuffer, err: errNoBudget},
+		{name: "no budget", sent: 10_000, length: 10_000, read: firstBuffer, err: resource.ErrShort},
 	}
 	for _, tt := range tests {
 		for form, wrap := range map[string]func(io.Reader) io.Reader{"whole": func(r io.Reader) io.Reader { return r }, "in halves": iotest.HalfReader, "with the error": iotest.DataErrReader} {
