Subtract the bytes of a closing connection once

Holder.Release subtracted from both sums after Close had returned all that the connection held, so the sum of the budget stayed negative.

--- a/internal/intake/resource/budget.go
+++ b/internal/intake/resource/budget.go
@@ -283,6 +283,11 @@
 	b := h.b
 	h.held.Add(-n)
 	b.held.Add(-n)
+	if h.closed.Load() {
+		// Close has returned what the connection held, perhaps these bytes too.
+		b.held.Add(-h.held.Swap(0))
+		return
+	}
 	if !h.ended.Load() {
 		return
 	}
--- a/internal/intake/resource/budget_test.go
+++ b/internal/intake/resource/budget_test.go
@@ -1,6 +1,9 @@
 package resource
 
 import (
+	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -216,6 +219,31 @@
 	require.Zero(t, f.endingCount)
 }
 
+// Guards against bytes that are subtracted twice when an attempt that outlasts its request returns its
+// reservation while the connection closes: the sum stayed negative from then on.
+func TestReleaseWhileTheConnectionCloses(t *testing.T) {
+	b := New(LimitsOf(184*megabyte, 4100), Config{Now: time.Now, OnEnd: func(End) {}, OnRefuse: func(string) {}})
+	for range 20_000 {
+		h, ok := b.Open(&fakeConn{})
+		require.True(t, ok)
+		require.True(t, h.Grow(4*kilobyte))
+		var wg sync.WaitGroup
+		var start atomic.Bool
+		for range 4 {
+			wg.Go(func() {
+				for !start.Load() {
+					runtime.Gosched()
+				}
+				h.Release(kilobyte)
+			})
+		}
+		start.Store(true)
+		h.Close()
+		wg.Wait()
+	}
+	require.Equal(t, Usage{}, b.Usage())
+}
+
 // Guards against garbage that the collector has not freed yet: it is not part of the reservations.
 func TestLargeReservationsWaitForTheCollector(t *testing.T) {
 	used := int64(0)
