Pass on responses of requests that have run when the budget is short

If the buffer of a response could not grow by a few kB, the host asked for 156 kB to stream it, which could not succeed, and answered 502. The response is now streamed through the buffer that it has. The first 64 kB of a response may use the reserve and are not refused while the collector is behind. An attempt whose connection was ended meanwhile is not repeated.

--- a/internal/intake/resource/budget.go
+++ b/internal/intake/resource/budget.go
@@ -15,8 +15,9 @@
 	// SweepPeriod is the interval at which Sweep should be called. A connection at 100 Mbit/s fills its
 	// buffers in less, but not all of them do.
 	SweepPeriod = 100 * time.Millisecond
-	// reserveDivisor gives the part of the bytes that is kept for requests without a body: reservations
-	// that make a connection hold more than smallBytes must leave it free.
+	// reserveDivisor gives the part of the bytes that is kept for requests without a body and the first
+	// smallBytes of responses: other reservations that make a connection hold more than smallBytes must
+	// leave it free.
 	reserveDivisor = 8
 	smallBytes     = 64 << 10
 	// hardDivisor gives the part by which the budget may be exceeded while connections end.
@@ -228,7 +229,11 @@
 
 // Grow reserves n bytes. It returns false if the budget is short or the connection was ended; nothing is
 // reserved then.
-func (h *Holder) Grow(n int64) bool {
+func (h *Holder) Grow(n int64) bool { return h.grow(n, false) }
+
+// grow is Grow. A small reservation may use the part of the bytes that is kept for requests without a body,
+// and is not refused for the memory of the runtime.
+func (h *Holder) grow(n int64, small bool) bool {
 	if h == nil {
 		return true
 	}
@@ -239,17 +244,18 @@
 	if b.limits.Bytes == 0 {
 		return true
 	}
-	if h.held.Load()+n > ConnectionBytes+smallBytes && b.overruns(n) {
+	small = small || h.held.Load()+n <= ConnectionBytes+smallBytes
+	if !small && b.overruns(n) {
 		b.cfg.OnRefuse(RefusedGarbage)
 		return false
 	}
 	total := b.held.Add(n) + b.queued.Load()
-	own := h.held.Add(n)
+	h.held.Add(n)
 	if h.closed.Load() {
 		b.held.Add(-h.held.Swap(0))
 		return false
 	}
-	if total > b.limit(own) && !b.makeRoom(h, b.limit(own)) {
+	if limit := b.limit(small); total > limit && !b.makeRoom(h, limit) {
 		h.Release(n)
 		b.cfg.OnRefuse(RefusedBytes)
 		return false
@@ -300,9 +306,9 @@
 	}
 }
 
-// limit returns the bytes up to which a connection that holds own bytes may reserve more.
-func (b *Budget) limit(own int64) int64 {
-	if own <= ConnectionBytes+smallBytes {
+// limit returns the bytes up to which connections may reserve more, by small or by other reservations.
+func (b *Budget) limit(small bool) int64 {
+	if small {
 		return b.limits.Bytes
 	}
 	return b.limits.Bytes - b.limits.Bytes/reserveDivisor
@@ -380,7 +386,7 @@
 		return
 	}
 	b.mu.Lock()
-	limit := b.limit(smallBytes + ConnectionBytes + 1)
+	limit := b.limit(false)
 	// Send and receive buffers, which the kernel doubles.
 	largest := int64(len(b.holders)) * int64(b.limits.SocketBytes) * 4
 	measure := b.held.Load()+largest > limit
--- a/internal/intake/resource/budget_test.go
+++ b/internal/intake/resource/budget_test.go
@@ -263,6 +263,31 @@
 	require.True(t, h.Grow(megabyte))
 }
 
+// Guards against requests that run and whose responses then get no memory: the first 64 kB may use what is
+// kept for small requests, and do not wait for the collector.
+func TestResponsesUseTheReserve(t *testing.T) {
+	used := int64(0)
+	b := New(Limits{Bytes: 8 * megabyte, RuntimeBytes: 72 * megabyte}, Config{
+		Now: time.Now, MemoryInUse: func() int64 { return used }, OnEnd: func(End) {}, OnRefuse: func(string) {},
+	})
+	h, ok := b.Open(&fakeConn{})
+	require.True(t, ok)
+	l, ok := NewLease(h, 7*megabyte-ConnectionBytes)
+	require.True(t, ok)
+	require.False(t, l.Grow(kilobyte), "the rest is the reserve")
+	grow := l.NewResponse()
+	require.True(t, grow(60*kilobyte))
+	require.False(t, grow(8*kilobyte), "more than 64 kB")
+	require.True(t, grow(4*kilobyte))
+	used = 80 * megabyte
+	require.False(t, l.Grow(2*megabyte), "the collector is behind")
+	require.True(t, l.NewResponse()(kilobyte))
+	l.End()
+	require.False(t, l.NewResponse()(kilobyte))
+	h.Close()
+	require.Equal(t, Usage{}, b.Usage())
+}
+
 func TestTunnelsAreBounded(t *testing.T) {
 	f := newFixture(Limits{Bytes: 8 * megabyte, Tunnels: 2})
 	release, ok := f.OpenTunnel()
--- a/internal/intake/resource/lease.go
+++ b/internal/intake/resource/lease.go
@@ -23,11 +23,26 @@
 }
 
 // Grow reserves n more bytes. It returns false if the budget is short.
-func (l *Lease) Grow(n int64) bool {
+func (l *Lease) Grow(n int64) bool { return l.grow(n, false) }
+
+// NewResponse returns the function that reserves bytes for a response, as Grow does. Its request has run,
+// so the first smallBytes may use the part of the budget that is kept for small requests.
+func (l *Lease) NewResponse() func(n int64) bool {
+	reserved := int64(0)
+	return func(n int64) bool {
+		if !l.grow(n, reserved+n <= smallBytes) {
+			return false
+		}
+		reserved += n
+		return true
+	}
+}
+
+func (l *Lease) grow(n int64, small bool) bool {
 	if l == nil {
 		return true
 	}
-	if !l.h.Grow(n) {
+	if !l.h.grow(n, small) {
 		return false
 	}
 	l.bytes.Add(n)
@@ -45,6 +60,9 @@
 	}
 }
 
+// Over reports whether nothing more can be reserved: the request is over, or its connection was ended.
+func (l *Lease) Over() bool { return l != nil && (l.over.Load() || l.h.Ended()) }
+
 // Ended reports whether the connection was ended because the budget was short.
 func (l *Lease) Ended() bool { return l != nil && l.h.Ended() }
 
--- a/internal/process/entry/intake_test.go
+++ b/internal/process/entry/intake_test.go
@@ -30,20 +30,20 @@
 func fillBudget(t *testing.T, b *resource.Budget, left int64) (release func()) {
 	t.Helper()
 	const most = 64 << 10
-	var holders []*resource.Holder
-	for {
-		n := b.Limits().Bytes - left - b.Usage().Held
-		if n <= 0 {
-			break
-		}
+	open := func() *resource.Holder {
 		h, ok := b.Open(nopConn{})
 		require.True(t, ok)
-		holders = append(holders, h)
 		h.SetPhase(resource.Waiting)
-		if n > resource.ConnectionBytes {
-			require.True(t, h.Grow(min(n-resource.ConnectionBytes, most)))
-		}
+		return h
+	}
+	free := func() int64 { return b.Limits().Bytes - left - b.Usage().Held }
+	holders := []*resource.Holder{open()}
+	for free() > most {
+		h := open()
+		holders = append(holders, h)
+		require.True(t, h.Grow(min(free(), most)))
 	}
+	require.True(t, holders[0].Grow(free()))
 	return func() {
 		for _, h := range holders {
 			h.Close()
@@ -99,3 +99,25 @@
 	require.NotEmpty(t, res.Header.Get("Retry-After"))
 	require.Zero(t, cl.runCount("r-1"))
 }
+
+// Guards against requests that run and are then answered with 502, because a few kB are missing for the
+// buffer of the response.
+func TestResponsesOfRequestsThatHaveRunPassAShortBudget(t *testing.T) {
+	const responseBytes = 30_000
+	cl := newFleet(t, fleet{hosts: 1, memory: smallestHost}, target("t-1", platformtest.Behaviour{ResponseBytes: responseBytes}))
+	h := cl.hosts[0]
+	for _, left := range []int64{58 << 10, 64 << 10, 80 << 10} {
+		for _, path := range []string{"/book/x", "/search/x"} {
+			t.Run(fmt.Sprintf("%d kB, %s", left>>10, path), func(t *testing.T) {
+				require.Eventually(t, func() bool { return h.process.Budget().Usage().Connections == 0 }, 2*time.Second, time.Millisecond)
+				defer fillBudget(t, h.process.Budget(), left)()
+				id := fmt.Sprintf("r-%d%s", left, path)
+				r, err := cl.send(t.Context(), h, id, path)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, r.status)
+				require.Len(t, r.body, responseBytes)
+				require.Equal(t, 1, cl.runCount(id))
+			})
+		}
+	}
+}
--- a/internal/traffic/entry/intake.go
+++ b/internal/traffic/entry/intake.go
@@ -20,6 +20,8 @@
 	// streamBytes is the cost of a response or body that is streamed, besides the buffer of the socket:
 	// the buffers of both connections and the one between them.
 	streamBytes = 64 << 10
+	// maxCopyBytes is the largest piece that is copied at a time of a response that is streamed.
+	maxCopyBytes = 32 << 10
 	// memoryRetryAfter is the Retry-After of a request that is refused because the budget for clients is
 	// short. Connections that hold most are ended within a few hundred milliseconds.
 	memoryRetryAfter = 500 * time.Millisecond
@@ -106,15 +108,19 @@
 }
 
 // readBuffered reads the body of a response, or its beginning if it exceeds maxBufferedResponse or the
-// budget for clients is short. more is set if the rest must be streamed. The error is resource.ErrShort if there
-// is no memory for that either.
+// budget for clients is short. more is set if the rest must be streamed. A short budget is no error then,
+// since the request has run: the buffer of the beginning is used for the copy. The error is
+// resource.ErrShort if the connection was ended or the request is over.
 func (req *clientRequest) readBuffered(res *http.Response) (body []byte, more bool, err error) {
-	body, err = readGrowing(res.Body, res.ContentLength, maxBufferedResponse+1, req.lease.Grow)
+	body, err = readGrowing(res.Body, res.ContentLength, maxBufferedResponse+1, req.lease.NewResponse())
 	short := errors.Is(err, resource.ErrShort)
 	if more = short || err == nil && len(body) > maxBufferedResponse; !more {
 		return body, false, err
 	}
-	if !req.lease.Grow(streamBytes + req.h.cfg.SocketBytes) {
+	if !short {
+		short = !req.lease.Grow(streamBytes + req.h.cfg.SocketBytes)
+	}
+	if short && req.lease.Over() {
 		return body, false, resource.ErrShort
 	}
 	return body, true, nil
--- a/internal/traffic/entry/retry.go
+++ b/internal/traffic/entry/retry.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/budget"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/dispatcher"
 )
@@ -80,12 +81,13 @@
 	return req.assignRetry(ctx, last)
 }
 
-// mayRetry reports whether the request may be sent to another target.
+// mayRetry reports whether the request may be sent to another target. If no memory was left for the
+// response, another attempt would find none either.
 func (req *clientRequest) mayRetry(last attempt, retries int) bool {
 	if req.mustPlaceAgain(last) {
 		return true
 	}
-	if req.streamed || last.refusal() != nil || retries >= maxRetries || time.Until(req.endsAt()) < minTimeLeft {
+	if req.streamed || last.refusal() != nil || errors.Is(last.cause, resource.ErrShort) || retries >= maxRetries || time.Until(req.endsAt()) < minTimeLeft {
 		return false
 	}
 	if last.outcome == notSent {
--- a/internal/traffic/entry/retry_test.go
+++ b/internal/traffic/entry/retry_test.go
@@ -4,9 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
+	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/placement"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/targets"
 )
@@ -29,3 +31,10 @@
 		})
 	}
 }
+
+// Guards against attempts that are repeated although no memory is left for a response.
+func TestAttemptsWithoutMemoryForTheResponseAreNotRepeated(t *testing.T) {
+	req := &clientRequest{h: &Handler{shutdown: newShutdown()}, route: &routing.Route{Idempotent: true, MaxAttempts: 3}, deadline: time.Now().Add(time.Minute)}
+	require.True(t, req.mayRetry(attempt{req: req, outcome: outcomeUnknown, cause: errNotFromTarget}, 0))
+	require.False(t, req.mayRetry(attempt{req: req, outcome: outcomeUnknown, cause: errors.Wrap(resource.ErrShort, "response")}, 0))
+}
--- a/internal/traffic/entry/stream.go
+++ b/internal/traffic/entry/stream.go
@@ -60,7 +60,8 @@
 	s := &stream{from: io.LimitReader(r.unread, maxStreamedResponse), to: w}
 	_, err := s.Write(r.body)
 	if err == nil {
-		_, err = io.Copy(s, s)
+		// The buffer of the beginning is reserved already, and no more may be.
+		_, err = io.CopyBuffer(s, s, r.body[:min(cap(r.body), maxCopyBytes)])
 	}
 	if err == nil && !atEnd(r.unread) {
 		err, s.readErr = errResponseTooLarge, errResponseTooLarge
