Keep connections with a request when there are too many

A connection counted as idle from its acceptance until the body of its request was read, so at the limit of connections those that waited for the first configuration, or whose header was being read, were closed for new ones. Now they are kept, as are connections younger than 250 ms, and the new connection is refused if no other is idle. TestNewConnectionsReplaceIdleOnes therefore waits 300 ms before its last connection: it expected one that is milliseconds old to be closed.

--- a/internal/intake/resource/budget.go
+++ b/internal/intake/resource/budget.go
@@ -142,6 +142,8 @@
 	// since is the start of the phase, in nanoseconds since the start of the holder.
 	since  atomic.Int64
 	opened time.Time
+	// begun is set while bytes of a request have been read whose response has not been sent.
+	begun atomic.Bool
 	// queued is what the buffers of the socket held at the last sweep.
 	queued int64
 	// ending is what the connection held when it was ended.
@@ -149,7 +151,7 @@
 }
 
 // Open registers a connection. If there are too many, idle ones are closed; it returns false if there
-// are none. A nil budget returns a nil holder.
+// are none that have been open for a moment. A nil budget returns a nil holder.
 func (b *Budget) Open(conn Conn) (*Holder, bool) {
 	if b == nil {
 		return nil, true
@@ -181,7 +183,9 @@
 	}
 	var idle []candidate
 	for h := range b.holders {
-		if phase, since := h.state(now); phase == Idle && !h.ended.Load() {
+		phase, since := h.state(now)
+		// A new connection most likely has a request on its way, which its client could not repeat safely.
+		if phase == Idle && !h.ended.Load() && !h.begun.Load() && now.Sub(h.opened) >= minStall {
 			idle = append(idle, candidate{holder: h, bytes: 1, cost: since.Seconds()})
 		}
 	}
@@ -220,6 +224,14 @@
 	}
 }
 
+// SetBegun records whether a request has begun on the connection that has not ended. Such a connection is
+// not closed to make room for others.
+func (h *Holder) SetBegun(begun bool) {
+	if h != nil {
+		h.begun.Store(begun)
+	}
+}
+
 // Ended reports whether the connection was ended because the budget was short.
 func (h *Holder) Ended() bool { return h != nil && h.ended.Load() }
 
--- a/internal/intake/resource/budget_test.go
+++ b/internal/intake/resource/budget_test.go
@@ -181,6 +181,31 @@
 	require.Equal(t, 1, f.refused[RefusedConnection])
 }
 
+// Guards against connections that are closed at the limit although their requests are on their way or are
+// being read. The new connection is refused instead.
+func TestConnectionsInUseDoNotGiveWay(t *testing.T) {
+	f := newFixture(Limits{Connections: 2})
+	begun, begunConn := f.open(t, Idle, 0, 0)
+	begun.SetBegun(true)
+	f.now = f.now.Add(time.Minute)
+	_, fresh := f.open(t, Idle, 0, 0)
+	f.now = f.now.Add(minStall - time.Millisecond)
+	_, ok := f.Open(&fakeConn{})
+	require.False(t, ok)
+	require.False(t, begunConn.ended())
+	require.False(t, fresh.ended())
+	require.Equal(t, 1, f.refused[RefusedConnection])
+	f.now = f.now.Add(time.Millisecond)
+	_, ok = f.Open(&fakeConn{})
+	require.True(t, ok)
+	require.True(t, fresh.aborted)
+	begun.SetBegun(false)
+	f.now = f.now.Add(time.Second)
+	_, ok = f.Open(&fakeConn{})
+	require.True(t, ok)
+	require.True(t, begunConn.aborted)
+}
+
 // Guards against bytes that are returned twice or never, after which a host refuses everything or nothing.
 func TestBudgetIsEmptyAtTheEnd(t *testing.T) {
 	f := newFixture(Limits{Bytes: 8 * megabyte, SocketBytes: 64 * kilobyte, Tunnels: 2})
--- a/internal/intake/resource/choice.go
+++ b/internal/intake/resource/choice.go
@@ -13,7 +13,7 @@
 
 // The phases of a connection.
 const (
-	// Idle: no request is complete. The client may be sending a header.
+	// Idle: no request is handled. The client may be sending a header.
 	Idle Phase = iota
 	// Body: a body is read that has been sent to no target.
 	Body
--- a/internal/process/front/held_test.go
+++ b/internal/process/front/held_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
@@ -81,6 +83,8 @@
 	for range 20 {
 		dialTest(t, address)
 	}
+	// Connections that have just been accepted are kept for 250 ms.
+	time.Sleep(300 * time.Millisecond)
 	nc := dialTest(t, address)
 	_, err := io.WriteString(nc, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 	require.NoError(t, err)
@@ -90,6 +94,30 @@
 	require.Eventually(t, func() bool { return b.Usage().Connections <= 3 }, 5*time.Second, time.Millisecond)
 }
 
+// Guards against connections that are closed for new ones while their request is being read.
+func TestConnectionsWithAPartialRequestAreKept(t *testing.T) {
+	address, b := newLimitedServer(t, resource.Limits{Connections: 1}, func(http.ResponseWriter, *http.Request) {})
+	nc := dialTest(t, address)
+	_, err := io.WriteString(nc, "GET / HTTP/1.1\r\nHos")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return b.Usage().Connections == 1 }, 5*time.Second, time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
+	_, err = dialTest(t, address).Read(make([]byte, 1))
+	require.Error(t, err)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the new connection is closed")
+	_, err = io.WriteString(nc, "t: x\r\n\r\n")
+	require.NoError(t, err)
+	res, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, res.StatusCode)
+	require.Eventually(t, func() bool {
+		dialTest(t, address)
+		_ = nc.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		_, err := nc.Read(make([]byte, 1))
+		return !errors.Is(err, os.ErrDeadlineExceeded)
+	}, 5*time.Second, time.Millisecond, "it is idle again")
+}
+
 // Guards against bytes that nobody counts because the host does not read them.
 func TestUnreadBytesOfAConnectionAreMeasured(t *testing.T) {
 	release := make(chan struct{})
--- a/internal/process/front/stop.go
+++ b/internal/process/front/stop.go
@@ -204,6 +204,7 @@
 		return 0, net.ErrClosed
 	}
 	c.begun = c.validator.begun()
+	c.holder.SetBegun(c.begun != c.ended)
 	if c.holder != nil && !c.reserveHeader() {
 		// What was read is lost, so no later read may succeed.
 		c.err = errNoBudget
@@ -216,6 +217,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ended++
+	c.holder.SetBegun(c.begun != c.ended)
 	c.holder.Release(c.reserved)
 	c.header, c.reserved = 0, 0
 }
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/sirupsen/logrus"
 
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
+	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/process/settings"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/budget"
@@ -172,6 +173,9 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
+	holder := resource.FromContext(r.Context())
+	holder.SetPhase(resource.Waiting)
+	defer holder.SetPhase(resource.Idle)
 	now := time.Now()
 	req, rejection := h.prepare(w, r, now)
 	defer req.endLease()
--- a/internal/traffic/entry/intake_test.go
+++ b/internal/traffic/entry/intake_test.go
@@ -7,12 +7,15 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
 )
 
@@ -97,3 +100,53 @@
 		})
 	}
 }
+
+// idleDialect is a dialect for requests without headers.
+type idleDialect struct{ Dialect }
+
+func (idleDialect) RequestID(http.Header) string                    { return "r-1" }
+func (idleDialect) TimeLeft(http.Header) (time.Duration, bool)      { return time.Minute, true }
+func (idleDialect) SetRejection(http.Header, string, time.Duration) {}
+
+// abortConn records whether a connection was closed.
+type abortConn struct{ aborted atomic.Bool }
+
+func (c *abortConn) Interrupt()    {}
+func (c *abortConn) Abort()        { c.aborted.Store(true) }
+func (c *abortConn) Queued() int64 { return 0 }
+
+// Guards against connections that count as idle, and are closed for others, while their request waits for
+// the first configuration.
+func TestConnectionIsNotIdleBeforeTheFirstConfiguration(t *testing.T) {
+	var elapsed atomic.Int64
+	start := time.Now()
+	b := resource.New(resource.Limits{Connections: 1}, resource.Config{
+		Now: func() time.Time { return start.Add(time.Duration(elapsed.Load())) }, OnEnd: func(resource.End) {}, OnRefuse: func(string) {},
+	})
+	c := &abortConn{}
+	holder, ok := b.Open(c)
+	require.True(t, ok)
+	elapsed.Store(int64(time.Minute))
+	log, read := logrus.New(), make(chan struct{})
+	log.SetOutput(io.Discard)
+	h := New(Config{
+		Dialect: idleDialect{}, FirstReadEnded: read, Log: logrus.NewEntry(log),
+		Fresh: func(time.Time) bool { return false }, Snapshot: func() *directory.Snapshot { return &directory.Snapshot{} },
+	}, nil)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil).WithContext(resource.NewContext(t.Context(), holder)))
+	}()
+	require.Eventually(t, func() bool { return h.InFlight() == 1 }, time.Second, time.Millisecond)
+	time.Sleep(20 * time.Millisecond)
+	_, ok = b.Open(&abortConn{})
+	require.False(t, ok)
+	require.False(t, c.aborted.Load())
+	close(read)
+	<-done
+	elapsed.Store(int64(2 * time.Minute))
+	_, ok = b.Open(&abortConn{})
+	require.True(t, ok)
+	require.True(t, c.aborted.Load(), "it is idle after the response")
+}
