Reuse connections after a 304 with a Content-Length

A 304 may give the length that a 200 would have (RFC 9110, section 8.6), but its connection was closed each time. It is now closed only if bytes follow the response, if it is in chunks, or if the connection has no socket to check before the next request.

--- a/internal/traffic/relay/roundtrip.go
+++ b/internal/traffic/relay/roundtrip.go
@@ -223,7 +223,7 @@
 	x.c.readIdleTimeout(res.Header)
 	if res.Body == http.NoBody {
 		x.complete = true
-		x.release(!res.Close && !mayHaveHiddenBody(res))
+		x.release(!res.Close && !x.c.mayHaveHiddenBody(res))
 		return res, nil
 	}
 	if res.ContentLength < 0 && !isChunked(res) && !x.closeDelimited {
@@ -234,13 +234,19 @@
 }
 
 // mayHaveHiddenBody reports whether the header of a response without a body announces one. A faulty
-// target may send it, and it must not be taken for the response to the next request.
-func mayHaveHiddenBody(res *http.Response) bool {
-	if res.StatusCode != http.StatusNoContent && res.StatusCode != http.StatusNotModified {
-		return false
-	}
+// target may send it, and it must not be taken for the response to the next request. A 304 may give the
+// length that a 200 would have: its connection is closed only if more bytes have arrived, which release
+// and the check before the next request find. The latter needs a socket.
+func (c *conn) mayHaveHiddenBody(res *http.Response) bool {
 	length := res.Header.Get("Content-Length")
-	return isChunked(res) || length != "" && length != "0"
+	hasLength := length != "" && length != "0"
+	switch res.StatusCode {
+	case http.StatusNoContent:
+		return isChunked(res) || hasLength
+	case http.StatusNotModified:
+		return isChunked(res) || hasLength && c.raw == nil
+	}
+	return false
 }
 
 func isChunked(res *http.Response) bool {
