--- a/internal/intake/resource/budget.go
+++ b/internal/intake/resource/budget.go
@@ -15,6 +15,11 @@
 	// SweepPeriod is the interval at which Sweep should be called. A connection at 100 Mbit/s fills its
 	// buffers in less, but not all of them do.
 	SweepPeriod = 100 * time.Millisecond
+	// sweepParts is the number of sweeps within which the buffers of all connections are measured while
+	// less than a measureAllDivisor of the budget is in use. Measuring all in each sweep takes two system
+	// calls a connection under the mutex.
+	sweepParts        = 4
+	measureAllDivisor = 2
 	// reserveDivisor gives the part of the bytes that is kept for requests without a body and the first
 	// smallBytes of responses: other reservations that make a connection hold more than smallBytes must
 	// leave it free.
@@ -46,7 +51,8 @@
 	Interrupt()
 	// Abort closes the connection.
 	Abort()
-	// Queued returns the bytes in the buffers of the socket, in both directions.
+	// Queued returns the bytes in the buffers of the socket, in both directions. It is called by one
+	// goroutine at a time.
 	Queued() int64
 }
 
@@ -95,13 +101,15 @@
 	unchecked atomic.Int64
 	overrun   atomic.Bool
 
-	// mu guards the fields below, and Holder.queued and Holder.ending.
+	// mu guards the fields below, and queued, measured, part and ending of Holder.
 	mu      sync.Mutex
 	holders map[*Holder]struct{}
 	// ending is the part of held and queued whose connections were ended and are not closed yet, and
 	// endingCount their number.
 	ending      int64
 	endingCount int
+	// opened counts the connections, and sweeps the sweeps.
+	opened, sweeps int
 	// searchAfter is the time before which no connection is searched for.
 	searchAfter time.Time
 }
@@ -144,8 +152,11 @@
 	opened time.Time
 	// begun is set while bytes of a request have been read whose response has not been sent.
 	begun atomic.Bool
-	// queued is what the buffers of the socket held at the last sweep.
-	queued int64
+	// queued is what the buffers of the socket held when they were measured last, if measured is set. They
+	// are measured in each sweep whose number has the remainder part.
+	queued   int64
+	measured bool
+	part     int
 	// ending is what the connection held when it was ended.
 	ending int64
 }
@@ -162,6 +173,8 @@
 	ok := b.limits.Connections == 0 || len(b.holders)-b.endingCount < b.limits.Connections
 	if ok {
 		b.holders[h] = struct{}{}
+		h.part = b.opened % sweepParts
+		b.opened++
 		h.held.Store(ConnectionBytes)
 		b.held.Add(ConnectionBytes)
 	}
@@ -390,9 +403,10 @@
 	}
 }
 
-// Sweep measures what the buffers of the sockets hold, if all of them together could exceed the budget,
-// and ends connections if they do. It also ends connections that hold a target without progress, if much
-// of the budget is in use or there are many of them.
+// Sweep measures what the buffers of the sockets hold, if all of them together could exceed the budget:
+// those of new connections and a quarter of the others, or those of all while over half of the budget is in
+// use. It ends connections if the budget is exceeded, and connections that hold a target without progress,
+// if much of the budget is in use or there are many of them.
 func (b *Budget) Sweep(now time.Time) {
 	if b == nil || b.limits.Bytes == 0 {
 		return
@@ -402,12 +416,16 @@
 	// Send and receive buffers, which the kernel doubles.
 	largest := int64(len(b.holders)) * int64(b.limits.SocketBytes) * 4
 	measure := b.held.Load()+largest > limit
+	all := b.held.Load()+b.queued.Load() > b.limits.Bytes/measureAllDivisor
+	part := b.sweeps % sweepParts
+	b.sweeps++
 	sum := int64(0)
 	for h := range b.holders {
-		if measure {
-			h.queued = h.conn.Queued()
-		} else {
-			h.queued = 0
+		switch {
+		case !measure:
+			h.queued, h.measured = 0, false
+		case all || !h.measured || h.part == part:
+			h.queued, h.measured = h.conn.Queued(), true
 		}
 		sum += h.queued
 	}
--- a/internal/intake/resource/budget_test.go
+++ b/internal/intake/resource/budget_test.go
@@ -18,13 +18,17 @@
 // fakeConn records how a connection was ended.
 type fakeConn struct {
 	queued               int64
+	measured             int
 	interrupted, aborted bool
 }
 
-func (c *fakeConn) Interrupt()    { c.interrupted = true }
-func (c *fakeConn) Abort()        { c.aborted = true }
-func (c *fakeConn) Queued() int64 { return c.queued }
-func (c *fakeConn) ended() bool   { return c.interrupted || c.aborted }
+func (c *fakeConn) Interrupt()  { c.interrupted = true }
+func (c *fakeConn) Abort()      { c.aborted = true }
+func (c *fakeConn) ended() bool { return c.interrupted || c.aborted }
+func (c *fakeConn) Queued() int64 {
+	c.measured++
+	return c.queued
+}
 
 // fixture is a budget whose clock the test sets.
 type fixture struct {
@@ -129,6 +133,37 @@
 	require.LessOrEqual(t, u.Held+u.Queued-f.ends[0].Bytes, f.limits.Bytes)
 }
 
+// Guards against sweeps that hold the mutex for system calls on each connection while little is held, and
+// against connections that are never measured again.
+func TestSweepMeasuresAQuarterOfTheConnections(t *testing.T) {
+	f := newFixture(Limits{Bytes: 8 * megabyte, SocketBytes: 64 * kilobyte})
+	conns := make([]*fakeConn, 0, 40)
+	for range 40 {
+		_, c := f.open(t, Waiting, 0, kilobyte)
+		conns = append(conns, c)
+	}
+	sweep := func() (measured int) {
+		for _, c := range conns {
+			c.measured = 0
+		}
+		f.Sweep(f.now)
+		for _, c := range conns {
+			measured += c.measured
+		}
+		return measured
+	}
+	require.Equal(t, 40, sweep(), "new connections")
+	for _, c := range conns {
+		c.queued = 2 * kilobyte
+	}
+	for n := range 4 {
+		require.Equal(t, 10, sweep())
+		require.EqualValues(t, (40+10*(n+1))*kilobyte, f.Usage().Queued)
+	}
+	f.open(t, Waiting, 4*megabyte, 0)
+	require.Equal(t, 40, sweep(), "over half of the budget is in use")
+}
+
 // Guards against clients that hold targets without progress, so that others wait for these.
 func TestStalledClientsLetGoOfTargetsUnderPressure(t *testing.T) {
 	tests := []struct {
--- a/internal/process/front/held.go
+++ b/internal/process/front/held.go
@@ -54,10 +54,34 @@
 }
 
 // heldConn is a connection that the budget may end.
-type heldConn struct{ nc net.Conn }
+type heldConn struct {
+	nc net.Conn
+	// raw is nil if the connection has no socket. measure adds the bytes in its buffers to queued. It is
+	// kept because the budget measures many connections several times a second.
+	raw     syscall.RawConn
+	measure func(fd uintptr)
+	queued  int
+}
 
 var _ resource.Conn = (*heldConn)(nil)
 
+func newHeldConn(nc net.Conn) *heldConn {
+	c := &heldConn{nc: nc}
+	if sc, ok := nc.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			c.raw = raw
+		}
+	}
+	c.measure = func(fd uintptr) {
+		for _, request := range [...]uint{unix.SIOCINQ, unix.SIOCOUTQ} {
+			if n, err := unix.IoctlGetInt(int(fd), request); err == nil {
+				c.queued += n
+			}
+		}
+	}
+	return c
+}
+
 // Interrupt implements resource.Conn.
 func (c *heldConn) Interrupt() { _ = c.nc.SetReadDeadline(time.Unix(1, 0)) }
 
@@ -66,21 +90,10 @@
 
 // Queued implements resource.Conn. It returns 0 for a connection that is closed or has no socket.
 func (c *heldConn) Queued() int64 {
-	sc, ok := c.nc.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
+	if c.raw == nil {
 		return 0
 	}
-	sum := 0
-	_ = raw.Control(func(fd uintptr) {
-		for _, request := range []uint{unix.SIOCINQ, unix.SIOCOUTQ} {
-			if n, err := unix.IoctlGetInt(int(fd), request); err == nil {
-				sum += n
-			}
-		}
-	})
-	return int64(sum)
+	c.queued = 0
+	_ = c.raw.Control(c.measure)
+	return int64(c.queued)
 }
--- a/internal/process/front/held_test.go
+++ b/internal/process/front/held_test.go
@@ -94,6 +94,16 @@
 	require.Eventually(t, func() bool { return b.Usage().Connections <= 3 }, 5*time.Second, time.Millisecond)
 }
 
+// Guards against garbage for each connection in each sweep: each measurement made three allocations before.
+func TestMeasuringAConnectionMakesNoGarbage(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer inner.Close()
+	nc := dialTest(t, inner.Addr().String())
+	c := newHeldConn(nc)
+	require.Zero(t, testing.AllocsPerRun(100, func() { c.Queued() }))
+}
+
 // Guards against connections that are closed for new ones while their request is being read.
 func TestConnectionsWithAPartialRequestAreKept(t *testing.T) {
 	address, b := newLimitedServer(t, resource.Limits{Connections: 1}, func(http.ResponseWriter, *http.Request) {})
--- a/internal/process/front/stop.go
+++ b/internal/process/front/stop.go
@@ -162,7 +162,7 @@
 			_ = nc.Close()
 			return nil, errors.Errorf("front: connection of type %T can't be tracked", nc)
 		}
-		if holder, ok := l.conns.budget.Open(&heldConn{nc: vc.Conn}); ok {
+		if holder, ok := l.conns.budget.Open(newHeldConn(vc.Conn)); ok {
 			l.conns.setReadBuffer(vc.Conn)
 			return l.track(vc, holder), nil
 		}
