--- a/internal/intake/resource/budget.go
+++ b/internal/intake/resource/budget.go
@@ -7,14 +7,22 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
 	// SweepPeriod is the interval at which Sweep should be called. A connection at 100 Mbit/s fills its
 	// buffers in less, but not all of them do.
 	SweepPeriod = 100 * time.Millisecond
-	// reserveDivisor gives the part of the bytes that is kept for requests without a body: reservations
-	// that make a connection hold more than smallBytes must leave it free.
+	// sweepParts is the number of sweeps within which the buffers of all connections are measured while
+	// less than a measureAllDivisor of the budget is in use. Measuring all in each sweep takes two system
+	// calls a connection under the mutex.
+	sweepParts        = 4
+	measureAllDivisor = 2
+	// reserveDivisor gives the part of the bytes that is kept for requests without a body and the first
+	// smallBytes of responses: other reservations that make a connection hold more than smallBytes must
+	// leave it free.
 	reserveDivisor = 8
 	smallBytes     = 64 << 10
 	// hardDivisor gives the part by which the budget may be exceeded while connections end.
@@ -34,13 +42,17 @@
 	overrunDivisor = 16
 )
 
+// ErrShort reports that the budget is short.
+var ErrShort = errors.New("the memory for clients is in use")
+
 // Conn is a connection that holds bytes.
 type Conn interface {
 	// Interrupt makes the read in progress fail, so that the request can be refused.
 	Interrupt()
 	// Abort closes the connection.
 	Abort()
-	// Queued returns the bytes in the buffers of the socket, in both directions.
+	// Queued returns the bytes in the buffers of the socket, in both directions. It is called by one
+	// goroutine at a time.
 	Queued() int64
 }
 
@@ -89,13 +101,15 @@
 	unchecked atomic.Int64
 	overrun   atomic.Bool
 
-	// mu guards the fields below, and Holder.queued and Holder.ending.
+	// mu guards the fields below, and queued, measured, part and ending of Holder.
 	mu      sync.Mutex
 	holders map[*Holder]struct{}
 	// ending is the part of held and queued whose connections were ended and are not closed yet, and
 	// endingCount their number.
 	ending      int64
 	endingCount int
+	// opened counts the connections, and sweeps the sweeps.
+	opened, sweeps int
 	// searchAfter is the time before which no connection is searched for.
 	searchAfter time.Time
 }
@@ -136,14 +150,19 @@
 	// since is the start of the phase, in nanoseconds since the start of the holder.
 	since  atomic.Int64
 	opened time.Time
-	// queued is what the buffers of the socket held at the last sweep.
-	queued int64
+	// begun is set while bytes of a request have been read whose response has not been sent.
+	begun atomic.Bool
+	// queued is what the buffers of the socket held when they were measured last, if measured is set. They
+	// are measured in each sweep whose number has the remainder part.
+	queued   int64
+	measured bool
+	part     int
 	// ending is what the connection held when it was ended.
 	ending int64
 }
 
 // Open registers a connection. If there are too many, idle ones are closed; it returns false if there
-// are none. A nil budget returns a nil holder.
+// are none that have been open for a moment. A nil budget returns a nil holder.
 func (b *Budget) Open(conn Conn) (*Holder, bool) {
 	if b == nil {
 		return nil, true
@@ -154,6 +173,8 @@
 	ok := b.limits.Connections == 0 || len(b.holders)-b.endingCount < b.limits.Connections
 	if ok {
 		b.holders[h] = struct{}{}
+		h.part = b.opened % sweepParts
+		b.opened++
 		h.held.Store(ConnectionBytes)
 		b.held.Add(ConnectionBytes)
 	}
@@ -175,7 +196,9 @@
 	}
 	var idle []candidate
 	for h := range b.holders {
-		if phase, since := h.state(now); phase == Idle && !h.ended.Load() {
+		phase, since := h.state(now)
+		// A new connection most likely has a request on its way, which its client could not repeat safely.
+		if phase == Idle && !h.ended.Load() && !h.begun.Load() && now.Sub(h.opened) >= minStall {
 			idle = append(idle, candidate{holder: h, bytes: 1, cost: since.Seconds()})
 		}
 	}
@@ -214,6 +237,14 @@
 	}
 }
 
+// SetBegun records whether a request has begun on the connection that has not ended. Such a connection is
+// not closed to make room for others.
+func (h *Holder) SetBegun(begun bool) {
+	if h != nil {
+		h.begun.Store(begun)
+	}
+}
+
 // Ended reports whether the connection was ended because the budget was short.
 func (h *Holder) Ended() bool { return h != nil && h.ended.Load() }
 
@@ -223,7 +254,11 @@
 
 // Grow reserves n bytes. It returns false if the budget is short or the connection was ended; nothing is
 // reserved then.
-func (h *Holder) Grow(n int64) bool {
+func (h *Holder) Grow(n int64) bool { return h.grow(n, false) }
+
+// grow is Grow. A small reservation may use the part of the bytes that is kept for requests without a body,
+// and is not refused for the memory of the runtime.
+func (h *Holder) grow(n int64, small bool) bool {
 	if h == nil {
 		return true
 	}
@@ -234,17 +269,18 @@
 	if b.limits.Bytes == 0 {
 		return true
 	}
-	if h.held.Load()+n > ConnectionBytes+smallBytes && b.overruns(n) {
+	small = small || h.held.Load()+n <= ConnectionBytes+smallBytes
+	if !small && b.overruns(n) {
 		b.cfg.OnRefuse(RefusedGarbage)
 		return false
 	}
 	total := b.held.Add(n) + b.queued.Load()
-	own := h.held.Add(n)
+	h.held.Add(n)
 	if h.closed.Load() {
 		b.held.Add(-h.held.Swap(0))
 		return false
 	}
-	if total > b.limit(own) && !b.makeRoom(h, b.limit(own)) {
+	if limit := b.limit(small); total > limit && !b.makeRoom(h, limit) {
 		h.Release(n)
 		b.cfg.OnRefuse(RefusedBytes)
 		return false
@@ -278,6 +314,11 @@
 	b := h.b
 	h.held.Add(-n)
 	b.held.Add(-n)
+	if h.closed.Load() {
+		// Close has returned what the connection held, perhaps these bytes too.
+		b.held.Add(-h.held.Swap(0))
+		return
+	}
 	if !h.ended.Load() {
 		return
 	}
@@ -290,9 +331,9 @@
 	}
 }
 
-// limit returns the bytes up to which a connection that holds own bytes may reserve more.
-func (b *Budget) limit(own int64) int64 {
-	if own <= ConnectionBytes+smallBytes {
+// limit returns the bytes up to which connections may reserve more, by small or by other reservations.
+func (b *Budget) limit(small bool) int64 {
+	if small {
 		return b.limits.Bytes
 	}
 	return b.limits.Bytes - b.limits.Bytes/reserveDivisor
@@ -362,24 +403,29 @@
 	}
 }
 
-// Sweep measures what the buffers of the sockets hold, if all of them together could exceed the budget,
-// and ends connections if they do. It also ends connections that hold a target without progress, if much
-// of the budget is in use or there are many of them.
+// Sweep measures what the buffers of the sockets hold, if all of them together could exceed the budget:
+// those of new connections and a quarter of the others, or those of all while over half of the budget is in
+// use. It ends connections if the budget is exceeded, and connections that hold a target without progress,
+// if much of the budget is in use or there are many of them.
 func (b *Budget) Sweep(now time.Time) {
 	if b == nil || b.limits.Bytes == 0 {
 		return
 	}
 	b.mu.Lock()
-	limit := b.limit(smallBytes + ConnectionBytes + 1)
+	limit := b.limit(false)
 	// Send and receive buffers, which the kernel doubles.
 	largest := int64(len(b.holders)) * int64(b.limits.SocketBytes) * 4
 	measure := b.held.Load()+largest > limit
+	all := b.held.Load()+b.queued.Load() > b.limits.Bytes/measureAllDivisor
+	part := b.sweeps % sweepParts
+	b.sweeps++
 	sum := int64(0)
 	for h := range b.holders {
-		if measure {
-			h.queued = h.conn.Queued()
-		} else {
-			h.queued = 0
+		switch {
+		case !measure:
+			h.queued, h.measured = 0, false
+		case all || !h.measured || h.part == part:
+			h.queued, h.measured = h.conn.Queued(), true
 		}
 		sum += h.queued
 	}
--- a/internal/intake/resource/budget_test.go
+++ b/internal/intake/resource/budget_test.go
@@ -1,6 +1,9 @@
 package resource
 
 import (
+	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,13 +18,17 @@
 // fakeConn records how a connection was ended.
 type fakeConn struct {
 	queued               int64
+	measured             int
 	interrupted, aborted bool
 }
 
-func (c *fakeConn) Interrupt()    { c.interrupted = true }
-func (c *fakeConn) Abort()        { c.aborted = true }
-func (c *fakeConn) Queued() int64 { return c.queued }
-func (c *fakeConn) ended() bool   { return c.interrupted || c.aborted }
+func (c *fakeConn) Interrupt()  { c.interrupted = true }
+func (c *fakeConn) Abort()      { c.aborted = true }
+func (c *fakeConn) ended() bool { return c.interrupted || c.aborted }
+func (c *fakeConn) Queued() int64 {
+	c.measured++
+	return c.queued
+}
 
 // fixture is a budget whose clock the test sets.
 type fixture struct {
@@ -126,6 +133,37 @@
 	require.LessOrEqual(t, u.Held+u.Queued-f.ends[0].Bytes, f.limits.Bytes)
 }
 
+// Guards against sweeps that hold the mutex for system calls on each connection while little is held, and
+// against connections that are never measured again.
+func TestSweepMeasuresAQuarterOfTheConnections(t *testing.T) {
+	f := newFixture(Limits{Bytes: 8 * megabyte, SocketBytes: 64 * kilobyte})
+	conns := make([]*fakeConn, 0, 40)
+	for range 40 {
+		_, c := f.open(t, Waiting, 0, kilobyte)
+		conns = append(conns, c)
+	}
+	sweep := func() (measured int) {
+		for _, c := range conns {
+			c.measured = 0
+		}
+		f.Sweep(f.now)
+		for _, c := range conns {
+			measured += c.measured
+		}
+		return measured
+	}
+	require.Equal(t, 40, sweep(), "new connections")
+	for _, c := range conns {
+		c.queued = 2 * kilobyte
+	}
+	for n := range 4 {
+		require.Equal(t, 10, sweep())
+		require.EqualValues(t, (40+10*(n+1))*kilobyte, f.Usage().Queued)
+	}
+	f.open(t, Waiting, 4*megabyte, 0)
+	require.Equal(t, 40, sweep(), "over half of the budget is in use")
+}
+
 // Guards against clients that hold targets without progress, so that others wait for these.
 func TestStalledClientsLetGoOfTargetsUnderPressure(t *testing.T) {
 	tests := []struct {
@@ -178,6 +216,31 @@
 	require.Equal(t, 1, f.refused[RefusedConnection])
 }
 
+// Guards against connections that are closed at the limit although their requests are on their way or are
+// being read. The new connection is refused instead.
+func TestConnectionsInUseDoNotGiveWay(t *testing.T) {
+	f := newFixture(Limits{Connections: 2})
+	begun, begunConn := f.open(t, Idle, 0, 0)
+	begun.SetBegun(true)
+	f.now = f.now.Add(time.Minute)
+	_, fresh := f.open(t, Idle, 0, 0)
+	f.now = f.now.Add(minStall - time.Millisecond)
+	_, ok := f.Open(&fakeConn{})
+	require.False(t, ok)
+	require.False(t, begunConn.ended())
+	require.False(t, fresh.ended())
+	require.Equal(t, 1, f.refused[RefusedConnection])
+	f.now = f.now.Add(time.Millisecond)
+	_, ok = f.Open(&fakeConn{})
+	require.True(t, ok)
+	require.True(t, fresh.aborted)
+	begun.SetBegun(false)
+	f.now = f.now.Add(time.Second)
+	_, ok = f.Open(&fakeConn{})
+	require.True(t, ok)
+	require.True(t, begunConn.aborted)
+}
+
 // Guards against bytes that are returned twice or never, after which a host refuses everything or nothing.
 func TestBudgetIsEmptyAtTheEnd(t *testing.T) {
 	f := newFixture(Limits{Bytes: 8 * megabyte, SocketBytes: 64 * kilobyte, Tunnels: 2})
@@ -216,6 +279,31 @@
 	require.Zero(t, f.endingCount)
 }
 
+// Guards against bytes that are subtracted twice when an attempt that outlasts its request returns its
+// reservation while the connection closes: the sum stayed negative from then on.
+func TestReleaseWhileTheConnectionCloses(t *testing.T) {
+	b := New(LimitsOf(184*megabyte, 4100), Config{Now: time.Now, OnEnd: func(End) {}, OnRefuse: func(string) {}})
+	for range 20_000 {
+		h, ok := b.Open(&fakeConn{})
+		require.True(t, ok)
+		require.True(t, h.Grow(4*kilobyte))
+		var wg sync.WaitGroup
+		var start atomic.Bool
+		for range 4 {
+			wg.Go(func() {
+				for !start.Load() {
+					runtime.Gosched()
+				}
+				h.Release(kilobyte)
+			})
+		}
+		start.Store(true)
+		h.Close()
+		wg.Wait()
+	}
+	require.Equal(t, Usage{}, b.Usage())
+}
+
 // Guards against garbage that the collector has not freed yet: it is not part of the reservations.
 func TestLargeReservationsWaitForTheCollector(t *testing.T) {
 	used := int64(0)
@@ -235,6 +323,31 @@
 	require.True(t, h.Grow(megabyte))
 }
 
+// Guards against requests that run and whose responses then get no memory: the first 64 kB may use what is
+// kept for small requests, and do not wait for the collector.
+func TestResponsesUseTheReserve(t *testing.T) {
+	used := int64(0)
+	b := New(Limits{Bytes: 8 * megabyte, RuntimeBytes: 72 * megabyte}, Config{
+		Now: time.Now, MemoryInUse: func() int64 { return used }, OnEnd: func(End) {}, OnRefuse: func(string) {},
+	})
+	h, ok := b.Open(&fakeConn{})
+	require.True(t, ok)
+	l, ok := NewLease(h, 7*megabyte-ConnectionBytes)
+	require.True(t, ok)
+	require.False(t, l.Grow(kilobyte), "the rest is the reserve")
+	grow := l.NewResponse()
+	require.True(t, grow(60*kilobyte))
+	require.False(t, grow(8*kilobyte), "more than 64 kB")
+	require.True(t, grow(4*kilobyte))
+	used = 80 * megabyte
+	require.False(t, l.Grow(2*megabyte), "the collector is behind")
+	require.True(t, l.NewResponse()(kilobyte))
+	l.End()
+	require.False(t, l.NewResponse()(kilobyte))
+	h.Close()
+	require.Equal(t, Usage{}, b.Usage())
+}
+
 func TestTunnelsAreBounded(t *testing.T) {
 	f := newFixture(Limits{Bytes: 8 * megabyte, Tunnels: 2})
 	release, ok := f.OpenTunnel()
--- a/internal/process/front/held.go
+++ b/internal/process/front/held.go
@@ -25,17 +25,12 @@
 
 // errNoBudget ends a connection whose header does not fit in the budget. The server takes an error of the
 // network for the end of the connection; it responds to others with 400, which clients do not repeat.
-var errNoBudget = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("front: no memory is left for the header")}
+var errNoBudget = &net.OpError{Op: "read", Net: "tcp", Err: errors.Wrap(resource.ErrShort, "front: header")}
 
-// reserveHeader reserves memory for a header after n bytes were read. The caller holds c.mu.
-func (c *trackedConn) reserveHeader(n int) bool {
-	switch c.validator.state {
-	case atBody, atChunkSize, atChunkEnd, atUnknown, atFrames:
-		return true
-	case atRequestLine, atHeader, atTrailer:
-	}
-	c.header += int64(n)
-	need := headerCopies*(c.header-freeHeaderBytes) - c.reserved
+// reserveHeader reserves memory for what was read of headers. The caller holds c.mu.
+func (c *trackedConn) reserveHeader() bool {
+	c.header += c.validator.takeHeaderBytes()
+	need := headerCopies*(c.header+c.validator.partialChunkLine()-freeHeaderBytes) - c.reserved
 	if need <= 0 {
 		return true
 	}
@@ -59,10 +54,34 @@
 }
 
 // heldConn is a connection that the budget may end.
-type heldConn struct{ nc net.Conn }
+type heldConn struct {
+	nc net.Conn
+	// raw is nil if the connection has no socket. measure adds the bytes in its buffers to queued. It is
+	// kept because the budget measures many connections several times a second.
+	raw     syscall.RawConn
+	measure func(fd uintptr)
+	queued  int
+}
 
 var _ resource.Conn = (*heldConn)(nil)
 
+func newHeldConn(nc net.Conn) *heldConn {
+	c := &heldConn{nc: nc}
+	if sc, ok := nc.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			c.raw = raw
+		}
+	}
+	c.measure = func(fd uintptr) {
+		for _, request := range [...]uint{unix.SIOCINQ, unix.SIOCOUTQ} {
+			if n, err := unix.IoctlGetInt(int(fd), request); err == nil {
+				c.queued += n
+			}
+		}
+	}
+	return c
+}
+
 // Interrupt implements resource.Conn.
 func (c *heldConn) Interrupt() { _ = c.nc.SetReadDeadline(time.Unix(1, 0)) }
 
@@ -71,21 +90,10 @@
 
 // Queued implements resource.Conn. It returns 0 for a connection that is closed or has no socket.
 func (c *heldConn) Queued() int64 {
-	sc, ok := c.nc.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
+	if c.raw == nil {
 		return 0
 	}
-	sum := 0
-	_ = raw.Control(func(fd uintptr) {
-		for _, request := range []uint{unix.SIOCINQ, unix.SIOCOUTQ} {
-			if n, err := unix.IoctlGetInt(int(fd), request); err == nil {
-				sum += n
-			}
-		}
-	})
-	return int64(sum)
+	c.queued = 0
+	_ = c.raw.Control(c.measure)
+	return int64(c.queued)
 }
--- a/internal/process/front/stop.go
+++ b/internal/process/front/stop.go
@@ -162,7 +162,7 @@
 			_ = nc.Close()
 			return nil, errors.Errorf("front: connection of type %T can't be tracked", nc)
 		}
-		if holder, ok := l.conns.budget.Open(&heldConn{nc: vc.Conn}); ok {
+		if holder, ok := l.conns.budget.Open(newHeldConn(vc.Conn)); ok {
 			l.conns.setReadBuffer(vc.Conn)
 			return l.track(vc, holder), nil
 		}
@@ -204,7 +204,10 @@
 		return 0, net.ErrClosed
 	}
 	c.begun = c.validator.begun()
-	if c.holder != nil && !c.reserveHeader(n) {
+	c.holder.SetBegun(c.begun != c.ended)
+	if c.holder != nil && !c.reserveHeader() {
+		// What was read is lost, so no later read may succeed.
+		c.err = errNoBudget
 		return 0, errNoBudget
 	}
 	return n, err
@@ -214,6 +217,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ended++
+	c.holder.SetBegun(c.begun != c.ended)
 	c.holder.Release(c.reserved)
 	c.header, c.reserved = 0, 0
 }
--- a/internal/traffic/entry/intake.go
+++ b/internal/traffic/entry/intake.go
@@ -20,6 +20,8 @@
 	// streamBytes is the cost of a response or body that is streamed, besides the buffer of the socket:
 	// the buffers of both connections and the one between them.
 	streamBytes = 64 << 10
+	// maxCopyBytes is the largest piece that is copied at a time of a response that is streamed.
+	maxCopyBytes = 32 << 10
 	// memoryRetryAfter is the Retry-After of a request that is refused because the budget for clients is
 	// short. Connections that hold most are ended within a few hundred milliseconds.
 	memoryRetryAfter = 500 * time.Millisecond
@@ -33,9 +35,6 @@
 	lateStreamTime = 5 * time.Second
 )
 
-// errNoBudget reports that the budget for clients is short.
-var errNoBudget = errors.New("the memory for clients is in use")
-
 // openLease reserves the fixed cost of a request.
 func (req *clientRequest) openLease() *finalResponse {
 	lease, ok := resource.NewLease(resource.FromContext(req.incoming.Context()), requestBytes)
@@ -55,7 +54,7 @@
 
 // readGrowing reads r to its end, or limit bytes of it. The buffer grows as bytes arrive, up to length if
 // that is known, which is negative if not; grow reserves each growth. If it can't, what was read is
-// returned with errNoBudget.
+// returned with resource.ErrShort.
 func readGrowing(r io.Reader, length, limit int64, grow func(n int64) bool) ([]byte, error) {
 	largest := limit
 	if length >= 0 {
@@ -78,7 +77,7 @@
 		}
 		size := min(2*int64(cap(data)), largest)
 		if !grow(size - int64(cap(data))) {
-			return data, errNoBudget
+			return data, resource.ErrShort
 		}
 		larger := make([]byte, len(data), size)
 		copy(larger, data)
@@ -109,16 +108,20 @@
 }
 
 // readBuffered reads the body of a response, or its beginning if it exceeds maxBufferedResponse or the
-// budget for clients is short. more is set if the rest must be streamed. The error is errNoBudget if there
-// is no memory for that either.
+// budget for clients is short. more is set if the rest must be streamed. A short budget is no error then,
+// since the request has run: the buffer of the beginning is used for the copy. The error is
+// resource.ErrShort if the connection was ended or the request is over.
 func (req *clientRequest) readBuffered(res *http.Response) (body []byte, more bool, err error) {
-	body, err = readGrowing(res.Body, res.ContentLength, maxBufferedResponse+1, req.lease.Grow)
-	short := errors.Is(err, errNoBudget)
+	body, err = readGrowing(res.Body, res.ContentLength, maxBufferedResponse+1, req.lease.NewResponse())
+	short := errors.Is(err, resource.ErrShort)
 	if more = short || err == nil && len(body) > maxBufferedResponse; !more {
 		return body, false, err
 	}
-	if !req.lease.Grow(streamBytes + req.h.cfg.SocketBytes) {
-		return body, false, errNoBudget
+	if !short {
+		short = !req.lease.Grow(streamBytes + req.h.cfg.SocketBytes)
+	}
+	if short && req.lease.Over() {
+		return body, false, resource.ErrShort
 	}
 	return body, true, nil
 }
