--- a/internal/account/credit/spender.go
+++ b/internal/account/credit/spender.go
@@ -589,14 +589,7 @@
 		return false
 	}
 	s.observe(now, c, &m)
-	if m.Replaced && s.current == nil && s.leaving == nil {
-		// The earlier process of this host counted there and nowhere else.
-		s.freeAt, again = now, true
-	}
-	if m.Echo >= s.followStamp && !m.Follow && (c == s.leaving || c == s.current && m.Unavailable) {
-		s.release(now, c)
-		again = true
-	}
+	again = s.observeEnd(now, c, &m)
 	if m.Unavailable {
 		s.skip(now, c.name)
 		return true
@@ -615,6 +608,20 @@
 	return false
 }
 
+// observeEnd handles what a response says of the end of following its sender, by this process or by an
+// earlier one of this host. again reports whether Poll should be called at once.
+func (s *Spender) observeEnd(now time.Duration, c *contact, m *Message) (again bool) {
+	if m.Replaced && s.current == nil && s.leaving == nil {
+		// The earlier process counted there and nowhere else.
+		s.freeAt, again = now, true
+	}
+	if m.Echo >= s.followStamp && !m.Follow && (c == s.leaving || c == s.current && m.Unavailable) {
+		s.release(now, c)
+		again = true
+	}
+	return again
+}
+
 // observe records the process and the stamp of a response.
 func (s *Spender) observe(now time.Duration, c *contact, m *Message) {
 	c.unanswered, c.available = 0, !m.Unavailable
