--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -33,6 +33,7 @@
 	mu       sync.Mutex
 	running  int
 	up       bool
+	silent   bool
 	born     int64
 	sequence int
 	http     *http.Server
@@ -72,16 +73,33 @@
 	return nil
 }
 
+// beat writes a heartbeat, unless the server is silent.
 func (s *server) beat() {
 	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
+	if !silent {
+		s.w.store.put("servers/"+s.id, s.nextEntry())
+	}
+}
+
+// silence ends the heartbeats.
+func (s *server) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = true
+}
+
+// nextEntry returns the next entry of the server.
+func (s *server) nextEntry() map[string]any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.sequence++
-	entry := map[string]any{
+	return map[string]any{
 		"address": s.address, "born": s.born,
 		"info":   map[string]any{"service": s.service, "version": "v1", "zone": s.zone, "slots": s.slots},
 		"status": map[string]any{"state": "ready", "sequence": s.sequence, "cold_remaining_ms": 0},
 	}
-	s.mu.Unlock()
-	s.w.store.put("servers/"+s.id, entry)
 }
 
 // crash ends the server at once, with all its connections.
