--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -23,7 +23,7 @@
 
 func main() {
 	cases := map[string]func(w *world) (broken bool, err error){
-		"pipeline": playPipeline, "poison": playPoison, "slash": playSlash, "headers": playHeaders, "late": playLate, "smuggle": playSmuggle,
+		"pipeline": playPipeline, "poison": playPoison, "slash": playSlash, "headers": playHeaders, "late": playLate, "busy": playBusy, "smuggle": playSmuggle,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD")
