Withhold entries of targets that may have ended before the host started

Cause: which targets have ended is only in the memory of hosts. The entry of a target that nobody remembers was taken for one that joins, although the store may apply a write up to 10 s late.

Why this works: for 10 s after its first read a host knows that it misses ends of targets. An entry of an unknown target that has written others before is uncertain until the target writes another one, or until the store would have removed a silent one. Hosts that start ask others which targets ended and how far back they know, and which entries are uncertain. Targets in the first read, ones that join or restart, and ones that register again after an outage of the store are used at once.

Ruled out: marks in the store (the hosts end before they are written), health checks (they may be wrong, and pass in the case).

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -47,6 +47,8 @@
 	// OnQueueWait is called with the time that each update waited for the control
 	// goroutine. It may be nil.
 	OnQueueWait func(wait time.Duration)
+	// Heartbeat is the interval at which targets write their entries; zero if unknown.
+	Heartbeat time.Duration
 	// SinceBoot returns the time since the machine was started, with the time in which it was
 	// suspended; nil means that of the system.
 	SinceBoot func() time.Duration
@@ -96,8 +98,11 @@
 	// full reports whether the items are all keys of the store.
 	full bool
 	// newest holds the entries of targets that another host knows to be newer than those in the
-	// store.
+	// store, and memory what it knows of targets that ended; nil if it did not tell.
 	newest []newestEntry
+	memory *peerMemory
+	// afterOutage reports whether the store did not respond before.
+	afterOutage bool
 	// source names the store or the host that sent the update, and origin the host that read it
 	// from the store; empty if unknown. receivedAt is the time of receipt, and age is the age of
 	// the data at that time.
@@ -150,6 +155,7 @@
 		baseTime: time.Now().Add(-unknownAge), baseBoot: cfg.SinceBoot() - unknownAge, watchJitter: rand.N(othersWatchJitter), hostsChanged: newBroadcast(), firstReadEnded: make(chan struct{}),
 	}
 	d.state = NewState(cfg.Self, cfg.Decoder, cfg.ReregisterTimeout, d.cache.add)
+	d.state.order.SetHeartbeat(cfg.Heartbeat)
 	if cfg.PeerTransport == nil {
 		cfg.PeerTransport = &http.Transport{DialContext: dialPeer, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, DisableCompression: true}
 	}
@@ -239,11 +245,11 @@
 	}
 	asOf := e.update.receivedAt.Sub(d.baseTime) - min(e.update.age, unknownAge/2)
 	last := time.Duration(d.asOf.Load())
-	if last > 0 && asOf-last > outageAge {
+	if last > 0 && asOf-last > outageAge || last == 0 && e.update.afterOutage {
 		d.state.RecordOutage(now)
 	}
 	changed := d.apply(now, e.update)
-	d.cache.setNewest(d.state.newestEntries())
+	d.cache.setMemory(d.state.memory(now))
 	d.cache.advance(e.update.page.Revision, asOf, e.update.soundAsOf)
 	d.publish(changed, e.update.logFields(now))
 	d.recordOrigin(e.update, asOf, last)
@@ -286,6 +292,9 @@
 	for _, n := range u.newest {
 		changed = d.state.ApplyNewest(now, n) || changed
 	}
+	if u.memory != nil {
+		changed = d.state.ApplyMemory(now, u.page.Revision, u.memory) || changed
+	}
 	return changed
 }
 
--- a/internal/fleet/directory/lateentry.go
+++ b/internal/fleet/directory/lateentry.go
@@ -18,6 +18,9 @@
 	target roster.Target
 	// newest is the newer entry. If that was deleted, it is a deletion with the last value.
 	newest store.Item
+	// uncertain reports whether no newer entry is known: the target may have ended before this host
+	// first read the store.
+	uncertain bool
 }
 
 // newestEntry is an entry of a target that counts in place of the one that the store holds, for
@@ -31,15 +34,27 @@
 // item.
 func (s *State) setAsideTarget(item store.Item, t roster.Target, old keyState, reason string) {
 	newest := store.Item{Key: item.Key, Value: old.value, Revision: old.revision, Deleted: old.deleted}
-	if before, ok := s.setAside[item.Key]; ok {
+	before, ok := s.setAside[item.Key]
+	if ok {
 		newest = before.newest
 	}
-	s.setAside[item.Key] = setAsideEntry{item: item, target: t, newest: newest}
+	s.setAside[item.Key] = setAsideEntry{item: item, target: t, newest: newest, uncertain: before.uncertain}
 	s.log(reason, map[string]any{
 		fieldTarget: t.ID, fieldSequence: t.Sequence, "draining": t.Draining, "known": newest.Revision.String(), "ended": newest.Deleted, fieldRevision: item.Revision.String(),
 	})
 }
 
+// setAsideUncertain withholds an entry of a target that may have ended before this host first read
+// the store, until the target writes another one or protection has passed.
+func (s *State) setAsideUncertain(now time.Time, item store.Item, t roster.Target, protection time.Duration) {
+	s.setAside[item.Key] = setAsideEntry{item: item, target: t, uncertain: true}
+	s.order.RecordUncertain(now, t, protection)
+	s.log("target may have ended before this host started, waiting for another entry", map[string]any{
+		fieldTarget: t.ID, fieldSequence: t.Sequence, fieldRevision: item.Revision.String(),
+		"known-for-ms": now.Sub(s.order.Since()).Milliseconds(), "waits-ms": protection.Milliseconds(),
+	})
+}
+
 // restoreSetAside puts entries in force that have been set aside for so long that their targets must
 // still be writing, and reports whether there were any.
 func (s *State) restoreSetAside(now time.Time) (changed bool) {
@@ -63,7 +78,9 @@
 	}
 	list := make([]protectedEntry, 0, len(s.setAside))
 	for _, e := range s.setAside {
-		list = append(list, protectedEntry{item: e.newest, until: s.order.ProtectedUntil(e.target.ID)})
+		if !e.uncertain {
+			list = append(list, protectedEntry{item: e.newest, until: s.order.ProtectedUntil(e.target.ID)})
+		}
 	}
 	return list
 }
@@ -112,7 +129,7 @@
 	s.log("another host knows a newer entry", map[string]any{
 		fieldTarget: id, fieldSequence: late.Sequence, "known": n.Item.Revision.String(), "ended": n.Item.Deleted, fieldRevision: held.revision.String(),
 	})
-	at := now.Add(min(n.Left, roster.LateWriteTime) - roster.LateWriteTime)
+	at := protectedSince(now, n.Left)
 	s.order.Record(at, newest)
 	s.keepChanged(id)
 	s.targetChanged(id, held.revision, s.roster.Put(now, newest))
--- a/internal/fleet/directory/lateentry_test.go
+++ b/internal/fleet/directory/lateentry_test.go
@@ -111,7 +111,7 @@
 // poll returns the update that a host gets which polls a view after a revision.
 func (d *Directory) poll(after store.Revision) update {
 	cs := d.cache.since(after)
-	return update{page: cs.page, full: cs.full, newest: encodeNewest(time.Now(), cs.newest), source: "peer"}
+	return update{page: cs.page, full: cs.full, newest: encodeNewest(time.Now(), cs.memory.newest), source: "peer"}
 }
 
 // Guards against hosts that never saw the newer entry: they got both changes in one, or have joined
--- a/internal/fleet/directory/peers.go
+++ b/internal/fleet/directory/peers.go
@@ -30,6 +30,8 @@
 	headerSecretID = "Fleet-Key"
 	paramAfter     = "after"
 	paramWait      = "wait"
+	// paramMemory asks for what the server knows of targets that ended.
+	paramMemory = "memory"
 	// maxChangesBytes bounds one response: all keys of a large fleet.
 	maxChangesBytes = 16 << 20
 	// maxPollWait bounds the wait of a poll.
@@ -73,6 +75,9 @@
 	// versions neither send nor read them, and hosts without client accounts don't send them.
 	SoundAge  *time.Duration `cbor:"8,keyasint,omitempty"`
 	SoundHeld time.Duration  `cbor:"9,keyasint,omitempty"`
+	// Memory is what the server knows of targets that ended. It is sent if the client asks for it, or
+	// if entries are uncertain. Builds of earlier versions neither send nor read it.
+	Memory *peerMemory `cbor:"10,keyasint,omitempty"`
 }
 
 // ServeHTTP serves the changes after a revision to another host, and waits for some if
@@ -109,7 +114,10 @@
 	now := time.Now()
 	response := changesResponse{
 		Items: items, Revision: cs.page.Revision, Full: cs.full, Age: d.ageOf(now, cs.asOf), Held: now.Sub(start), Origin: d.originName(),
-		Newest: encodeNewest(now, cs.newest),
+		Newest: encodeNewest(now, cs.memory.newest),
+	}
+	if r.URL.Query().Has(paramMemory) || len(cs.memory.uncertain) > 0 {
+		response.Memory = cs.memory.encode(now)
 	}
 	d.addSoundAge(&response, bootStart, cs.soundAsOf)
 	body, err := cbor.Marshal(response)
@@ -192,15 +200,26 @@
 	return hex.EncodeToString(mac.Sum(nil))
 }
 
+// poll describes a request for changes.
+type poll struct {
+	// wait is the time for which the server waits for changes.
+	wait time.Duration
+	// memory asks for what the server knows of targets that ended.
+	memory bool
+}
+
 // fetchChanges requests the changes after a revision from another host. The age of the
 // update includes the transit time.
-func (d *Directory) fetchChanges(ctx context.Context, host Host, after store.Revision, wait time.Duration) (update, error) {
+func (d *Directory) fetchChanges(ctx context.Context, host Host, after store.Revision, p poll) (update, error) {
 	start, sent := time.Now(), d.bootNow()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timeout := time.AfterFunc(wait+peerGrace, cancel)
+	timeout := time.AfterFunc(p.wait+peerGrace, cancel)
 	defer timeout.Stop()
-	query := url.Values{paramAfter: {after.String()}, paramWait: {wait.String()}}
+	query := url.Values{paramAfter: {after.String()}, paramWait: {p.wait.String()}}
+	if p.memory {
+		query.Set(paramMemory, "")
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s?%s", host.PeerAddress, ChangesPath, query.Encode()), nil)
 	if err != nil {
 		return update{}, err
@@ -236,7 +255,7 @@
 	// its hold time.
 	transit := max(0, receivedAt.Sub(start)-max(0, c.Held))
 	return update{
-		page: store.Page{Items: decoded, Revision: c.Revision}, full: c.Full, newest: c.Newest, source: host.Name, origin: c.Origin,
+		page: store.Page{Items: decoded, Revision: c.Revision}, full: c.Full, newest: c.Newest, memory: c.Memory, source: host.Name, origin: c.Origin,
 		receivedAt: receivedAt, age: max(0, c.Age) + transit, soundAsOf: d.peerSoundAsOf(&c, sent),
 	}, nil
 }
--- a/internal/fleet/directory/state.go
+++ b/internal/fleet/directory/state.go
@@ -185,10 +185,11 @@
 	keepUntil time.Time
 	changes   int
 	lines     []LogLine
-	// loading is set during the first full read, and loadedTargets lists the targets that it
-	// found since the last call of TakeLogLines.
-	loading       bool
-	loadedTargets []string
+	// loading is set during the first full read, loadedRevision is the revision of that read, and
+	// loadedTargets lists the targets that it found since the last call of TakeLogLines.
+	loading        bool
+	loadedRevision store.Revision
+	loadedTargets  []string
 	// changed holds the targets whose entries have changed since the last call of TakeRestarted, as
 	// they were then.
 	changed map[string]roster.Target
@@ -220,6 +221,10 @@
 		changed = true
 	}
 	s.loading = len(s.keys) == 0
+	if s.loading {
+		s.order.Begin(now)
+		s.loadedRevision = page.Revision
+	}
 	for _, item := range page.Items {
 		listed[item.Key] = true
 		if s.Apply(now, item) {
@@ -344,6 +349,10 @@
 		s.setAsideTarget(item, t, old, "entry is older than what is known")
 		return
 	}
+	if !s.loading && !s.roster.AroundOutage(now) && s.order.Uncertain(now, t) {
+		s.setAsideUncertain(now, item, t, s.order.SilenceTime())
+		return
+	}
 	delete(s.setAside, item.Key)
 	s.putTarget(now, t, item.Revision)
 }
--- a/internal/fleet/directory/watch.go
+++ b/internal/fleet/directory/watch.go
@@ -214,7 +214,7 @@
 	took := receivedAt.Sub(start)
 	d.submit(ctx, update{
 		page: page, full: full, source: sourceStore, origin: d.cfg.Self.Name, receivedAt: receivedAt,
-		age: responseAge(took, wait, page, full), soundAsOf: storeSoundAsOf(sent, took, wait, page, full),
+		afterOutage: w.failed, age: responseAge(took, wait, page, full), soundAsOf: storeSoundAsOf(sent, took, wait, page, full),
 	})
 	w.reload = false
 	w.clearFailures()
@@ -337,7 +337,7 @@
 			continue
 		}
 		for _, host := range hosts[:min(len(hosts), maxCatchUpHosts)] {
-			if err := d.pollPeer(ctx, host, 0); err != nil {
+			if err := d.fetchMemory(ctx, host); err != nil {
 				d.cfg.Log.WithError(err).WithField(fieldHost, host.Name).Debug("polling a host after the start failed")
 			}
 		}
@@ -346,6 +346,20 @@
 	return nil
 }
 
+// fetchMemory requests from another host what it knows of targets that ended. A host whose view is
+// behind this one knows of too few, so it is asked once more, for when it has caught up.
+func (d *Directory) fetchMemory(ctx context.Context, host Host) error {
+	applied := d.cache.applied()
+	u, err := d.fetchChanges(ctx, host, applied, poll{memory: true})
+	if err == nil && applied.After(u.page.Revision) {
+		u, err = d.fetchChanges(ctx, host, applied, poll{wait: pollWait, memory: true})
+	}
+	if err != nil {
+		return err
+	}
+	return d.submitPolled(ctx, host, u)
+}
+
 // pollFallbacks polls the fallback hosts in turn while the view is older than
 // fallbackAge.
 func (d *Directory) pollFallbacks(ctx context.Context) error {
@@ -384,10 +398,15 @@
 
 // pollPeer requests the changes that this view lacks from another host and applies them.
 func (d *Directory) pollPeer(ctx context.Context, host Host, wait time.Duration) error {
-	u, err := d.fetchChanges(ctx, host, d.cache.applied(), wait)
+	u, err := d.fetchChanges(ctx, host, d.cache.applied(), poll{wait: wait})
 	if err != nil {
 		return err
 	}
+	return d.submitPolled(ctx, host, u)
+}
+
+// submitPolled applies the response of another host to a poll.
+func (d *Directory) submitPolled(ctx context.Context, host Host, u update) error {
 	if applied := d.cache.applied(); u.page.Revision.Era < applied.Era {
 		return errors.Wrapf(errBadResponse, "%s: era %d is outdated", host.Name, u.page.Revision.Era)
 	}
--- a/internal/fleet/directory/watchcache.go
+++ b/internal/fleet/directory/watchcache.go
@@ -24,9 +24,8 @@
 	// recent holds the newest item of each recently changed key, oldest first.
 	recent   []store.Item
 	revision store.Revision
-	// newest holds the entries of targets that count in place of those in items. It is replaced as
-	// a whole.
-	newest []protectedEntry
+	// memory is what this host knows of entries that do not count. It is replaced as a whole.
+	memory memory
 	// compactRevision is the revision after which recent holds every change.
 	compactRevision store.Revision
 	// asOf is the time, since some fixed origin, up to which the items are complete.
@@ -65,11 +64,11 @@
 	}
 }
 
-// setNewest replaces the entries of targets that count in place of those that the store holds.
-func (c *watchCache) setNewest(list []protectedEntry) {
+// setMemory replaces what this host knows of entries that do not count.
+func (c *watchCache) setMemory(m memory) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.newest = list
+	c.memory = m
 }
 
 // advance records that the items are complete up to a revision and a time, and notifies
@@ -105,8 +104,8 @@
 	page store.Page
 	// full reports whether the items are all keys of the store.
 	full bool
-	// newest holds the entries of targets that count in place of those that the store holds.
-	newest []protectedEntry
+	// memory is what this host knows of entries that do not count.
+	memory memory
 	// asOf is the time up to which the items are complete.
 	asOf time.Duration
 	// soundAsOf is asOf by the time since boot; 0 means never.
@@ -120,7 +119,7 @@
 func (c *watchCache) since(after store.Revision) changeSet {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	cs := changeSet{page: store.Page{Revision: c.revision}, newest: c.newest, asOf: c.asOf, soundAsOf: c.soundAsOf, changed: c.changed}
+	cs := changeSet{page: store.Page{Revision: c.revision}, memory: c.memory, asOf: c.asOf, soundAsOf: c.soundAsOf, changed: c.changed}
 	if !c.compactRevision.After(after) {
 		for _, item := range c.recent {
 			if item.Revision.After(after) {
--- a/internal/fleet/roster/order.go
+++ b/internal/fleet/roster/order.go
@@ -18,14 +18,29 @@
 	maxEntryBurst = 100
 	// maxClockDifference bounds the difference between the clocks of a target and a host.
 	maxClockDifference = time.Minute
+	// firstSequence is the count of the first entry of a run.
+	firstSequence = 1
+	// silentHeartbeats is the number of heartbeat intervals of silence after which the store removes
+	// the entry of a target, and removalDelay bounds the time until a host has seen that.
+	silentHeartbeats = 3
+	removalDelay     = time.Second
 )
 
 // Order knows the entry that each target wrote last, by its start time and its count of entries.
 // An entry that was written before that one is late: the store applied it after the newer one. This
 // holds for LateWriteTime, after which an older entry must come from a target that still writes:
 // something else has written the newest one.
+//
+// An Order cannot know of targets that ended before it began. For LateWriteTime after that, the
+// entry of an unknown target that has written others before may be late, too. Such an entry is
+// uncertain until the target writes another one, or until the store would have removed it if the
+// target were silent.
 type Order struct {
 	marks map[string]mark
+	// since is the time from which the end of every target is known; zero if nothing is known yet.
+	since time.Time
+	// heartbeat is the interval at which targets write entries; zero if unknown.
+	heartbeat time.Duration
 	// gone holds the targets that are gone in the order of their ends.
 	gone []goneTarget
 }
@@ -39,6 +54,9 @@
 	credible bool
 	// goneAt is the time at which the entry was deleted; zero while it exists.
 	goneAt time.Time
+	// uncertainSince is the time at which an uncertain entry was applied. Such an entry is treated as
+	// the last one of a target that is gone. It is zero for other entries.
+	uncertainSince time.Time
 }
 
 type goneTarget struct {
@@ -49,6 +67,58 @@
 // NewOrder returns an Order that knows no entries.
 func NewOrder() *Order { return &Order{marks: map[string]mark{}} }
 
+// SetHeartbeat sets the interval at which targets write entries.
+func (o *Order) SetHeartbeat(interval time.Duration) { o.heartbeat = interval }
+
+// Begin records that the ends of targets before a time are unknown.
+func (o *Order) Begin(at time.Time) { o.since = at }
+
+// Extend records that the ends of targets from an earlier time on are known as well.
+func (o *Order) Extend(since time.Time) {
+	if since.Before(o.since) {
+		o.since = since
+	}
+}
+
+// Since returns the time from which the end of every target is known; zero if there is none.
+func (o *Order) Since() time.Time { return o.since }
+
+// MissesEnds reports whether a target may have ended unseen so short a time ago that an entry of it
+// may still arrive.
+func (o *Order) MissesEnds(now time.Time) bool {
+	return !o.since.IsZero() && now.Sub(o.since) <= LateWriteTime
+}
+
+// Uncertain reports whether an entry that is not late may still have been written before the end of
+// its target. An entry that follows an uncertain one too soon may be late as well.
+func (o *Order) Uncertain(now time.Time, t Target) bool {
+	if t.Draining || !o.MissesEnds(now) {
+		return false
+	}
+	m, ok := o.marks[t.ID]
+	if !ok {
+		return t.Sequence > firstSequence
+	}
+	return !m.uncertainSince.IsZero() && m.target.Started.Equal(t.Started) && now.Sub(m.uncertainSince) < o.heartbeat/2
+}
+
+// RecordUncertain records an uncertain entry, which stays late for a time unless the target writes a
+// newer one.
+func (o *Order) RecordUncertain(now time.Time, t Target, protection time.Duration) {
+	at := now.Add(protection - LateWriteTime)
+	o.marks[t.ID] = mark{target: t, at: at, goneAt: at, credible: true, uncertainSince: now}
+	o.gone = append(o.gone, goneTarget{id: t.ID, at: at})
+}
+
+// SilenceTime returns the time after which a host has seen the removal of the entry of a target that
+// writes no further one.
+func (o *Order) SilenceTime() time.Duration {
+	if o.heartbeat <= 0 {
+		return LateWriteTime
+	}
+	return min(LateWriteTime, silentHeartbeats*o.heartbeat+removalDelay)
+}
+
 // Late reports whether an entry was written before the newest one of its target. That a target
 // drains counts at once, unless an earlier run of it said so.
 func (o *Order) Late(now time.Time, t Target) bool {
@@ -109,10 +179,10 @@
 // RecordGone records that the entry of a target was deleted.
 func (o *Order) RecordGone(now time.Time, id string) {
 	m, ok := o.marks[id]
-	if !ok || !m.goneAt.IsZero() {
+	if !ok || !m.goneAt.IsZero() && m.uncertainSince.IsZero() {
 		return
 	}
-	m.goneAt = now
+	m.goneAt, m.uncertainSince = now, time.Time{}
 	o.marks[id] = m
 	o.gone = append(o.gone, goneTarget{id: id, at: now})
 }
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -117,6 +117,10 @@
 // RecordOutage records that the store was unavailable until now.
 func (r *Roster) RecordOutage(now time.Time) { r.outageUntil = now.Add(r.reregisterTimeout) }
 
+// AroundOutage reports whether a missing entry may be due to an outage of the store, after which
+// targets register again.
+func (r *Roster) AroundOutage(now time.Time) bool { return now.Before(r.outageUntil) }
+
 // Put applies the entry of a target.
 func (r *Roster) Put(now time.Time, t Target) Change {
 	old := r.records[t.ID]
@@ -146,7 +150,7 @@
 	if rec == nil {
 		return Unchanged
 	}
-	if now.Before(r.outageUntil) && !rec.target.Draining {
+	if r.AroundOutage(now) && !rec.target.Draining {
 		if rec.removeAt.IsZero() {
 			rec.removeAt, rec.unknownSince = r.outageUntil, now
 		}
@@ -156,6 +160,9 @@
 	return Left
 }
 
+// Delete removes a target without regard to outages.
+func (r *Roster) Delete(id string) { delete(r.records, id) }
+
 // Replace applies all entries of a full read, and reports each change.
 func (r *Roster) Replace(now time.Time, targets []Target, report func(id string, c Change)) {
 	listed := map[string]bool{}
--- a/internal/process/entry/late_entry_test.go
+++ b/internal/process/entry/late_entry_test.go
@@ -57,6 +57,62 @@
 	}
 }
 
+// Guards against requests at a target that is gone, after the store applied an older entry of it late
+// and no host was left that had seen its end.
+func TestLateEntryDoesNotBringATargetBackAfterAllHostsWereReplaced(t *testing.T) {
+	tests := []struct {
+		name    string
+		replace func(cl *cluster)
+	}{
+		{name: "at once", replace: func(cl *cluster) {
+			for _, h := range cl.hosts {
+				h.process.Kill()
+			}
+			for n := range cl.hosts {
+				cl.restart(n)
+			}
+		}},
+		{name: "one after the other", replace: func(cl *cluster) {
+			for n := range cl.hosts {
+				cl.kill(n)
+				cl.waitReady(cl.hosts[n])
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			cl := newCluster(t, 3, target("t-0", platformtest.Behaviour{}), target("t-1", platformtest.Behaviour{}), target("t-2", platformtest.Behaviour{}))
+			late := cl.targets[0].Entry("ready")
+			cl.store.Put("servers/t-0", cl.targets[0].Entry("ready"))
+			cl.store.Delete("servers/t-0")
+			time.Sleep(500 * time.Millisecond)
+			tt.replace(cl)
+			for _, h := range cl.hosts {
+				cl.waitReady(h)
+			}
+			time.Sleep(500 * time.Millisecond)
+			before := cl.targets[0].TotalRuns()
+			send := func(round string) {
+				for n := range 60 {
+					resp, err := cl.send(t.Context(), cl.hosts[n%len(cl.hosts)], fmt.Sprintf("%s-%d", round, n), "/book/x")
+					require.NoError(t, err)
+					require.Equal(t, http.StatusOK, resp.status)
+				}
+			}
+			cl.store.Put("servers/t-0", late)
+			time.Sleep(500 * time.Millisecond)
+			send("a")
+			require.Equal(t, before, cl.targets[0].TotalRuns())
+
+			cl.store.Put("servers/t-0", cl.targets[0].Entry("ready"))
+			time.Sleep(500 * time.Millisecond)
+			send("b")
+			require.Greater(t, cl.targets[0].TotalRuns(), before, "an entry that the target writes later counts")
+		})
+	}
+}
+
 // Guards against a target that is shut out, or used although it drains, because something else has
 // left an entry with a count or a start far ahead on its key.
 func TestEntryFarAheadDoesNotHideThoseOfItsTarget(t *testing.T) {
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -161,7 +161,7 @@
 	limits := resource.LimitsOf(cfg.MemoryBytes, cfg.Descriptors)
 	p.directory = directory.New(directory.Config{
 		Self: p.self(), FirstStart: cfg.FirstStart, Source: p.store, Decoder: platform.Decoder, Timer: timers, Log: p.log.For("directory"),
-		ReregisterTimeout: cfg.Bounds.ReregisterTimeout, OnChange: p.applySnapshot, OnQueueWait: p.metrics.ObserveUpdateDelay,
+		ReregisterTimeout: cfg.Bounds.ReregisterTimeout, Heartbeat: cfg.Heartbeat, OnChange: p.applySnapshot, OnQueueWait: p.metrics.ObserveUpdateDelay,
 	}, p.g)
 	p.links = targets.NewLinks(targets.Config{
 		Reader: platform.Dialect, Source: cfg.Source, Log: p.log.For("links"), OnChange: p.applyReachability,
