Close connections whose request body is not read to its end

Cause: a streamed body replaces the body of the request. Once the relay has closed it, net/http takes it for complete and reads the next request from the middle of the upload. Only responses of the host itself closed the connection.

The gateway of the balancer role kept such connections too (TestCallsOverEveryProtocol/early failed).

Why this works: every response asks whether the body was read to its end, and closes the connection if not. Beyond that, a connection on which the server finds more requests than its framing has is closed, so that no other path can pass bytes of a body on as a request.

Ruled out: the validator, which keeps the boundaries of the requests.

--- a/internal/process/balancer/balancer_test.go
+++ b/internal/process/balancer/balancer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -152,6 +153,12 @@
 // echo returns the handler of a target, whose response depends on the request's path.
 func echo(seen *atomic.Int64) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/early" {
+			seen.Add(1)
+			_, _ = io.CopyN(io.Discard, r.Body, largeResponse/8)
+			_, _ = io.WriteString(w, "early")
+			return
+		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
@@ -295,6 +302,7 @@
 		}
 	}
 	t.Run("malformed", func(t *testing.T) { malformedRequests(t, plain, &seen) })
+	t.Run("early", func(t *testing.T) { earlyResponses(t, plain, &seen) })
 	t.Run("headers", func(t *testing.T) { hopHeaders(t, plain) })
 	t.Run("draining", func(t *testing.T) { drainingTarget(t, plain, served) })
 	t.Run("deferred", func(t *testing.T) { deferrableWork(t, plain, &seen) })
@@ -332,6 +340,30 @@
 	}
 }
 
+// earlyResponses sends uploads that a target responds to before it has read them. The rest of their
+// bodies reads like requests, none of which may reach a target.
+func earlyResponses(t *testing.T, f *fleet, seen *atomic.Int64) {
+	const uploads, block = 8, 4 << 10
+	text := "GET / HTTP/1.1\r\nHost: notes.test\r\nFill: "
+	body := strings.Repeat(text+strings.Repeat(".", block-len(text)-4)+"\r\n\r\n", 4*largeResponse/block)
+	before := seen.Load()
+	for range uploads {
+		nc, err := net.Dial("tcp", f.layout.Callers(1).String())
+		require.NoError(t, err)
+		go func() {
+			_, _ = fmt.Fprintf(nc, "POST /early HTTP/1.1\r\nHost: notes.test\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}()
+		res, err := http.ReadResponse(bufio.NewReader(nc), nil)
+		require.NoError(t, err)
+		data, err := io.ReadAll(res.Body)
+		require.NoError(t, err)
+		require.Equal(t, "early", string(data))
+		require.True(t, res.Close)
+		_ = nc.Close()
+	}
+	require.Equal(t, int64(uploads), seen.Load()-before)
+}
+
 // crashingRequest sends a request that crashes targets through both hosts. After a few
 // crashes both must reject it, and other requests must still succeed.
 func crashingRequest(t *testing.T, f *fleet, seen *atomic.Int64) {
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -221,7 +221,7 @@
 	errorLog := stdlog.New(p.log.For("http").WriterLevel(logrus.DebugLevel), "", 0)
 	p.clientConns = front.NewConnections(p.clientBudget)
 	p.clientServer = &http.Server{
-		Handler: p.handler, ErrorLog: errorLog, ConnState: p.clientConns.Track, ConnContext: p.clientConns.Context,
+		Handler: p.clientConns.Handler(p.handler, p.log.For("front")), ErrorLog: errorLog, ConnState: p.clientConns.Track, ConnContext: p.clientConns.Context,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	mux := http.NewServeMux()
--- a/internal/process/front/stop.go
+++ b/internal/process/front/stop.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
 )
@@ -84,11 +85,26 @@
 // http.Server.ConnContext.
 func (c *Connections) Context(ctx context.Context, nc net.Conn) context.Context {
 	if tc, ok := nc.(*trackedConn); ok {
-		return resource.NewContext(ctx, tc.holder)
+		return resource.NewContext(context.WithValue(ctx, connKey{}, tc), tc.holder)
 	}
 	return ctx
 }
 
+// connKey is the key of a trackedConn in a context.
+type connKey struct{}
+
+// Handler returns a handler that passes requests on to next. It closes a connection whose server takes
+// bytes for a request that belong to another one, such as the unread rest of a body.
+func (c *Connections) Handler(next http.Handler, log *logrus.Entry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if tc, ok := r.Context().Value(connKey{}).(*trackedConn); ok && !tc.startRequest() {
+			log.WithFields(logrus.Fields{"caller": r.RemoteAddr, "method": r.Method}).Error("connection is closed: bytes of a body were read as a request")
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Listen returns a listener whose connections are tracked. The connections of inner are those of a
 // strict listener. The server must call Track.
 func (c *Connections) Listen(inner net.Listener) net.Listener {
@@ -187,9 +203,10 @@
 	opened time.Time
 
 	mu sync.Mutex
-	// begun counts the requests of which bytes were read, and ended those whose response was sent.
-	begun, ended int
-	closed       bool
+	// begun counts the requests of which bytes were read, started those that were passed to the handler,
+	// and ended those whose response was sent.
+	begun, started, ended int
+	closed                bool
 	// header is the length of what was read of headers since the last response, and reserved what the
 	// holder has reserved for it.
 	header, reserved int64
@@ -213,6 +230,15 @@
 	return n, err
 }
 
+// startRequest records that the server has read the header of a request, and reports whether a client
+// has sent that many.
+func (c *trackedConn) startRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.started++
+	return c.started <= c.begun
+}
+
 func (c *trackedConn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/process/front/stop_test.go
+++ b/internal/process/front/stop_test.go
@@ -3,14 +3,17 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
@@ -177,3 +180,46 @@
 	}
 	t.Logf("%d answered, %d crossed the close", runs, crossed)
 }
+
+// Guards against servers that lose track of a body and take the rest of it for a request.
+func TestBytesOfABodyAreNotHandledAsARequest(t *testing.T) {
+	const inner = "GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n"
+	var paths []string
+	var mu sync.Mutex
+	conns := NewConnections(nil)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{ConnState: conns.Track, ConnContext: conns.Context, Handler: conns.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		paths = append(paths, r.URL.Path)
+		mu.Unlock()
+		// A body that is replaced and closed: the server can't tell that most of it is unread.
+		original := r.Body
+		r.Body = http.NoBody
+		_ = original.Close()
+	}), logrus.NewEntry(discardLogger()))}
+	g := group.New(t.Context())
+	g.Go("serve", func(context.Context) error {
+		_ = server.Serve(conns.Listen(NewStrictListener(l, nil)))
+		return nil
+	})
+	t.Cleanup(func() {
+		_ = server.Close()
+		_ = g.Stop()
+	})
+	nc, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer nc.Close()
+	body := strings.Repeat(inner, 1<<20/len(inner))
+	_, _ = fmt.Fprintf(nc, "POST /upload HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	_, _ = io.Copy(io.Discard, nc)
+	mu.Lock()
+	defer mu.Unlock()
+	require.Equal(t, []string{"/upload"}, paths)
+}
+
+func discardLogger() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
--- a/internal/traffic/entry/body.go
+++ b/internal/traffic/entry/body.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -67,7 +68,8 @@
 	req.lease.SetPhase(resource.Waiting)
 	if int64(len(data)) == n {
 		req.streamed, req.prefixHash = true, xxhash.Sum64(data)
-		r.Body = &streamedBody{rest: io.MultiReader(bytes.NewReader(data), &uploadReader{r: r.Body, lease: req.lease}), Closer: r.Body}
+		req.upload = &streamedBody{rest: io.MultiReader(bytes.NewReader(data), &uploadReader{r: r.Body, lease: req.lease}), Closer: r.Body}
+		r.Body = req.upload
 		return req.openStream()
 	}
 	req.body, req.bodyRead = data, true
@@ -78,6 +80,8 @@
 // that may go on after the response.
 type streamedBody struct {
 	io.Closer
+	// ended is set when the body was read to its end.
+	ended atomic.Bool
 
 	mu sync.Mutex
 	// rest includes the beginning that was read before.
@@ -88,7 +92,11 @@
 func (b *streamedBody) Read(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.rest.Read(p)
+	n, err := b.rest.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.ended.Store(true)
+	}
+	return n, err
 }
 
 // rejectBody returns the response to a request whose body could not be read. One that has not
@@ -108,11 +116,12 @@
 	return reject(http.StatusRequestTimeout, "its body has not arrived in time", 0)
 }
 
-// beforeEarlyResponse prepares the connection for a response that does not wait for the rest of the
-// body, and reports whether lingerAfterResponse must be called.
-func (req *clientRequest) beforeEarlyResponse(w http.ResponseWriter) (linger bool) {
+// beforeResponse prepares the connection for a response that may not wait for the rest of the body, and
+// reports whether lingerAfterResponse must be called. The connection must not be used any more then: the
+// server does not know how much of a streamed body was read, and would take the rest for requests.
+func (req *clientRequest) beforeResponse(w http.ResponseWriter) (linger bool) {
 	r := req.incoming
-	if req.bodyRead || r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+	if req.bodyRead || r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 || req.streamed && req.upload.ended.Load() {
 		return false
 	}
 	if !req.streamed && !req.bodyLate && r.ContentLength > 0 && r.ContentLength <= maxSkippedBody {
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -59,9 +59,10 @@
 	// returned is set if the client was refused before and has come back.
 	returned bool
 	body     []byte
-	// streamed is set when the body was not buffered. The request can then be sent only
-	// once, and prefixHash is the hash of what was read of the body before.
+	// streamed is set when the body was not buffered, and upload is that body. The request can then be
+	// sent only once, and prefixHash is the hash of what was read of the body before.
 	streamed   bool
+	upload     *streamedBody
 	prefixHash uint64
 	// bodyRead is set when the body was read to its end, and bodyLate when it has not arrived in time.
 	bodyRead, bodyLate bool
--- a/internal/traffic/entry/response.go
+++ b/internal/traffic/entry/response.go
@@ -105,11 +105,20 @@
 		// A faulty target may announce a body, which the client would wait for.
 		header.Del("Content-Length")
 	}
+	linger := req.beforeResponse(w)
+	req.writeTargetBody(w, r)
+	if linger {
+		req.lingerAfterResponse(w)
+	}
+}
+
+// writeTargetBody sends the header, which is set already, and the body of the response of a target.
+func (req *clientRequest) writeTargetBody(w http.ResponseWriter, r attempt) {
 	to, done := req.bodyWriter(w, r)
 	defer done()
 	if r.unread == nil {
 		if req.incoming.Method != http.MethodHead && r.status != http.StatusNoContent && r.status != http.StatusNotModified {
-			header.Set("Content-Length", strconv.Itoa(len(r.body)))
+			w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
 		}
 		w.WriteHeader(r.status)
 		_, err := to.Write(r.body)
@@ -148,7 +157,7 @@
 		body = nil
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	linger := req.beforeEarlyResponse(w)
+	linger := req.beforeResponse(w)
 	w.WriteHeader(resp.status)
 	_, err = w.Write(body)
 	req.logWriteError(err)
--- a/internal/traffic/gateway/gateway.go
+++ b/internal/traffic/gateway/gateway.go
@@ -146,10 +146,19 @@
 	defer cancel()
 	result := g.execute(ctx, snapshot, c, forwardInformational(w))
 	g.observe(service, c, result, startTime)
+	closeUnlessRead(w, c)
 	defer abortRequestBody(w, c)
 	g.writeResult(w, r, c, result)
 }
 
+// closeUnlessRead makes a response close its connection if the request body was not read to its end: the
+// server does not know how much of it was read, and would take the rest for requests.
+func closeUnlessRead(w http.ResponseWriter, c *call.Call) {
+	if c.Stream != nil && c.Stream.Unfinished() && c.Request.ProtoMajor == 1 {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // abortRequestBody stops reading a request body that the client still sends when the
 // response is complete. The connection cannot be reused.
 func abortRequestBody(w http.ResponseWriter, c *call.Call) {
--- a/internal/traffic/gateway/hop.go
+++ b/internal/traffic/gateway/hop.go
@@ -37,6 +37,7 @@
 	g.recordReports(reports)
 	result := g.serveCell(ctx, g.cfg.Snapshot(), id, c)
 	g.attachReports(id, result)
+	closeUnlessRead(w, c)
 	writePeerResponse(w, result)
 }
 
