Linger when connections of clients are closed

Cause: the host closed the socket directly after its last write. The kernel resets a connection that is closed with unread bytes and drops what it has not sent yet. Only refusals of long bodies read on before they closed.

Why this works: every way of closing a connection of a client passes lingerConn.Close. It ends the sending side and reads and drops what arrives until the client closes or has had the time to receive the response, within bounds of time, bytes and number. Idle connections are closed as before, without reading a request that crosses the close, but not before the client has received the last response.

--- a/internal/process/balancer/balancer_test.go
+++ b/internal/process/balancer/balancer_test.go
@@ -303,6 +303,7 @@
 	}
 	t.Run("malformed", func(t *testing.T) { malformedRequests(t, plain, &seen) })
 	t.Run("early", func(t *testing.T) { earlyResponses(t, plain, &seen) })
+	t.Run("closed", func(t *testing.T) { closedConnections(t, plain) })
 	t.Run("headers", func(t *testing.T) { hopHeaders(t, plain) })
 	t.Run("draining", func(t *testing.T) { drainingTarget(t, plain, served) })
 	t.Run("deferred", func(t *testing.T) { deferrableWork(t, plain, &seen) })
@@ -364,6 +365,27 @@
 	require.Equal(t, int64(uploads), seen.Load()-before)
 }
 
+// closedConnections sends requests whose connections the balancer closes after the response, with further
+// bytes behind them that it does not read. The responses must be whole for clients that read slowly.
+func closedConnections(t *testing.T, f *fleet) {
+	const request = "GET /large HTTP/1.1\r\nHost: notes.test\r\nConnection: close\r\n\r\n"
+	for _, behind := range []string{request, request[:20], strings.Repeat("x", 256<<10)} {
+		nc, err := net.Dial("tcp", f.layout.Callers(1).String())
+		require.NoError(t, err)
+		tcp, ok := nc.(*net.TCPConn)
+		require.True(t, ok)
+		require.NoError(t, tcp.SetReadBuffer(64<<10))
+		go func() { _, _ = io.WriteString(nc, request+behind) }()
+		res, err := http.ReadResponse(bufio.NewReader(nc), nil)
+		require.NoError(t, err)
+		time.Sleep(100 * time.Millisecond)
+		data, err := io.ReadAll(res.Body)
+		require.NoError(t, err, "after %d bytes", len(data))
+		require.Len(t, data, largeResponse)
+		_ = nc.Close()
+	}
+}
+
 // crashingRequest sends a request that crashes targets through both hosts. After a few
 // crashes both must reject it, and other requests must still succeed.
 func crashingRequest(t *testing.T, f *fleet, seen *atomic.Int64) {
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -446,7 +446,7 @@
 	}
 	log := p.log.For("front")
 	p.clientListener = front.NewStoppableListener(l)
-	p.serveOn(p.clientConns.Listen(front.NewStrictListener(p.clientListener, func(caller netip.AddrPort, reason error) {
+	p.serveOn(p.clientConns.Listen(front.NewStrictListener(front.NewLingeringListener(p.clientListener, p.g), func(caller netip.AddrPort, reason error) {
 		log.WithError(reason).WithField("caller", caller.String()).Info("connection is closed for an ambiguous request")
 	})), p.clientServer)
 	return nil
--- a/internal/process/front/held.go
+++ b/internal/process/front/held.go
@@ -48,7 +48,7 @@
 	if c.budget == nil || c.budget.Limits().SocketBytes == 0 {
 		return
 	}
-	if tcp, ok := nc.(*net.TCPConn); ok {
+	if tcp, ok := nc.(interface{ SetReadBuffer(bytes int) error }); ok {
 		_ = tcp.SetReadBuffer(c.budget.Limits().SocketBytes)
 	}
 }
@@ -86,7 +86,13 @@
 func (c *heldConn) Interrupt() { _ = c.nc.SetReadDeadline(time.Unix(1, 0)) }
 
 // Abort implements resource.Conn.
-func (c *heldConn) Abort() { _ = c.nc.Close() }
+func (c *heldConn) Abort() {
+	if lc, ok := c.nc.(*lingerConn); ok {
+		lc.kill()
+		return
+	}
+	_ = c.nc.Close()
+}
 
 // Queued implements resource.Conn. It returns 0 for a connection that is closed or has no socket.
 func (c *heldConn) Queued() int64 {
--- a/internal/process/front/listener.go
+++ b/internal/process/front/listener.go
@@ -15,8 +15,8 @@
 // NewStoppableListener and NewConnections let a server finish all requests before it shuts down:
 //
 //	l, conns := front.NewStoppableListener(inner), front.NewConnections(budget)
-//	server := &http.Server{Handler: handler, ConnState: conns.Track, ConnContext: conns.Context}
-//	server.Serve(conns.Listen(front.NewStrictListener(l, logRejected)))
+//	server := &http.Server{Handler: conns.Handler(handler, log), ConnState: conns.Track, ConnContext: conns.Context}
+//	server.Serve(conns.Listen(front.NewStrictListener(front.NewLingeringListener(l, group), logRejected)))
 //	...
 //	l.Stop()
 //	for conns.CloseIdle(time.Now()) > 0 { ... wait; responses close their connections ... }
@@ -55,17 +55,19 @@
 	inner net.Listener
 	cfg   Config
 	g     *group.Group
-	open  atomic.Int64
-	ready chan net.Conn
-	done  chan struct{}
-	once  sync.Once
+	// lingerer closes connections.
+	lingerer *lingerer
+	open     atomic.Int64
+	ready    chan net.Conn
+	done     chan struct{}
+	once     sync.Once
 }
 
 var _ net.Listener = (*Listener)(nil)
 
 // NewListener returns a listener that accepts connections from inner in goroutines of g.
 func NewListener(inner net.Listener, cfg Config, g *group.Group) *Listener {
-	l := &Listener{inner: inner, cfg: cfg, g: g, ready: make(chan net.Conn), done: make(chan struct{})}
+	l := &Listener{inner: inner, cfg: cfg, g: g, lingerer: newLingerer(g), ready: make(chan net.Conn), done: make(chan struct{})}
 	g.Go("accept callers", l.accept)
 	return l
 }
@@ -81,7 +83,7 @@
 			_ = nc.Close()
 			continue
 		}
-		counted := &countedConn{Conn: nc, open: &l.open}
+		counted := &countedConn{Conn: l.lingerer.wrap(nc), open: &l.open}
 		if l.cfg.TLS == nil {
 			l.deliver(&validatedConn{Conn: counted, validator: validator{http2: true}})
 			continue
--- a/internal/process/front/stop.go
+++ b/internal/process/front/stop.go
@@ -121,10 +121,12 @@
 	case http.StateIdle:
 		tc.endRequest()
 	case http.StateHijacked, http.StateClosed:
-		tc.holder.Close()
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		delete(c.open, tc)
+		tc.afterClose(func() {
+			tc.holder.Close()
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			delete(c.open, tc)
+		})
 	case http.StateNew, http.StateActive:
 	}
 }
@@ -254,12 +256,39 @@
 	return c.begun == 0, c.begun != c.ended
 }
 
+// closeIfIdle closes the connection if it is idle and the client has received the last response. A request
+// that arrives meanwhile is not read, so that the client can tell that it has not run.
 func (c *trackedConn) closeIfIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.begun != c.ended || c.begun == 0 && now.Sub(c.opened) < newConnectionTime {
 		return
 	}
+	lc, ok := c.Conn.(*lingerConn)
+	switch {
+	case !ok:
+		_ = c.Close()
+	case lc.isClosing() || !lc.hasReceivedAll():
+		return
+	default:
+		_ = lc.finish()
+	}
 	c.closed = true
-	_ = c.Close()
+}
+
+// afterClose calls f when the connection has ended. Until then it holds nothing but its socket, and may be
+// closed to make room for others.
+func (c *trackedConn) afterClose(f func()) {
+	lc, ok := c.Conn.(*lingerConn)
+	if !ok {
+		f()
+		return
+	}
+	c.mu.Lock()
+	c.holder.Release(c.reserved)
+	c.reserved = 0
+	c.mu.Unlock()
+	c.holder.SetBegun(false)
+	c.holder.SetPhase(resource.Idle)
+	lc.afterClose(f)
 }
--- a/internal/traffic/entry/body.go
+++ b/internal/traffic/entry/body.go
@@ -30,10 +30,6 @@
 	// response, and skipTime the time that the rest of it may take to arrive.
 	maxSkippedBody = 256 << 10
 	skipTime       = 250 * time.Millisecond
-	// lingerTime and maxLingerBytes bound what is read of the rest of a longer body after the response:
-	// a connection that is closed with unread bytes is reset, and the client may lose the response.
-	lingerTime     = 1750 * time.Millisecond
-	maxLingerBytes = 16 << 20
 )
 
 // readBody reads the body, or its beginning if it is too long to be buffered. It returns a response
@@ -117,9 +113,9 @@
 }
 
 // beforeResponse prepares the connection for a response that may not wait for the rest of the body, and
-// reports whether lingerAfterResponse must be called. The connection must not be used any more then: the
-// server does not know how much of a streamed body was read, and would take the rest for requests.
-func (req *clientRequest) beforeResponse(w http.ResponseWriter) (linger bool) {
+// reports whether abandonBody must be called. The connection must not be used any more then: the server does
+// not know how much of a streamed body was read, and would take the rest for requests.
+func (req *clientRequest) beforeResponse(w http.ResponseWriter) (abandon bool) {
 	r := req.incoming
 	if req.bodyRead || r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 || req.streamed && req.upload.ended.Load() {
 		return false
@@ -133,18 +129,10 @@
 	return true
 }
 
-// lingerAfterResponse sends the response and discards what still arrives of the body for a while.
-func (req *clientRequest) lingerAfterResponse(w http.ResponseWriter) {
-	rc := http.NewResponseController(w)
-	req.logWriteError(rc.Flush())
-	until := time.Now().Add(lingerTime)
-	if at, ok := req.h.shutdown.shortens(until); ok {
-		until = at
-	}
-	_ = rc.SetReadDeadline(until)
-	_, _ = io.CopyN(io.Discard, req.incoming.Body, maxLingerBytes)
-	// The server would wait for more.
-	_ = rc.SetReadDeadline(time.Now())
+// abandonBody ends reading the body after the response, for which the server would wait. Closing the
+// connection drops what still arrives.
+func (req *clientRequest) abandonBody(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 }
 
 // bodyDeadline is the read deadline of a connection while a request body is read. A shutdown
--- a/internal/traffic/entry/response.go
+++ b/internal/traffic/entry/response.go
@@ -105,10 +105,10 @@
 		// A faulty target may announce a body, which the client would wait for.
 		header.Del("Content-Length")
 	}
-	linger := req.beforeResponse(w)
+	abandon := req.beforeResponse(w)
 	req.writeTargetBody(w, r)
-	if linger {
-		req.lingerAfterResponse(w)
+	if abandon {
+		req.abandonBody(w)
 	}
 }
 
@@ -157,12 +157,12 @@
 		body = nil
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	linger := req.beforeResponse(w)
+	abandon := req.beforeResponse(w)
 	w.WriteHeader(resp.status)
 	_, err = w.Write(body)
 	req.logWriteError(err)
-	if linger {
-		req.lingerAfterResponse(w)
+	if abandon {
+		req.abandonBody(w)
 	}
 }
 
