Bound the headers of responses of the store and of other hosts

What would be seen: a store or a host that sends a head without end takes all memory of the hosts that call it, and with it the requests of their clients.

Cause: http.Transport accepts headers of 10 MB by default. A parsed header of short fields takes some twenty times its length. Targets are read by the relay, which bounds their headers.

A tunnel read such a head for as long as it came.

--- a/cmd/tamaracktiller/burn.go
+++ b/cmd/tamaracktiller/burn.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"os"
@@ -20,6 +21,9 @@
 // reportTimeout bounds the request to one host.
 const reportTimeout = 3 * time.Second
 
+// maxReportBytes bounds the report of one host.
+const maxReportBytes = 16 << 20
+
 type burnCommand struct {
 	Hosts []netip.AddrPort `arg:"" help:"Metrics addresses of the hosts."`
 	HTML  string           `help:"Write a self-contained HTML page to this file." type:"path"`
@@ -66,5 +70,5 @@
 	if res.StatusCode != http.StatusOK {
 		return r, errors.Errorf("%s: status %d", host, res.StatusCode)
 	}
-	return r, errors.Wrap(json.NewDecoder(res.Body).Decode(&r), host.String())
+	return r, errors.Wrap(json.NewDecoder(io.LimitReader(res.Body, maxReportBytes)).Decode(&r), host.String())
 }
--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -157,7 +157,7 @@
 	d.state = NewState(cfg.Self, cfg.Decoder, cfg.ReregisterTimeout, d.cache.add)
 	d.state.order.SetHeartbeat(cfg.Heartbeat)
 	if cfg.PeerTransport == nil {
-		cfg.PeerTransport = &http.Transport{DialContext: dialPeer, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, DisableCompression: true}
+		cfg.PeerTransport = &http.Transport{DialContext: dialPeer, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, MaxResponseHeaderBytes: maxPeerHeaderBytes, DisableCompression: true}
 	}
 	d.peers = &http.Client{Transport: cfg.PeerTransport}
 	d.loop = control.New(d.handle)
--- a/internal/fleet/directory/peers.go
+++ b/internal/fleet/directory/peers.go
@@ -34,6 +34,9 @@
 	paramMemory = "memory"
 	// maxChangesBytes bounds one response: all keys of a large fleet.
 	maxChangesBytes = 16 << 20
+	// maxPeerHeaderBytes bounds the header of a response. A parsed header of many short fields takes many
+	// times its length.
+	maxPeerHeaderBytes = 32 << 10
 	// maxPollWait bounds the wait of a poll.
 	maxPollWait = 2 * time.Second
 	// peerGrace is the time beyond its wait after which a poll without a response times
@@ -235,7 +238,10 @@
 	if res.StatusCode == http.StatusServiceUnavailable {
 		return update{}, errors.Wrap(errBusy, host.Name)
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxChangesBytes))
+	if res.ContentLength < 0 || res.ContentLength > maxChangesBytes {
+		return update{}, errors.Wrapf(errBadResponse, "%s: length %d", host.Name, res.ContentLength)
+	}
+	body, err := io.ReadAll(res.Body)
 	if err != nil {
 		return update{}, err
 	}
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -42,6 +42,9 @@
 	writeTimeout = 2 * time.Second
 	// dialTimeout limits the time to open a link.
 	dialTimeout = 2 * time.Second
+	// maxHeaderBytes bounds a response header. A parsed header of many short fields takes many times its
+	// length.
+	maxHeaderBytes = 32 << 10
 )
 
 // Errors of Send.
@@ -89,7 +92,7 @@
 
 // NewService returns a service without links. Its goroutines run in g.
 func NewService(cfg Config, g *group.Group, handler Handler) *Service {
-	transport := &http.Transport{TLSClientConfig: cfg.TLS, DisableKeepAlives: true}
+	transport := &http.Transport{TLSClientConfig: cfg.TLS, MaxResponseHeaderBytes: maxHeaderBytes, DisableKeepAlives: true}
 	return &Service{
 		cfg: cfg, g: g, handler: handler, client: &http.Client{Transport: transport},
 		links: map[string]*conn{}, dialing: map[string]bool{},
--- a/internal/process/client/client.go
+++ b/internal/process/client/client.go
@@ -34,6 +34,9 @@
 // requestTimeout bounds one request.
 const requestTimeout = 15 * time.Second
 
+// maxResponseBytes bounds a response.
+const maxResponseBytes = 64 << 20
+
 // Config holds the address of a balancer and the credentials of an operator.
 type Config struct {
 	Server netip.AddrPort
@@ -144,7 +147,7 @@
 		return errors.Wrap(err, "client")
 	}
 	defer res.Body.Close()
-	data, err := io.ReadAll(res.Body)
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
 	if err != nil {
 		return errors.Wrap(err, "client")
 	}
--- a/internal/process/crowd/crowd_test.go
+++ b/internal/process/crowd/crowd_test.go
@@ -78,6 +78,9 @@
 	exited  atomic.Bool
 	log     string
 	targets []*platformtest.Target
+	store   *platformtest.Store
+	// storeIsFaulty makes the address of the store that of a faulty server, see startHostBehind.
+	storeIsFaulty atomic.Bool
 	// refused counts the refusals of the last crowd.
 	refused int
 }
@@ -90,7 +93,15 @@
 	t.Helper()
 	store := platformtest.NewStore()
 	t.Cleanup(store.Close)
-	h := &host{t: t, log: filepath.Join(t.TempDir(), "log")}
+	h := &host{t: t, log: filepath.Join(t.TempDir(), "log"), store: store}
+	h.start(memory, slots, b, store.Address())
+	return h
+}
+
+// start starts four targets and the host, which finds the store at an address.
+func (h *host) start(memory, slots int, b platformtest.Behaviour, address netip.AddrPort) {
+	t, store := h.t, h.store
+	t.Helper()
 	for n := range 4 {
 		target := platformtest.NewTarget(fmt.Sprintf("t-%d", n), "svc", "d", slots, b)
 		t.Cleanup(target.Close)
@@ -105,7 +116,7 @@
 	ip := netip.AddrFrom4([4]byte{127, byte(180 + os.Getpid()>>8%70), byte(os.Getpid()), byte(addresses.Add(1))})
 	h.cfg = &settings.Entry{
 		Name: "host-0", Domain: "d", Domains: []string{"d"}, Callers: netip.AddrPortFrom(ip, 8381), Observe: netip.AddrPortFrom(ip, 8388),
-		Peers: netip.AddrPortFrom(ip, 7200), Metrics: netip.AddrPortFrom(ip, 9464), Store: store.Address(), FirstStart: true,
+		Peers: netip.AddrPortFrom(ip, 7200), Metrics: netip.AddrPortFrom(ip, 9464), Store: address, FirstStart: true,
 		MemoryBytes: int64(memory) * megabyte, Descriptors: descriptors, Heartbeat: time.Second,
 		Bounds: settings.Bounds{
 			RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, ProbesPerSecond: 60,
@@ -132,9 +143,58 @@
 		<-done
 	})
 	require.Eventually(t, h.ready, 20*time.Second, 20*time.Millisecond)
+}
+
+// startHostBehind starts a host whose connections to the store reach a faulty server once storeIsFaulty is
+// set.
+func startHostBehind(t *testing.T, f *faulty) *host {
+	t.Helper()
+	store := platformtest.NewStore()
+	t.Cleanup(store.Close)
+	h := &host{t: t, log: filepath.Join(t.TempDir(), "log"), store: store}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go h.forward(conn, store.Address(), f)
+		}
+	}()
+	h.start(memoryMB, 3, platformtest.Behaviour{}, netip.MustParseAddrPort(l.Addr().String()))
 	return h
 }
 
+// forward connects a connection to the store, or to the faulty server if it is opened after storeIsFaulty
+// was set. Earlier ones are closed then.
+func (h *host) forward(conn net.Conn, address netip.AddrPort, f *faulty) {
+	defer conn.Close()
+	if h.storeIsFaulty.Load() {
+		f.serve(conn)
+		return
+	}
+	server, err := net.Dial("tcp", address.String())
+	if err != nil {
+		return
+	}
+	defer server.Close()
+	go func() {
+		defer conn.Close()
+		_, _ = io.Copy(conn, server)
+	}()
+	buffer := make([]byte, 4<<10)
+	for !h.storeIsFaulty.Load() {
+		n, err := conn.Read(buffer)
+		if err != nil || h.storeIsFaulty.Load() {
+			return
+		}
+		_, _ = server.Write(buffer[:n])
+	}
+}
+
 func (h *host) ready() bool {
 	res, err := http.Get("http://" + h.cfg.Observe.String() + platform.ReadyPath)
 	if err != nil {
--- a/internal/process/operator/peers.go
+++ b/internal/process/operator/peers.go
@@ -35,6 +35,9 @@
 	peerTimeout = time.Second
 	// maxResponseBytes bounds the response of one host.
 	maxResponseBytes = 4 << 20
+	// maxHeaderBytes bounds a response header. A parsed header of many short fields takes many times its
+	// length.
+	maxHeaderBytes = 32 << 10
 )
 
 // fleetPeers implements Peers for all hosts in the view of the fleet.
@@ -48,7 +51,7 @@
 // NewPeers returns Peers that query every other host in the view of the fleet, with the TLS
 // configuration cfg. The data of the local host comes from snapshot, meter and jobs.
 func NewPeers(snapshot func() *controller.Snapshot, meter *burn.Meter, jobs *job.Service, cfg *tls.Config) Peers {
-	return &fleetPeers{snapshot: snapshot, meter: meter, jobs: jobs, http: &http.Client{Transport: &http.Transport{TLSClientConfig: cfg}}}
+	return &fleetPeers{snapshot: snapshot, meter: meter, jobs: jobs, http: &http.Client{Transport: &http.Transport{TLSClientConfig: cfg, MaxResponseHeaderBytes: maxHeaderBytes}}}
 }
 
 // Status implements Peers.
--- a/internal/traffic/tunnel/dialer.go
+++ b/internal/traffic/tunnel/dialer.go
@@ -33,6 +33,9 @@
 	avoidTime = 2 * time.Second
 	// idleTimeout is the time after which an unused connection to a host is closed.
 	idleTimeout = 5 * time.Second
+	// maxHeaderBytes bounds a response header. A parsed header of many short fields takes many times its
+	// length.
+	maxHeaderBytes = 32 << 10
 )
 
 // DialerConfig holds the dependencies of a Dialer.
@@ -61,7 +64,7 @@
 
 // NewDialer returns a dialer. Its goroutines run in g.
 func NewDialer(cfg DialerConfig, g *group.Group) *Dialer {
-	transport := &http.Transport{DialContext: dialPeer(cfg.SocketBytes), IdleConnTimeout: idleTimeout, DisableCompression: true}
+	transport := &http.Transport{DialContext: dialPeer(cfg.SocketBytes), IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes, DisableCompression: true}
 	return &Dialer{cfg: cfg, g: g, client: &http.Client{Transport: transport}, avoidUntil: map[string]time.Time{}, proven: map[string]time.Time{}}
 }
 
--- a/internal/traffic/tunnel/tunnel_test.go
+++ b/internal/traffic/tunnel/tunnel_test.go
@@ -384,3 +384,36 @@
 		})
 	}
 }
+
+// Guards against hosts, or addresses where they were, that respond with a header without end: a parsed
+// header takes many times the memory of its bytes.
+func TestHeaderWithoutEndIsNotKept(t *testing.T) {
+	const bound = 1 << 20
+	var written atomic.Int64
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.(*net.TCPConn).SetWriteBuffer(16 << 10)
+			_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\n")
+			for n := 0; err == nil; n++ {
+				var sent int
+				sent, err = fmt.Fprintf(conn, "A%x:\r\n", n)
+				written.Add(int64(sent))
+			}
+		}
+	}()
+	hosts := map[string]directory.Host{"host-0": {Name: "host-0", PeerAddress: netip.MustParseAddrPort(l.Addr().String())}}
+	d := NewDialer(DialerConfig{Self: "self", Hosts: func() map[string]directory.Host { return hosts }, Secret: func() []byte { return secret }, SocketBytes: 16 << 10}, group.New(t.Context()))
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	_, err = d.DialThrough(ctx, "host-0", "t-1", "r")
+	require.Error(t, err)
+	require.NoError(t, ctx.Err(), "the header is read without end")
+	require.Less(t, written.Load(), int64(bound))
+}
