Select the route by the path as the client wrote it

Cause: the route was found by the decoded path, while the target got the path as written. Two parts judged a request by different forms of its path.

Why this works: one function selects the route everywhere, by the bytes that the target gets. If the equivalent path of RFC 3986 selects another route, the request gets a 400. Host names are compared without case, port and final dot. The kinds of requests of the balancer role are selected in the same way.

Ruled out: decoding the path for the target, which changes its bytes.

--- a/internal/contract/routing/table.go
+++ b/internal/contract/routing/table.go
@@ -103,7 +103,8 @@
 	t := &Table{Config: c, byHost: map[string][]*Route{}}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+		host := HostName(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
 	}
 	for _, routes := range t.byHost {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
@@ -111,8 +112,8 @@
 	return t
 }
 
-// Match returns the route of the host name whose prefix is the longest that matches the
-// path.
+// Match returns the route of a host name, as HostName returns it, whose prefix is the longest that
+// matches the path.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	for _, r := range t.byHost[host] {
 		if strings.HasPrefix(path, r.Prefix) {
--- a/internal/traffic/entry/account.go
+++ b/internal/traffic/entry/account.go
@@ -100,8 +100,8 @@
 		return authorization{keys: req.keys, account: req.account}, nil
 	}
 	public := req.route.Public
-	if route, ok := s.Table.Match(stripPort(req.incoming.Host), req.incoming.URL.Path); ok {
-		public = route.Public
+	if route, ambiguous := s.Table.MatchTarget(req.incoming.Host, req.incoming.RequestURI); route != nil {
+		public = route.Public && !ambiguous
 	}
 	return h.checkKey(req.incoming.Header, public)
 }
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -91,8 +90,11 @@
 		return req, reject(http.StatusServiceUnavailable, "no configuration is known yet", notReadyRetryAfter)
 	}
 	req.version, req.revision = s.Table.Config.Version, s.Revision
-	route, ok := s.Table.Match(stripPort(r.Host), r.URL.Path)
-	if !ok {
+	route, ambiguous := s.Table.MatchTarget(r.Host, r.RequestURI)
+	if ambiguous {
+		return req, reject(http.StatusBadRequest, "the path is equivalent to one of another route", 0)
+	}
+	if route == nil {
 		if !fresh {
 			return req, reject(http.StatusServiceUnavailable, "no route, but the configuration may be old", notReadyRetryAfter)
 		}
@@ -204,11 +206,3 @@
 
 // startsWithTwoSlashes reports whether url.URL would take a path for a host.
 func startsWithTwoSlashes(uri string) bool { return strings.HasPrefix(uri, "//") }
-
-// stripPort returns the host of a Host header without its port.
-func stripPort(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
-	}
-	return host
-}
--- a/internal/traffic/entry/response.go
+++ b/internal/traffic/entry/response.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
 	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
 )
@@ -186,7 +187,7 @@
 	}
 	line := h.cfg.Log.WithFields(h.shutdown.logFields("arrived-after-stop-ms", req.started))
 	if resp.outcome == Denied {
-		line = line.WithFields(logrus.Fields{"host": req.incoming.Host, "path": req.incoming.URL.Path, "revision": req.revision.String()})
+		line = line.WithFields(logrus.Fields{"host": req.incoming.Host, "path": routing.WrittenPath(req.incoming.RequestURI), "revision": req.revision.String()})
 	}
 	if req.account != nil {
 		line = line.WithField("account", req.account.Name)
--- a/internal/traffic/gateway/deferred.go
+++ b/internal/traffic/gateway/deferred.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"tamaracktiller.example/tamaracktiller/internal/contract/catalog"
+	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/job"
 )
@@ -49,7 +50,7 @@
 		writeOutcome(w, r, http.StatusRequestEntityTooLarge, outcomeBody{Outcome: call.OutcomeNotRun, Reason: "the body is too large for work that may wait", RequestID: c.ID})
 		return
 	}
-	kind, _ := service.KindOf(r.Method, r.URL.Path)
+	kind, _ := service.KindOf(r.Method, routing.WrittenPath(r.RequestURI))
 	now := time.Now()
 	ctx, cancel := context.WithTimeout(r.Context(), acceptTimeout)
 	defer cancel()
--- a/internal/traffic/gateway/prepare.go
+++ b/internal/traffic/gateway/prepare.go
@@ -4,7 +4,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"tamaracktiller.example/tamaracktiller/internal/contract/catalog"
+	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/controller"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/call"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/ledger"
@@ -30,11 +30,15 @@
 	if !s.Ready && !s.Draining {
 		return c, catalog.Service{}, &rejection{http.StatusServiceUnavailable, s.NotReadyReason, unavailableRetryAfter}
 	}
-	service, ok := s.ServiceOf(stripPort(r.Host))
+	service, ok := s.ServiceOf(routing.HostName(r.Host))
 	if !ok {
 		return c, service, &rejection{http.StatusNotFound, "no service has this host name", 0}
 	}
-	kind, ok := service.KindOf(r.Method, r.URL.Path)
+	path := routing.WrittenPath(r.RequestURI)
+	kind, ok := service.KindOf(r.Method, path)
+	if other, _ := service.KindOf(r.Method, routing.NormalPath(path)); other != kind {
+		return c, service, &rejection{http.StatusBadRequest, "the path is equivalent to one of another kind of request", 0}
+	}
 	if !ok {
 		return c, service, &rejection{http.StatusNotFound, "the service has no such kind of request", 0}
 	}
@@ -65,14 +69,6 @@
 	return c, service, nil
 }
 
-// stripPort returns the host of a Host header without its port.
-func stripPort(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
-	}
-	return host
-}
-
 // requestTimeout returns the timeout of the kind, or a shorter one that the client
 // requests.
 func requestTimeout(r *http.Request, kind time.Duration) time.Duration {
