Decide before a send whether it needs a new connection

A torn read could end the process.

Change: whoever starts an attempt decides from the list whether it needs a new connection, before the attempt runs beside others.

Evidence: by reading, attempts read no other field that race writes.

--- a/internal/traffic/entry/attempt.go
+++ b/internal/traffic/entry/attempt.go
@@ -79,6 +79,17 @@
 // send sends the request to its assigned target. extra is set for an extra attempt, which was
 // taken from the retry budget.
 func (req *clientRequest) send(ctx context.Context, grant dispatcher.Grant, extra bool) attempt {
+	return req.sendOn(ctx, grant, req.needsNewConnection(grant), extra)
+}
+
+// needsNewConnection reports whether an earlier attempt at the target has failed. Attempts that run must not
+// call it, since the list of failed ones grows meanwhile.
+func (req *clientRequest) needsNewConnection(grant dispatcher.Grant) bool {
+	return slices.Contains(req.avoid, grant.ID)
+}
+
+// sendOn is send, on a new connection if newConnection is set. It may run beside other attempts.
+func (req *clientRequest) sendOn(ctx context.Context, grant dispatcher.Grant, newConnection, extra bool) attempt {
 	started := time.Now()
 	if extra {
 		defer req.endExtraAttempt()
@@ -88,7 +99,7 @@
 		out.cause = err
 	} else if l, ok := req.h.cfg.Links.Find(grant.ID); ok {
 		w := req.watch(ctx, grant)
-		out = req.roundTrip(w, l, grant)
+		out = req.roundTrip(w, l, grant, newConnection)
 		out.via, out.released = w.stop()
 		if out.outcome == outcomeUnknown && out.via == "" && out.status == 0 && !req.isDone(ctx) && !req.h.cfg.Links.HeardSince(started) {
 			req.h.cfg.Links.Suspect(grant.ID, "a connection broke")
@@ -115,8 +126,7 @@
 	r.req.h.reportDone(r, result)
 }
 
-func (req *clientRequest) roundTrip(w *linkWatch, l *targets.Link, grant dispatcher.Grant) attempt {
-	newConnection := slices.Contains(req.avoid, grant.ID)
+func (req *clientRequest) roundTrip(w *linkWatch, l *targets.Link, grant dispatcher.Grant, newConnection bool) attempt {
 	if !req.route.Idempotent && !newConnection && grant.Through() == "" {
 		req.h.cfg.Links.Refresh(w.ctx, l)
 	}
--- a/internal/traffic/entry/race.go
+++ b/internal/traffic/entry/race.go
@@ -25,8 +25,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r.running++
 	r.cancels[grant.ID] = cancel
+	newConnection := r.req.needsNewConnection(grant)
 	r.req.h.g.Go("send", func(context.Context) error {
-		r.results <- r.req.send(ctx, grant, extra)
+		r.results <- r.req.sendOn(ctx, grant, newConnection, extra)
 		return nil
 	})
 }
