Wait for a request at a returned target by time, not by number

The log of the failed run shows why: idle hosts keep choosing one target for some milliseconds, in which 10 to 30 of these requests end, so 60 requests are two or three choices among three targets.

Now requests are sent until the target runs one, for two seconds at most; all must be served as before.

--- a/internal/process/entry/late_entry_test.go
+++ b/internal/process/entry/late_entry_test.go
@@ -13,6 +13,20 @@
 	"tamaracktiller.example/tamaracktiller/platform/platformtest"
 )
 
+// requireUsed sends requests one after the other until a target runs one, for two seconds at most. All must
+// be served. Hosts that are idle keep choosing the same target for some milliseconds, in which many requests
+// end, so a number of requests does not tell that a target gets none.
+func (cl *cluster) requireUsed(t *testing.T, target *platformtest.Target, why string) {
+	t.Helper()
+	before, until := target.TotalRuns(), time.Now().Add(2*time.Second)
+	for n := 0; target.TotalRuns() == before; n++ {
+		require.True(t, time.Now().Before(until), why)
+		resp, err := cl.send(t.Context(), cl.hosts[n%len(cl.hosts)], fmt.Sprintf("used-%s-%d", target.ID, n), "/book/x")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.status)
+	}
+}
+
 // Guards against requests at a target that has reported that it drains, or is gone, after the store
 // applied an older entry of it late.
 func TestLateEntryDoesNotBringATargetBack(t *testing.T) {
@@ -51,8 +65,7 @@
 
 			cl.store.Put("servers/t-0", cl.targets[0].Entry("ready"))
 			time.Sleep(500 * time.Millisecond)
-			requireServed("e", cl.hosts)
-			require.Greater(t, cl.targets[0].TotalRuns(), before, "an entry that the target writes later counts")
+			cl.requireUsed(t, cl.targets[0], "an entry that the target writes later counts")
 		})
 	}
 }
@@ -93,22 +106,17 @@
 			}
 			time.Sleep(500 * time.Millisecond)
 			before := cl.targets[0].TotalRuns()
-			send := func(round string) {
-				for n := range 60 {
-					resp, err := cl.send(t.Context(), cl.hosts[n%len(cl.hosts)], fmt.Sprintf("%s-%d", round, n), "/book/x")
-					require.NoError(t, err)
-					require.Equal(t, http.StatusOK, resp.status)
-				}
-			}
 			cl.store.Put("servers/t-0", late)
 			time.Sleep(500 * time.Millisecond)
-			send("a")
+			for n := range 60 {
+				resp, err := cl.send(t.Context(), cl.hosts[n%len(cl.hosts)], fmt.Sprintf("a-%d", n), "/book/x")
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, resp.status)
+			}
 			require.Equal(t, before, cl.targets[0].TotalRuns())
 
 			cl.store.Put("servers/t-0", cl.targets[0].Entry("ready"))
-			time.Sleep(500 * time.Millisecond)
-			send("b")
-			require.Greater(t, cl.targets[0].TotalRuns(), before, "an entry that the target writes later counts")
+			cl.requireUsed(t, cl.targets[0], "an entry that the target writes later counts")
 		})
 	}
 }
@@ -152,7 +160,7 @@
 				time.Sleep(300 * time.Millisecond)
 				cl.store.Put("servers/t-0", cl.targets[0].Entry("ready"))
 				time.Sleep(300 * time.Millisecond)
-				require.Positive(t, send("a"), "the target goes on to be ready")
+				cl.requireUsed(t, cl.targets[0], "the target goes on to be ready")
 				cl.store.Put("servers/t-0", tt.odd(ahead(cl.targets[0].Entry("ready"), state)))
 				time.Sleep(300 * time.Millisecond)
 				cl.store.Put("servers/t-0", cl.targets[0].Entry("draining"))
