List as known red: a client that leaves after it has sent more

A client that sends a further request, or part of one, behind its first one and then leaves is not noticed until the first one ends: net/http stops reading at the first byte behind.

--- a/internal/process/entry/close_test.go
+++ b/internal/process/entry/close_test.go
@@ -109,3 +109,63 @@
 	}
 	require.Less(t, time.Since(began), cl.hosts[0].cfg.Bounds.Grace)
 }
+
+// leaving describes a client that leaves while its request runs.
+type leaving struct {
+	name string
+	// after is the time between the request and the bytes behind it.
+	after  time.Duration
+	behind string
+	// reset is set if the client resets the connection.
+	reset bool
+}
+
+// requireCancelled checks that the request of a client that leaves is cancelled at its target.
+func (l leaving) requireCancelled(t *testing.T) {
+	cl := newCluster(t, 1, target("t-1", platformtest.Behaviour{ServiceTime: 5 * time.Second}))
+	conn := openConn(t, cl.hosts[0])
+	_, err := io.WriteString(conn, lateRequest("first", "/search/x"))
+	require.NoError(t, err)
+	time.Sleep(l.after)
+	_, err = io.WriteString(conn, l.behind)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return cl.targets[0].Runs("first") == 1 }, time.Second, 10*time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	if l.reset {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+	_ = conn.Close()
+	require.Eventually(t, func() bool { return cl.targets[0].Aborted() == 1 }, time.Second, 10*time.Millisecond)
+}
+
+// Guards against requests that go on at a target after their client has left.
+func TestClientThatLeavesCancelsItsRequest(t *testing.T) {
+	for _, l := range []leaving{
+		{name: "nothing behind"},
+		{name: "nothing behind, reset", reset: true},
+	} {
+		t.Run(l.name, func(t *testing.T) {
+			t.Parallel()
+			l.requireCancelled(t)
+		})
+	}
+}
+
+// Guards against requests that go on at a target after their client has left, because the host does not read
+// on behind them.
+func TestClientThatLeavesAfterItHasSentMoreCancelsItsRequest(t *testing.T) {
+	const behindAfter = 100 * time.Millisecond
+	second := lateRequest("second", "/search/x")
+	for _, l := range []leaving{
+		{name: "request at once", behind: second},
+		{name: "request", after: behindAfter, behind: second},
+		{name: "half a header", after: behindAfter, behind: second[:30]},
+		{name: "many requests", after: behindAfter, behind: strings.Repeat(second, 100)},
+		{name: "request, reset", after: behindAfter, behind: second, reset: true},
+	} {
+		t.Run(l.name, func(t *testing.T) {
+			t.Parallel()
+			l.requireCancelled(t)
+		})
+	}
+}
