Count an uncertain entry by the next one at its regular interval only

Cause: any newer entry half a heartbeat later ended the doubt. The store delays each late write by another time, so two of them may come in order.

Change: the newer entry must follow by the number of heartbeats between the two counts, within a fifth of the interval.

--- a/internal/fleet/directory/lateentry.go
+++ b/internal/fleet/directory/lateentry.go
@@ -45,7 +45,7 @@
 }
 
 // setAsideUncertain withholds an entry of a target that may have ended before this host first read
-// the store, until the target writes another one or protection has passed.
+// the store, until the target writes another one at its regular interval or protection has passed.
 func (s *State) setAsideUncertain(now time.Time, item store.Item, t roster.Target, protection time.Duration) {
 	s.setAside[item.Key] = setAsideEntry{item: item, target: t, uncertain: true}
 	s.order.RecordUncertain(now, t, protection)
--- a/internal/fleet/roster/order.go
+++ b/internal/fleet/roster/order.go
@@ -24,6 +24,9 @@
 	// the entry of a target, and removalDelay bounds the time until a host has seen that.
 	silentHeartbeats = 3
 	removalDelay     = time.Second
+	// regularDivisor gives the part of the heartbeat interval by which the times between the entries of
+	// a target that lives may differ from it.
+	regularDivisor = 5
 )
 
 // Order knows the entry that each target wrote last, by its start time and its count of entries.
@@ -33,8 +36,8 @@
 //
 // An Order cannot know of targets that ended before it began. For LateWriteTime after that, the
 // entry of an unknown target that has written others before may be late, too. Such an entry is
-// uncertain until the target writes another one, or until the store would have removed it if the
-// target were silent.
+// uncertain until the target writes another one at its regular interval, or until the store would have
+// removed it if the target were silent.
 type Order struct {
 	marks map[string]mark
 	// since is the time from which the end of every target is known; zero if nothing is known yet.
@@ -90,7 +93,8 @@
 }
 
 // Uncertain reports whether an entry that is not late may still have been written before the end of
-// its target. An entry that follows an uncertain one too soon may be late as well.
+// its target. An entry that does not follow an uncertain one at the interval of heartbeats may be late as
+// well: the store delays each of them by another time.
 func (o *Order) Uncertain(now time.Time, t Target) bool {
 	if t.Draining || !o.MissesEnds(now) {
 		return false
@@ -99,11 +103,21 @@
 	if !ok {
 		return t.Sequence > firstSequence
 	}
-	return !m.uncertainSince.IsZero() && m.target.Started.Equal(t.Started) && now.Sub(m.uncertainSince) < o.heartbeat/2
+	return !m.uncertainSince.IsZero() && m.target.Started.Equal(t.Started) && !o.isRegular(t.Sequence-m.target.Sequence, now.Sub(m.uncertainSince))
+}
+
+// isRegular reports whether a target that lives writes n entries in a time. Any time is regular if the interval
+// is unknown.
+func (o *Order) isRegular(n int64, within time.Duration) bool {
+	if o.heartbeat <= 0 {
+		return true
+	}
+	difference := within - time.Duration(n)*o.heartbeat
+	return difference.Abs() <= o.heartbeat/regularDivisor
 }
 
 // RecordUncertain records an uncertain entry, which stays late for a time unless the target writes a
-// newer one.
+// newer one at its regular interval.
 func (o *Order) RecordUncertain(now time.Time, t Target, protection time.Duration) {
 	at := now.Add(protection - LateWriteTime)
 	o.marks[t.ID] = mark{target: t, at: at, goneAt: at, credible: true, uncertainSince: now}
