Let a host that stops end connections whose clients have received all

- A host that stops waited up to 1.75 s for clients that got their last response and keep the connection open (TestPlannedStopDropsNoFirstRequestOf- AConnection: 2.37 s, bound 1.5 s).
It ends such connections now once the client has received all, after a moment.
- A chunked upload whose trailer doesn't fit in the budget was cut in place of a 503 (TestShortBudgetAtTheEndOfABodyIsARefusal).
Only connections with an incomplete header are closed at once.
- Responses of hosts without a length were refused (TestSoundAgeOfResponsesOf- EarlierBuilds).

--- a/internal/fleet/directory/peers.go
+++ b/internal/fleet/directory/peers.go
@@ -238,10 +238,10 @@
 	if res.StatusCode == http.StatusServiceUnavailable {
 		return update{}, errors.Wrap(errBusy, host.Name)
 	}
-	if res.ContentLength < 0 || res.ContentLength > maxChangesBytes {
+	if res.ContentLength > maxChangesBytes {
 		return update{}, errors.Wrapf(errBadResponse, "%s: length %d", host.Name, res.ContentLength)
 	}
-	body, err := io.ReadAll(res.Body)
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxChangesBytes))
 	if err != nil {
 		return update{}, err
 	}
--- a/internal/process/front/linger.go
+++ b/internal/process/front/linger.go
@@ -121,8 +121,9 @@
 	reading sync.Mutex
 
 	mu sync.Mutex
-	// closing is set once the owner has closed the connection, and closed once its socket is.
+	// closing is set once the owner has closed the connection, at closingAt, and closed once its socket is.
 	closing, closed bool
+	closingAt       time.Time
 	// peerEnded is set when the client has closed its sending side or the connection.
 	peerEnded bool
 	// written is the time of the last write; zero if there was none.
@@ -191,7 +192,7 @@
 		c.mu.Unlock()
 		return net.ErrClosed
 	}
-	c.closing = true
+	c.closing, c.closingAt = true, time.Now()
 	linger := !c.peerEnded && c.mayLoseBytes()
 	c.mu.Unlock()
 	if !linger || c.CloseWrite() != nil {
@@ -216,6 +217,17 @@
 	return c.unsent() == 0 || time.Since(c.written) > lingerTime
 }
 
+// endIfReceived ends a connection that lingers if the client has received all that was sent and has had a
+// moment to close it.
+func (c *lingerConn) endIfReceived(now time.Time) {
+	c.mu.Lock()
+	ended := !c.closed && now.Sub(c.closingAt) > lingerStep && c.unsent() == 0
+	c.mu.Unlock()
+	if ended {
+		c.kill()
+	}
+}
+
 // unsent returns the number of bytes that the client has not acknowledged, or 0 if that is unknown.
 func (c *lingerConn) unsent() (n int) {
 	_ = c.raw.Control(func(fd uintptr) {
--- a/internal/process/front/stop.go
+++ b/internal/process/front/stop.go
@@ -225,10 +225,10 @@
 	c.begun = c.validator.begun()
 	c.holder.SetBegun(c.begun != c.ended)
 	if c.holder != nil && !c.reserveHeader() {
-		// What was read is lost, so no later read may succeed. The server takes the line that it has read in
-		// part for a whole one, and would respond with 400, which clients do not repeat.
+		// What was read is lost, so no later read may succeed. The server takes the line of a header that it
+		// has read in part for a whole one, and would respond with 400, which clients do not repeat.
 		c.err = errNoBudget
-		if lc, ok := c.Conn.(*lingerConn); ok {
+		if lc, ok := c.Conn.(*lingerConn); ok && c.started < c.begun {
 			lc.kill()
 		}
 		return 0, errNoBudget
@@ -260,11 +260,15 @@
 	return c.begun == 0, c.begun != c.ended
 }
 
-// closeIfIdle closes the connection if it is idle and the client has received the last response. A request
-// that arrives meanwhile is not read, so that the client can tell that it has not run.
+// closeIfIdle closes the connection if it is idle or lingers, and the client has received the last response. A
+// request that arrives meanwhile on an idle one is not read, so that the client can tell that it has not run.
 func (c *trackedConn) closeIfIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if lc, ok := c.Conn.(*lingerConn); ok && lc.isClosing() {
+		lc.endIfReceived(now)
+		return
+	}
 	if c.begun != c.ended || c.begun == 0 && now.Sub(c.opened) < newConnectionTime {
 		return
 	}
@@ -272,7 +276,7 @@
 	switch {
 	case !ok:
 		_ = c.Close()
-	case lc.isClosing() || !lc.hasReceivedAll():
+	case !lc.hasReceivedAll():
 		return
 	default:
 		_ = lc.finish()
