--- a/internal/process/entry/close_test.go
+++ b/internal/process/entry/close_test.go
@@ -69,7 +69,6 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			t.Parallel()
 			cl := newCluster(t, 2, target("t-0", platformtest.Behaviour{ServiceTime: 300 * time.Millisecond, ResponseBytes: closedResponseBytes}))
 			conn := dialSmallWindow(t, cl.hosts[0])
 			_, err := io.WriteString(conn, tt.first)
@@ -145,7 +144,6 @@
 		{name: "nothing behind, reset", reset: true},
 	} {
 		t.Run(l.name, func(t *testing.T) {
-			t.Parallel()
 			l.requireCancelled(t)
 		})
 	}
@@ -164,7 +162,6 @@
 		{name: "request, reset", after: behindAfter, behind: second, reset: true},
 	} {
 		t.Run(l.name, func(t *testing.T) {
-			t.Parallel()
 			l.requireCancelled(t)
 		})
 	}
--- a/internal/process/entry/early_response_test.go
+++ b/internal/process/entry/early_response_test.go
@@ -134,7 +134,6 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			t.Parallel()
 			cl := newCluster(t, 1)
 			e := &earlyTarget{status: tt.status, after: tt.after, ran: map[string]int{}}
 			e.start(t, cl, "t-early")
@@ -205,7 +204,6 @@
 func TestConnectionIsKeptAfterAnUploadThatWasRead(t *testing.T) {
 	for _, chunked := range []bool{false, true} {
 		t.Run(fmt.Sprintf("chunked %t", chunked), func(t *testing.T) {
-			t.Parallel()
 			cl := newCluster(t, 1, target("t-0", platformtest.Behaviour{}))
 			conn := openConn(t, cl.hosts[0])
 			r := bufio.NewReader(conn)
--- a/internal/process/entry/route_path_test.go
+++ b/internal/process/entry/route_path_test.go
@@ -37,7 +37,6 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			t.Parallel()
 			cl := newCluster(t, 1, target("t-9", platformtest.Behaviour{}))
 			var mu sync.Mutex
 			runs := map[string]int{}
