--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -19,6 +19,8 @@
 var cases = map[string]func(w *world) error{
 	"poison-of-one-tenant": poisonOfOneTenant,
 	"poison-while-rolling": poisonWhileRolling,
+	"last-tenant-leaves":   lastTenantLeaves,
+	"long-key":             longKey,
 	"pipelined-give-up":    pipelinedGiveUp,
 }
 
--- a/review/stand3/server.go
+++ b/review/stand3/server.go
@@ -20,8 +20,10 @@
 	id     string
 	path   string
 	tenant string
-	server string
-	from   string
+	// credential is the key that was passed on.
+	credential string
+	server     string
+	from       string
 }
 
 // behaviour is what a request makes a server do; nil serves it in the usual time.
@@ -196,7 +198,7 @@
 		s.running.Add(-1)
 		<-slot
 	}()
-	a := arrival{at: time.Now(), id: request, path: r.URL.Path, tenant: r.Header.Get("X-Tenant"), server: id, from: r.RemoteAddr}
+	a := arrival{at: time.Now(), id: request, path: r.URL.Path, tenant: r.Header.Get("X-Tenant"), credential: r.Header.Get("X-Credential"), server: id, from: r.RemoteAddr}
 	if s.b.onRun != nil {
 		s.b.onRun(a)
 	}
