--- a/review/stand3/pipeline.go
+++ b/review/stand3/pipeline.go
@@ -5,8 +5,8 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"maps"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -59,13 +59,18 @@
 	closed time.Time
 }
 
-// pipelinedGiveUp: clients that send a second safe request before the first one is answered leave before
-// their deadline.
+// pipelinedGiveUp: clients send a second safe request before the first one is answered. For some seconds a share
+// of them leaves before the deadline.
 func pipelinedGiveUp(w *world) error {
 	const (
-		workTime = 2500 * time.Millisecond
+		workTime = 1500 * time.Millisecond
 		leaves   = 400 * time.Millisecond
-		clients  = 40
+		between  = 60 * time.Millisecond
+		clients  = 240
+		// Clients of which leaveShare leave start from leaveFrom on, for five seconds.
+		leaveFrom  = 80
+		leaveUntil = leaveFrom + int(5*time.Second/between)
+		leaveShare = 0.3
 	)
 	w.putConfig(config(1, []route{{name: "r-reports", host: "shop.example", prefix: "/reports/", service: "reports", safe: true, timeoutMS: 6000, objectiveMS: 3000, attempts: 2}}, nil))
 	log := newWorkLog()
@@ -77,7 +82,7 @@
 			w.rec.line("server %s ends %s, completed %t", a.server, a.id, completed)
 		},
 	}
-	if err := w.startServers("reports", 16, b); err != nil {
+	if err := w.startServers("reports", 20, b); err != nil {
 		return err
 	}
 	if err := w.startHosts(4); err != nil {
@@ -86,23 +91,29 @@
 	time.Sleep(4 * time.Second)
 	list := make([]leaver, clients)
 	var g sync.WaitGroup
+	left := 0
 	for i := range list {
+		leaves := leaves
+		if share := float64(left) / float64(i-leaveFrom+1); !w.trouble || i < leaveFrom || i >= leaveUntil || share >= leaveShare {
+			leaves = 0
+		} else {
+			left++
+		}
 		g.Add(1)
 		go func() {
 			defer g.Done()
-			pipelines := i%2 == 0 && !w.control
-			list[i] = w.leave(w.hosts[i%len(w.hosts)], pipelines, leaves)
+			list[i] = w.request(w.hosts[i%len(w.hosts)], !w.control, leaves)
 		}()
-		time.Sleep(250*time.Millisecond + rand.N(50*time.Millisecond))
+		time.Sleep(between)
 	}
 	g.Wait()
-	time.Sleep(4 * time.Second)
+	time.Sleep(2 * time.Second)
 	return w.checkGone(list, log, workTime)
 }
 
-// leave sends a request, and another one behind it if the client pipelines, and closes the connection after a
-// time, or when all is answered without the disruption.
-func (w *world) leave(h *host, pipelines bool, after time.Duration) leaver {
+// request sends a request, and another one behind it if the client pipelines. The client closes the connection
+// after some time, or when it has all answers if that is zero.
+func (w *world) request(h *host, pipelines bool, leaves time.Duration) leaver {
 	var l leaver
 	nc, err := net.Dial("tcp", h.front())
 	if err != nil {
@@ -110,8 +121,9 @@
 		return l
 	}
 	defer nc.Close()
+	start := time.Now()
 	send := func() {
-		id := newID("leaver")
+		id := newID("client")
 		l.ids = append(l.ids, id)
 		fmt.Fprintf(nc, "GET /reports/%s HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 6000\r\n\r\n", id, id)
 		w.rec.line("client sends %s to %s", id, h.name)
@@ -121,29 +133,25 @@
 		time.Sleep(50 * time.Millisecond)
 		send()
 	}
-	if w.trouble {
-		time.Sleep(after)
+	if leaves > 0 {
+		time.Sleep(time.Until(start.Add(leaves)))
 		l.closed = time.Now()
 		w.rec.line("client of %s closes its connection", l.ids[0])
 		return l
 	}
 	in := bufio.NewReader(nc)
-	for range l.ids {
+	for _, id := range l.ids {
 		res, err := http.ReadResponse(in, nil)
 		if err != nil {
-			w.rec.line("client of %s: %v", l.ids[0], err)
+			w.rec.line("client of %s: %v", id, err)
 			return l
 		}
-		w.rec.line("client of %s gets %d", l.ids[0], res.StatusCode)
-		_, _ = bufio.NewReader(res.Body).WriteTo(discard{})
+		_, err = io.Copy(io.Discard, res.Body)
+		w.rec.line("client of %s gets %d, error %v", id, res.StatusCode, err)
 	}
 	return l
 }
 
-type discard struct{}
-
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
-
 // checkGone checks the rule on clients that have left.
 func (w *world) checkGone(list []leaver, log *workLog, workTime time.Duration) error {
 	lasting, working, late := 0, 0, 0
