--- a/review/stand3/keys.go
+++ b/review/stand3/keys.go
@@ -100,8 +100,13 @@
 	time.Sleep(revokeTime + 2*time.Second)
 	statuses, ran, passedOn := w.sendKeyed(20, "/account/x", "key-of-tenant-a", runs)
 	w.rec.note("later than %v after: answers %v, %d of 20 ran, the key was passed on to %d servers", revokeTime, statuses, ran, passedOn)
+	statuses, unknown, _ := w.sendKeyed(10, "/account/x", "key-that-was-never-valid", runs)
+	w.rec.note("with a key that no configuration held: answers %v, %d of 10 ran", statuses, unknown)
 	if w.trouble && ran > 0 {
-		return fmt.Errorf("%w: CONFIG, %d requests ran whose key had been taken away", errBroken, ran)
+		return fmt.Errorf("%w: CONFIG, %d requests ran whose key had been taken away; ROUTE, %d whose key no configuration held", errBroken, ran, unknown)
+	}
+	if unknown > 0 {
+		return fmt.Errorf("%w: ROUTE, %d requests ran whose key no configuration held", errBroken, unknown)
 	}
 	return nil
 }
