--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -5,4 +5,4 @@
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
 [ -x target/tamaracktiller ] && [ -x target/review3/stand3 ] || { echo "not built" >&2; exit 2; }
-exec target/review3/stand3 -record review/12/record.txt -trouble="$trouble" poison-while-rolling
+exec target/review3/stand3 -record review/12/record.txt -trouble="$trouble" poison-of-one-tenant
--- a/review/stand3/client.go
+++ b/review/stand3/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -17,10 +18,10 @@
 // newID returns the id of a client attempt.
 func newID(prefix string) string { return fmt.Sprintf("%s-%06d", prefix, lastID.Add(1)) }
 
-// call is a GET request of a client.
+// call is a request of a client: a POST if it has a body, and else a GET.
 type call struct {
-	host, path, key string
-	deadline        time.Duration
+	host, path, key, body string
+	deadline              time.Duration
 }
 
 // answer is what a client got.
@@ -49,12 +50,16 @@
 	a := answer{id: newID(prefix)}
 	ctx, cancel := context.WithTimeout(context.Background(), c.deadline)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+front+c.path, nil)
+	method, body := http.MethodGet, io.Reader(http.NoBody)
+	if c.body != "" {
+		method, body = http.MethodPost, io.NopCloser(strings.NewReader(c.body))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+front+c.path, body)
 	if err != nil {
 		a.err = err
 		return a
 	}
-	req.Host = c.host
+	req.Host, req.ContentLength = c.host, int64(len(c.body))
 	req.Close = fresh
 	req.Header.Set("X-Request-Id", a.id)
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(c.deadline.Milliseconds(), 10))
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -17,11 +17,12 @@
 const maxTime = 115 * time.Second
 
 var cases = map[string]func(w *world) error{
-	"poison-of-one-tenant": poisonOfOneTenant,
-	"poison-while-rolling": poisonWhileRolling,
-	"last-tenant-leaves":   lastTenantLeaves,
-	"long-key":             longKey,
-	"pipelined-give-up":    pipelinedGiveUp,
+	"poison-of-one-tenant":    poisonOfOneTenant,
+	"poison-while-rolling":    poisonWhileRolling,
+	"last-tenant-leaves":      lastTenantLeaves,
+	"long-key":                longKey,
+	"host-starts-from-a-copy": hostStartsFromACopy,
+	"pipelined-give-up":       pipelinedGiveUp,
 }
 
 func main() {
--- a/review/stand3/poison.go
+++ b/review/stand3/poison.go
@@ -77,15 +77,23 @@
 		path    = "/account/overview"
 		rounds  = 14
 		period  = 3 * time.Second
-		callers = 6
+		callers = 20
 	)
 	tenants := []tenant{{"tenant-a", "key-a"}, {"tenant-b", "key-b"}, {"tenant-c", "key-c"}, {"tenant-d", "key-d"}}
-	w.putConfig(config(1, []route{{name: "r-account", host: "shop.example", prefix: "/account/", service: "accounts", safe: true, timeoutMS: 2000, objectiveMS: 400, attempts: 2}}, tenants))
+	w.putConfig(config(1, []route{
+		{name: "r-account", host: "shop.example", prefix: "/account/", service: "accounts", safe: true, timeoutMS: 2000, objectiveMS: 400, attempts: 2},
+		{name: "r-book", host: "shop.example", prefix: "/book/", service: "accounts", safe: false, timeoutMS: 2000, objectiveMS: 400, attempts: 2}}, tenants))
 	poison := &poisonLog{}
 	isPoison := func(r *http.Request) bool { return r.Header.Get("X-Tenant") == "tenant-a" }
 	b := behaviour{
 		backAfter: 2500 * time.Millisecond,
 		crashes:   func(r *http.Request) bool { return w.trouble && isPoison(r) },
+		work: func(r *http.Request) time.Duration {
+			if r.Method == http.MethodPost {
+				return 150 * time.Millisecond
+			}
+			return 30 * time.Millisecond
+		},
 		onRun: func(a arrival) {
 			if a.tenant == "tenant-a" {
 				poison.add(a)
@@ -103,7 +111,7 @@
 	stop := make(chan struct{})
 	var others sync.WaitGroup
 	var mu sync.Mutex
-	served, failed := 0, 0
+	served, failed, booked, lost := 0, 0, 0, 0
 	otherPath := path
 	if w.control {
 		otherPath = "/account/settings"
@@ -112,22 +120,30 @@
 		others.Add(1)
 		go func() {
 			defer others.Done()
-			client := newClient()
-			c := call{host: "shop.example", path: otherPath, key: tenants[1+i%3].key, deadline: 2 * time.Second}
+			client, front := newClient(), w.hosts[i%len(w.hosts)].front()
+			read := call{host: "shop.example", path: otherPath, key: tenants[1+i%3].key, deadline: 2 * time.Second}
+			book := call{host: "shop.example", path: "/book/cottage", key: tenants[1+i%3].key, body: "a booking", deadline: 2 * time.Second}
 			for {
-				a := c.send(client, w.hosts[i%len(w.hosts)].front(), "other", false)
+				r, b := read.send(client, front, "read", false), book.send(client, front, "booking", true)
 				mu.Lock()
-				if a.ok() {
+				if r.ok() {
 					served++
 				} else {
 					failed++
-					w.rec.line("another tenant, answer %v", a)
+					w.rec.line("read of another tenant, answer %v", r)
+				}
+				switch {
+				case b.ok():
+					booked++
+				case b.status != http.StatusServiceUnavailable:
+					lost++
+					w.rec.line("booking of another tenant without an outcome, answer %v", b)
 				}
 				mu.Unlock()
 				select {
 				case <-stop:
 					return
-				case <-time.After(100*time.Millisecond + rand.N(200*time.Millisecond)):
+				case <-time.After(50*time.Millisecond + rand.N(100*time.Millisecond)):
 				}
 			}
 		}()
@@ -139,7 +155,7 @@
 	}
 	close(stop)
 	others.Wait()
-	w.rec.note("requests of other tenants: %d served, %d failed", served, failed)
+	w.rec.note("other tenants: %d reads served, %d failed; %d bookings served, %d without an outcome", served, failed, booked, lost)
 	return w.checkPoison(poison)
 }
 
