--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -7,6 +7,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -56,8 +58,12 @@
 	r.note("case %s, disruption %t, control %t", name, trouble, control)
 	done := make(chan error, 1)
 	go func() { done <- play(w) }()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
 	select {
 	case err = <-done:
+	case <-stop:
+		err = errors.New("the case was interrupted")
 	case <-time.After(maxTime):
 		err = errors.New("the case took too long")
 	}
