Tell requests of different accounts apart in the evidence on crashes

Cause: the fingerprint of a request lacked the account, whose name a target gets with the request. A success of any account cleared the evidence of all.

Evidence: TestRequestThatCrashesTargetsIsRejectedWhileAnotherAccountIsServed and four cases of TestFingerprintTellsRequestsApart fail on and pass with this change. Two of these are a host in another form, which was another request.

Why this works: a success speaks only for requests that a target cannot tell apart. Requests without an account keep their fingerprints, so that hosts of earlier builds agree on them.

Ruled out: keys in place of accounts, and addresses of clients.

A comment that stood before another test is back at its own.

--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -445,8 +445,57 @@
 	}
 }
 
-// Guards against blocking requests that only happened to run on targets that crashed for
-// another reason: other requests of the same path succeed.
+// Guards against a request that crashes targets and is never rejected, because a request of another client
+// account with the same path and body is served.
+func TestRequestThatCrashesTargetsIsRejectedWhileAnotherAccountIsServed(t *testing.T) {
+	list := make([]*platformtest.Target, 0, 12)
+	for n := range 12 {
+		list = append(list, target(fmt.Sprintf("t-%d", n), platformtest.Behaviour{CrashPath: "overview", CrashAccount: "alder"}))
+	}
+	cl := newCluster(t, 3, list...)
+	cl.configureAccounts(shopAccounts()...)
+	time.Sleep(time.Second) // The hosts must have discovered each other to agree on the coordinators.
+	var others sync.WaitGroup
+	stop := make(chan struct{})
+	served := make([]atomic.Int64, len(cl.hosts))
+	for n, h := range cl.hosts {
+		others.Go(func() {
+			for i := 0; ; i++ {
+				if cl.sendWith(h, fmt.Sprintf("birch-%d-%d", n, i), "/book/overview", "two nights", credential(otherKey)).status == http.StatusOK {
+					served[n].Add(1)
+				}
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+			}
+		})
+	}
+	for n := range 3 {
+		resp := cl.sendWith(cl.hosts[n], fmt.Sprintf("alder-%d", n), "/book/overview", "two nights", credential(goodKey))
+		require.Equal(t, http.StatusBadGateway, resp.status)
+	}
+	time.Sleep(1700 * time.Millisecond)
+	for n := range 6 {
+		id := fmt.Sprintf("again-%d", n)
+		// The other key of the account makes no difference.
+		resp := cl.sendWith(cl.hosts[n%3], id, "/book/overview", "two nights", credential([]string{goodKey, "k-second"}[n%2]))
+		require.Equal(t, http.StatusServiceUnavailable, resp.status)
+		require.Zero(t, cl.runCount(id))
+	}
+	before := make([]int64, len(served))
+	for n := range served {
+		before[n] = served[n].Load()
+	}
+	time.Sleep(500 * time.Millisecond)
+	close(stop)
+	others.Wait()
+	for n := range served {
+		require.Greater(t, served[n].Load(), before[n], "the other account is still served by host %d", n)
+	}
+}
+
 // upload sends an upload with a length, or in chunks.
 func (cl *cluster) upload(h *host, id, path, body string, chunked bool) response {
 	cl.t.Helper()
@@ -521,6 +570,8 @@
 	}
 }
 
+// Guards against blocking requests that only happened to run on targets that crashed for
+// another reason: other requests of the same path succeed.
 func TestRequestsInFlightDuringCrashesAreNotBlocked(t *testing.T) {
 	list := make([]*platformtest.Target, 0, 8)
 	for n := range 8 {
--- a/internal/traffic/entry/crash.go
+++ b/internal/traffic/entry/crash.go
@@ -24,6 +24,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/crash"
@@ -240,12 +241,18 @@
 	c.cfg.Log.WithField(fieldFingerprint, fingerprint).Warn("requests that crash targets are refused")
 }
 
-// fingerprint returns a hash of the method, host, path and body of the request. Of a body that is
-// streamed, the length and the beginning count: more is not known before it is sent, nor when a
-// target has crashed in the middle of it. Uploads that differ only behind that are taken for one.
+// fingerprint returns a hash of the client account, the method, the host, the path and the body of the
+// request. A target gets the name of the account with the request, so requests of different accounts
+// differ: one may crash targets while the others succeed. Of a body that is streamed, the length and the
+// beginning count: more is not known before it is sent, nor when a target has crashed in the middle of
+// it. Uploads that differ only behind that are taken for one.
 func (req *clientRequest) fingerprint() uint64 {
 	d := xxhash.New()
-	for _, part := range []string{req.incoming.Method, req.incoming.Host, req.incoming.URL.RequestURI()} {
+	if req.account != nil {
+		// No method begins with a zero byte, so requests without an account have other fingerprints.
+		_, _ = d.WriteString("\x00" + req.account.Name + "\x00")
+	}
+	for _, part := range []string{req.incoming.Method, routing.HostName(req.incoming.Host), req.incoming.URL.RequestURI()} {
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
--- a/internal/traffic/entry/crash_test.go
+++ b/internal/traffic/entry/crash_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"slices"
 	"sync/atomic"
@@ -14,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/crash"
@@ -184,3 +187,38 @@
 		})
 	}
 }
+
+// Guards against requests that crash targets and are taken for others that don't, and against ones that
+// come again in another form and are not recognized.
+func TestFingerprintTellsRequestsApart(t *testing.T) {
+	request := func(account, method, host, uri, body string) *clientRequest {
+		r := httptest.NewRequest(method, uri, nil)
+		r.Host = host
+		req := &clientRequest{incoming: r, body: []byte(body)}
+		if account != "" {
+			req.account = &routing.Account{Name: account}
+		}
+		return req
+	}
+	first := request("alder", http.MethodPost, "shop.example", "/book/x?n=1", "two nights")
+	tests := []struct {
+		name string
+		req  *clientRequest
+		same bool
+	}{
+		{name: "again", req: request("alder", http.MethodPost, "shop.example", "/book/x?n=1", "two nights"), same: true},
+		{name: "host in another form", req: request("alder", http.MethodPost, "SHOP.example.:80", "/book/x?n=1", "two nights"), same: true},
+		{name: "absolute target", req: request("alder", http.MethodPost, "shop.example", "http://shop.example/book/x?n=1", "two nights"), same: true},
+		{name: "another account", req: request("birch", http.MethodPost, "shop.example", "/book/x?n=1", "two nights")},
+		{name: "no account", req: request("", http.MethodPost, "shop.example", "/book/x?n=1", "two nights")},
+		{name: "another method", req: request("alder", http.MethodPut, "shop.example", "/book/x?n=1", "two nights")},
+		{name: "another host", req: request("alder", http.MethodPost, "other.example", "/book/x?n=1", "two nights")},
+		{name: "another query", req: request("alder", http.MethodPost, "shop.example", "/book/x?n=2", "two nights")},
+		{name: "another body", req: request("alder", http.MethodPost, "shop.example", "/book/x?n=1", "two days")},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			require.Equal(t, tt.same, tt.req.fingerprint() == first.fingerprint())
+		})
+	}
+}
