Write long names in messages between hosts as digests

What callers saw: with a long name of a service, or a long request ID, which any client may choose, requests waited for dispatchers that had not got them, and these were passed over for 0.8 s, for all services.

Cause: a request for a target that does not fit a datagram was not sent, and the host took the missing response for a dispatcher that does not respond. Only the announcements in a message could be left out.

Why this works: the key of a cell has a digest in place of a name over 256 bytes, so all hosts agree on it; shorter names are written as before, so builds before this one do, too. Request IDs serve only the log and are cut. A request that still cannot be sent goes to the next host at once, which suspects nobody.

--- a/internal/traffic/dispatcher/cells.go
+++ b/internal/traffic/dispatcher/cells.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
+	"tamaracktiller.example/tamaracktiller/internal/fleet/packet"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/rendezvous"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/roster"
 )
@@ -19,7 +20,8 @@
 // can probe that many targets at the full permitted rate.
 const maxCellTargets = 24
 
-// cellID identifies a cell. domain is empty for a cell that spans all domains.
+// cellID identifies a cell. domain is empty for a cell that spans all domains. Messages contain the key, which
+// has the short name of the service.
 type cellID struct {
 	key     string
 	service string
@@ -30,8 +32,9 @@
 // that know the same targets compute the same cells. evacuated is the number of further targets that
 // are evacuated: they have no cells, but those of the others stay the same.
 func splitCells(service string, targets []roster.ActiveTarget, evacuated int) map[cellID][]roster.ActiveTarget {
+	name := packet.ShortName(service)
 	if len(targets)+evacuated <= maxCellTargets {
-		return map[cellID][]roster.ActiveTarget{{key: service, service: service}: targets}
+		return map[cellID][]roster.ActiveTarget{{key: name, service: service}: targets}
 	}
 	byDomain := map[string][]roster.ActiveTarget{}
 	for _, t := range targets {
@@ -42,16 +45,16 @@
 		parts := (len(list) + maxCellTargets - 1) / maxCellTargets
 		for _, t := range list {
 			part := int(xxhash.Sum64String(t.ID) % uint64(parts))
-			id := cellID{key: service + "/" + domain + "/" + strconv.Itoa(part), service: service, domain: domain}
+			id := cellID{key: name + "/" + domain + "/" + strconv.Itoa(part), service: service, domain: domain}
 			cells[id] = append(cells[id], t)
 		}
 	}
 	return cells
 }
 
-// parseCell returns the cell with a key, and false if the key is not that of a cell. The names of
-// services and failure domains may contain the separator; then the result may be another service,
-// and no cell of it is found.
+// parseCell returns the cell with a key, and false if the key is not that of a cell. The service is its short
+// name. The names of services and failure domains may contain the separator; then the result may be another
+// service, and no cell of it is found.
 func parseCell(key string) (cellID, bool) {
 	rest, _, ok := cutLast(key)
 	if !ok {
--- a/internal/traffic/dispatcher/evacuation.go
+++ b/internal/traffic/dispatcher/evacuation.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
+	"tamaracktiller.example/tamaracktiller/internal/fleet/packet"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/roster"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/eligibility"
 )
@@ -98,10 +99,25 @@
 	return false
 }
 
+// withheldService returns the name of a service with withheld targets by its short name; the short name itself if
+// there is none. The caller holds the mutex.
+func (d *Dispatcher) withheldService(short string) string {
+	if _, ok := d.snapshot.Withheld[short]; ok {
+		return short
+	}
+	for name := range d.snapshot.Withheld {
+		if packet.ShortName(name) == short {
+			return name
+		}
+	}
+	return short
+}
+
 // redirectEvacuated responds to a request of another host for a cell whose failure domain is
 // evacuated, and reports whether it did. The caller holds the mutex.
 func (d *Dispatcher) redirectEvacuated(from netip.AddrPort, m *Message) bool {
 	id, ok := parseCell(m.Cell)
+	id.service = d.withheldService(id.service)
 	if c := d.cells[m.Cell]; !ok || c != nil && c.registered > 0 || !d.evacuated(id.service, id.domain) {
 		return false
 	}
--- a/internal/traffic/dispatcher/notice.go
+++ b/internal/traffic/dispatcher/notice.go
@@ -198,18 +198,24 @@
 	return paused
 }
 
-// send sends a message to another host. A message that does not fit in a datagram is sent
-// without what it announces: the other host learns of it by other messages, or by itself.
-func (d *Dispatcher) send(to netip.AddrPort, m Message) {
+// send sends a message to another host, and reports whether it could. A message that does not fit in a
+// datagram is sent without what it announces: the other host learns of it by other messages, or by itself. If it
+// still does not fit, it is sent without the targets to avoid, one of which may be granted again.
+func (d *Dispatcher) send(to netip.AddrPort, m Message) bool {
 	err := d.cfg.Send(to, m)
 	if errors.Is(err, packet.ErrTooLarge) {
 		d.cfg.Log.WithError(err).WithField("to", to.String()).Debug("message is sent without announcements")
 		m.Limits, m.Departures, m.Pauses, m.Loads = nil, nil, nil, nil
 		err = d.cfg.Send(to, m)
 	}
+	if errors.Is(err, packet.ErrTooLarge) && len(m.Avoid) > 0 {
+		m.Avoid = nil
+		err = d.cfg.Send(to, m)
+	}
 	if err != nil {
 		d.cfg.Log.WithError(err).WithField("to", to.String()).Debug("failed to send message")
 	}
+	return err == nil
 }
 
 // Departures returns the targets that leave.
--- a/internal/traffic/dispatcher/remote.go
+++ b/internal/traffic/dispatcher/remote.go
@@ -64,7 +64,9 @@
 	defer d.removePending(id)
 	timer := time.NewTimer(firstTimeout)
 	defer timer.Stop()
-	d.sendRequest(host, c, id, &req)
+	if !d.sendRequest(host, c, id, &req) {
+		return Grant{}, errors.Wrap(errUnreachable, "the request cannot be sent")
+	}
 	queued, repeated := false, false
 	for {
 		select {
@@ -110,13 +112,14 @@
 	}
 }
 
-func (d *Dispatcher) sendRequest(host directory.Host, c *cell, id uint64, req *Request) {
+// sendRequest sends a request to a dispatcher, and reports whether it could.
+func (d *Dispatcher) sendRequest(host directory.Host, c *cell, id uint64, req *Request) bool {
 	now := time.Now()
 	m := req.message(now, id, c.id.key)
 	d.mu.Lock()
 	m.Limits, m.Departures, m.Pauses = d.announcedLimits(now, c), d.chooser.AnnouncedDepartures(c.id.key, maxAnnouncedDepartures), d.announcedPauses(now, c)
 	d.mu.Unlock()
-	d.send(host.PeerAddress, m)
+	return d.send(host.PeerAddress, m)
 }
 
 // addPending returns a new request ID and the channel for its responses.
--- a/internal/traffic/dispatcher/request.go
+++ b/internal/traffic/dispatcher/request.go
@@ -244,9 +244,12 @@
 	Age time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
+// maxLoggedID bounds the request ID in a message. Clients choose it, and it serves only the log.
+const maxLoggedID = 128
+
 func (r *Request) message(now time.Time, id uint64, cell string) Message {
 	return Message{
-		Kind: kindRequest, ID: id, Cell: cell, RequestID: r.ID, Domain: r.Domain, Priority: r.Priority,
+		Kind: kindRequest, ID: id, Cell: cell, RequestID: r.ID[:min(len(r.ID), maxLoggedID)], Domain: r.Domain, Priority: r.Priority,
 		ObjectiveLeft: r.Objective.Sub(now), DeadlineLeft: r.Deadline.Sub(now), TypicalTime: r.TypicalTime,
 		Avoid: r.Avoid, Hedge: r.Hedge, Redirected: r.Redirected, Account: r.Account, Weight: r.Weight,
 	}
--- a/internal/traffic/entry/account.go
+++ b/internal/traffic/entry/account.go
@@ -13,6 +13,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/account/keyring"
 	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
+	"tamaracktiller.example/tamaracktiller/internal/fleet/packet"
 	"tamaracktiller.example/tamaracktiller/internal/process/settings"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/fairshare"
 )
@@ -214,12 +215,12 @@
 	return req.route.Priority
 }
 
-// accountName returns the name of the account of a request; empty for none.
+// accountName returns the name of the account of a request in messages between hosts; empty for none.
 func (req *clientRequest) accountName() string {
 	if req.account == nil {
 		return ""
 	}
-	return req.account.Name
+	return packet.ShortName(req.account.Name)
 }
 
 // accountWeight returns the weight of the request's account where accounts share the targets of a
