Refuse the parts of a configuration that cannot be applied alone

Cause: the first part of a configuration that the decoder would not apply made it refuse the whole, and the version before stayed in force. The limit of 256 bytes for keys and names was our own.

Evidence: all nine cases of TestRemovedKeyIsRefusedThoughAPartOfTheConfigurationIsOdd fail on, and the case "account" of TestLongNamesDoNotKeepHostsFromDispatching. They pass now.

Why this works: keys and names have no limit of ours any more, so nothing in a valid configuration is refused. A part that cannot be applied all the same is marked, named in the log and counted in a metric; its requests get 503, and the rest is in force, also what it takes away. Such a route keeps its prefix, a key of two accounts is used for neither, and unknown routes and keys get 503 while some cannot be read. If nothing can be read, strict revocation uses no key.

--- a/internal/account/keyring/keyring.go
+++ b/internal/account/keyring/keyring.go
@@ -35,9 +35,15 @@
 
 type digest [sha256.Size]byte
 
-// digestOf returns the digest of a key. The buffer keeps the conversion from allocating.
+// usualKeyBytes is the length up to which the digest of a key is computed without allocating.
+const usualKeyBytes = 256
+
+// digestOf returns the digest of a key.
 func digestOf(key string) digest {
-	var buffer [routing.MaxKeyBytes]byte
+	if len(key) > usualKeyBytes {
+		return sha256.Sum256([]byte(key))
+	}
+	var buffer [usualKeyBytes]byte
 	return sha256.Sum256(buffer[:copy(buffer[:], key)])
 }
 
@@ -68,9 +74,6 @@
 
 // Find returns the account of a key, without its keys.
 func (k *Keyring) Find(key string) (*routing.Account, bool) {
-	if len(key) > routing.MaxKeyBytes {
-		return nil, false
-	}
 	d := digestOf(key)
 	account, ok := k.shards[k.shardOf(d)][d]
 	return account, ok
--- a/internal/contract/routing/account.go
+++ b/internal/contract/routing/account.go
@@ -9,50 +9,69 @@
 	"strings"
 )
 
-// MaxNameBytes bounds the name of an account. Hosts send it to each other in datagrams, which carry at
-// most 1,400 bytes.
-const MaxNameBytes = 256
-
-// MaxKeyBytes is the maximum length of a key.
-const MaxKeyBytes = 256
-
-// AccountError reports an invalid client account. It never contains a key.
-type AccountError struct {
-	// Account is the name of the account; empty if it has none.
-	Account string
-	Reason  string
-}
-
-// Error implements error.
-func (e *AccountError) Error() string {
-	return fmt.Sprintf("routing: client account %q: %s", e.Account, e.Reason)
-}
-
-// CheckAccounts returns an *AccountError for the first invalid account.
-func CheckAccounts(accounts []Account) error {
-	names := make(map[string]bool, len(accounts))
-	owners := map[string]string{}
-	for i := range accounts {
-		a := &accounts[i]
+// checkAccounts marks the accounts that cannot be used, and removes the keys that belong to none. The requests
+// with a key that several accounts have are refused: it is not known for which one they are.
+func (c *Config) checkAccounts() {
+	names, owners := make(map[string]bool, len(c.Accounts)), map[string]int{}
+	var shared []string
+	for i := range c.Accounts {
+		a := &c.Accounts[i]
 		reason := a.check()
 		if reason == "" && names[a.Name] {
 			reason = "another account has the same name"
 		}
 		names[a.Name] = true
+		if reason != "" {
+			c.AddDefect(PartAccount, a.Name, reason)
+			a.Unusable = true
+		}
+		if a.Unusable {
+			a.PerSecond, a.Burst = 0, 0
+		}
+		c.checkKeys(a)
 		for _, key := range a.Keys {
-			if owner, ok := owners[key]; ok && reason == "" {
-				reason = fmt.Sprintf("one of its keys is listed twice, first for account %q", owner)
+			owner, ok := owners[key]
+			if !ok {
+				owners[key] = i
+				continue
+			}
+			if owner != i {
+				c.AddDefect(PartAccount, a.Name, fmt.Sprintf("one of its keys is also a key of account %q", c.Accounts[owner].Name))
+				shared = append(shared, key)
 			}
-			owners[key] = a.Name
-		}
-		if reason != "" {
-			return &AccountError{Account: a.Name, Reason: reason}
 		}
 	}
-	return nil
+	if len(shared) > 0 {
+		c.separateKeys(shared)
+	}
+}
+
+// checkKeys removes empty keys, which are not sent, and records keys that cannot be sent.
+func (c *Config) checkKeys(a *Account) {
+	if slices.Contains(a.Keys, "") {
+		c.AddDefect(PartAccount, a.Name, "one of its keys is empty")
+		a.Keys = slices.DeleteFunc(slices.Clone(a.Keys), func(key string) bool { return key == "" })
+	}
+	if slices.ContainsFunc(a.Keys, func(key string) bool { return !isHeaderValue(key) }) {
+		c.AddDefect(PartAccount, a.Name, "one of its keys contains bytes that a header must not contain")
+	}
 }
 
-// check returns why the account is invalid by itself; empty if it is valid.
+// separateKeys moves keys from the accounts that have them to one that cannot be used.
+func (c *Config) separateKeys(keys []string) {
+	slices.Sort(keys)
+	keys = slices.Compact(keys)
+	for i := range c.Accounts {
+		a := &c.Accounts[i]
+		a.Keys = slices.DeleteFunc(slices.Clone(a.Keys), func(key string) bool {
+			_, ok := slices.BinarySearch(keys, key)
+			return ok
+		})
+	}
+	c.Accounts = append(c.Accounts, Account{Unusable: true, Keys: keys})
+}
+
+// check returns why the account cannot be used; empty if it can.
 func (a *Account) check() string {
 	switch {
 	case a.Name == "":
@@ -60,23 +79,11 @@
 	case !isHeaderValue(a.Name) || strings.Trim(a.Name, " \t") != a.Name:
 		// Targets get the name in a header. They would see another name.
 		return "its name cannot be sent in a header"
-	case len(a.Name) > MaxNameBytes:
-		return fmt.Sprintf("its name has %d bytes, the limit is %d", len(a.Name), MaxNameBytes)
 	case !isLimit(a.PerSecond):
 		return "its rate is not a number from 0 on"
 	case !isLimit(a.Burst):
 		return "its burst is not a number from 0 on"
 	}
-	for _, key := range a.Keys {
-		switch {
-		case key == "":
-			return "one of its keys is empty"
-		case len(key) > MaxKeyBytes:
-			return fmt.Sprintf("one of its keys has %d bytes, the limit is %d", len(key), MaxKeyBytes)
-		case !isHeaderValue(key):
-			return "one of its keys contains bytes that a header must not contain"
-		}
-	}
 	return ""
 }
 
@@ -96,7 +103,7 @@
 
 // Equal reports whether two accounts are the same.
 func (a *Account) Equal(b *Account) bool {
-	return a.Name == b.Name && a.Priority == b.Priority && a.HasPriority == b.HasPriority &&
+	return a.Name == b.Name && a.Priority == b.Priority && a.HasPriority == b.HasPriority && a.Unusable == b.Unusable &&
 		a.PerSecond == b.PerSecond && a.Burst == b.Burst && slices.Equal(a.Keys, b.Keys)
 }
 
--- a/internal/contract/routing/table.go
+++ b/internal/contract/routing/table.go
@@ -28,6 +28,10 @@
 	// Accounts lists the client accounts. If there are any, requests need the key of one, except
 	// on public routes.
 	Accounts []Account
+	// Defects lists the parts that cannot be applied. MissesRoutes and MissesKeys report whether there may be
+	// routes and keys among them that could not be read.
+	Defects                  []Defect
+	MissesRoutes, MissesKeys bool
 }
 
 // Account is a client account.
@@ -42,6 +46,8 @@
 	// limit.
 	PerSecond float64
 	Burst     float64
+	// Unusable is set if the account cannot be applied as it is written. Requests with its keys are refused.
+	Unusable bool
 }
 
 // Route describes how requests with a host name and a path prefix are handled.
@@ -63,6 +69,9 @@
 	Shares []Share
 	// Public routes need no key of a client account.
 	Public bool
+	// Unusable is set if the route cannot be applied as it is written. Its requests are refused: another
+	// route with a shorter prefix is not theirs.
+	Unusable bool
 }
 
 // Share is a service of a route and its weight in the traffic split.
@@ -82,6 +91,8 @@
 	// of requests a second that a cold target takes, over all hosts; 0 means no limit.
 	ColdTime      time.Duration
 	ColdPerSecond float64
+	// Unusable is set if the service cannot be applied as it is written. Requests to it are refused.
+	Unusable bool
 }
 
 // Limits bounds the size of client requests and the time that clients may take.
@@ -124,7 +135,7 @@
 }
 
 // Pick selects a service with probability proportional to the weights of the shares, given
-// a random number u that is uniformly distributed in [0, 1).
+// a random number u that is uniformly distributed in [0, 1). It returns "" for a route without shares.
 func (r *Route) Pick(u float64) string {
 	total := 0.0
 	for _, s := range r.Shares {
@@ -137,5 +148,8 @@
 		}
 		u -= s.Weight
 	}
+	if len(r.Shares) == 0 {
+		return ""
+	}
 	return r.Shares[len(r.Shares)-1].Service
 }
--- a/internal/fleet/directory/state.go
+++ b/internal/fleet/directory/state.go
@@ -52,6 +52,8 @@
 	Table *routing.Table
 	// Keys is the index of the keys of client accounts; nil if the configuration has no accounts.
 	Keys *keyring.Keyring
+	// ConfigUnreadable reports whether the store holds a newer configuration, which cannot be read.
+	ConfigUnreadable bool
 	// Targets lists the targets that may get new requests, by service.
 	Targets map[string][]roster.ActiveTarget
 	// Withheld lists the targets that get no new requests although they have an entry, by service.
@@ -131,6 +133,7 @@
 	fieldCount    = "count"
 	fieldError    = "error"
 	fieldSequence = "sequence"
+	fieldVersion  = "version"
 )
 
 // LogLine is a log line.
@@ -145,12 +148,14 @@
 	self    Host
 	decoder Decoder
 	// onItem is called for each item that is newer than the known state of its key.
-	onItem   func(store.Item)
-	roster   *roster.Roster
-	table    *routing.Table
-	keyring  *keyring.Keyring
-	hosts    map[string]Host
-	maxHosts int
+	onItem  func(store.Item)
+	roster  *roster.Roster
+	table   *routing.Table
+	keyring *keyring.Keyring
+	// configUnreadable is set if the newest configuration cannot be read.
+	configUnreadable bool
+	hosts            map[string]Host
+	maxHosts         int
 	// last is the latest snapshot. The next one shares its maps unless hostsChanged or
 	// targetsChanged is set.
 	last                         *Snapshot
@@ -306,11 +311,13 @@
 	}
 	c, err := s.decoder.Config(item.Value)
 	if err != nil {
+		s.configUnreadable = true
 		s.warn("configuration cannot be read; the one in force stays", map[string]any{fieldRevision: item.Revision.String(), fieldError: err.Error()})
 		return
 	}
+	s.configUnreadable = false
 	if s.table != nil && c.Version <= s.table.Config.Version {
-		s.log("configuration is not newer", map[string]any{"version": c.Version, "in-force": s.table.Config.Version, fieldRevision: item.Revision.String()})
+		s.log("configuration is not newer", map[string]any{fieldVersion: c.Version, "in-force": s.table.Config.Version, fieldRevision: item.Revision.String()})
 		return
 	}
 	var before []routing.Account
@@ -319,13 +326,19 @@
 	}
 	s.keyring = keyring.Update(s.keyring, before, c.Accounts)
 	s.table = routing.NewTable(c)
-	fields := map[string]any{"version": c.Version, "routes": len(c.Routes), fieldRevision: item.Revision.String()}
+	fields := map[string]any{fieldVersion: c.Version, "routes": len(c.Routes), fieldRevision: item.Revision.String(), "defects": len(c.Defects)}
 	if s.keyring != nil {
 		fields["accounts"], fields["account-keys"] = s.keyring.Len()
 	}
 	s.log("configuration is in force", fields)
+	for _, d := range c.Defects[:min(len(c.Defects), maxLoggedDefects)] {
+		s.warn("part of the configuration cannot be applied", map[string]any{fieldVersion: c.Version, "part": string(d.Part), "name": d.Name, "reason": d.Reason})
+	}
 }
 
+// maxLoggedDefects bounds the log lines on the defects of a configuration.
+const maxLoggedDefects = 20
+
 func (s *State) applyTarget(now time.Time, id string, item store.Item, old keyState) {
 	if item.Deleted {
 		delete(s.setAside, item.Key)
@@ -434,7 +447,7 @@
 // Snapshot returns a snapshot of the state.
 func (s *State) Snapshot() *Snapshot {
 	next := *s.last
-	next.Keys = s.keyring
+	next.Keys, next.ConfigUnreadable = s.keyring, s.configUnreadable
 	next.Table, next.MaxHosts, next.Revision, next.TargetChanges = s.table, s.maxHosts, s.revision, s.changes
 	next.Secrets, next.SecretStored, next.Entry = s.secrets, s.secretStored, s.entry
 	next.Founder, next.RecordedHosts, next.SizeRevision = s.isFounder(), s.recordedHosts, s.sizeRevision
--- a/internal/process/entry/account_test.go
+++ b/internal/process/entry/account_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -119,6 +120,71 @@
 	require.Contains(t, string(cl.metrics(h, "/metrics")), `tamarack_entry_key_refusals_total{reason="unknown-key"} 8`)
 }
 
+// Guards against a configuration that is not in force because of one part of it, so that a key still runs which
+// it takes away.
+func TestRemovedKeyIsRefusedThoughAPartOfTheConfigurationIsOdd(t *testing.T) {
+	const tenth = 41
+	longKey, longName := strings.Repeat(goodKey, tenth), strings.Repeat("alder-", 3*tenth)
+	odd := func(kind, name, spec string) string {
+		return fmt.Sprintf(`{"resource_kind":%q,"metadata":{"name":%q},"spec":%s},`, kind, name, spec)
+	}
+	tests := []struct {
+		name string
+		// part is added to a configuration that has account alder with goodKey, and key is one of it.
+		part, key string
+		// status is that of a request with key, and tenant the name that its target gets.
+		status int
+		tenant string
+		path   string
+	}{
+		{name: "long key", part: odd("tenants", "cedar", `{"api_keys":["`+longKey+`"]}`), key: longKey, status: http.StatusOK, tenant: "cedar"},
+		{name: "long name", part: odd("tenants", longName, `{"api_keys":["k-cedar"]}`), key: "k-cedar", status: http.StatusOK, tenant: longName},
+		{name: "negative rate", part: odd("tenants", "cedar", `{"api_keys":["k-cedar"],"rate_per_s":-1}`), key: "k-cedar", status: http.StatusServiceUnavailable},
+		{name: "key that is a number", part: odd("tenants", "cedar", `{"api_keys":["k-cedar",7]}`), key: "k-cedar", status: http.StatusOK, tenant: "cedar"},
+		{name: "name that a header cannot carry", part: odd("tenants", "cedar ", `{"api_keys":["k-cedar"]}`), key: "k-cedar", status: http.StatusServiceUnavailable},
+		{name: "route of the wrong type", part: odd("routes", "odd", `{"host":"shop.example","prefix":"/search/odd/","kind":"safe","service":"svc","priority":"high"}`), key: goodKey, path: "/search/odd/x", status: http.StatusServiceUnavailable},
+		{name: "route to an unknown service", part: odd("routes", "odd", `{"host":"shop.example","prefix":"/search/odd/","kind":"safe","service":"other"}`), key: goodKey, path: "/search/odd/x", status: http.StatusServiceUnavailable},
+		{name: "route of another one", part: odd("routes", "odd", `{"host":"shop.example","prefix":"/search/odd/","kind":"safe","service":7}`), key: goodKey, status: http.StatusOK, tenant: "alder"},
+		{name: "unreadable kind", part: `{"resource_kind":7},`, key: goodKey, status: http.StatusOK, tenant: "alder"},
+	}
+	cl := newCluster(t, 2, target("t-1", platformtest.Behaviour{}))
+	for n, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			cl.configureAccounts(shopAccounts()...)
+			send := func(h *host, id, path, key string) (response, []platformtest.AccountHeaders) {
+				id = fmt.Sprintf("%s-%d-%s", h.cfg.Name, n, id)
+				resp := cl.sendWith(h, id, path, "", credential(key))
+				return resp, cl.accountHeaders(id)
+			}
+			for _, h := range cl.hosts {
+				resp, _ := send(h, "before", "/search/x", otherKey)
+				require.Equal(t, http.StatusOK, resp.status)
+			}
+			config := string(platformtest.ConfigWithAccounts(cl.version+3, []platformtest.Route{
+				{Host: "shop.example", Prefix: "/search/", Service: "svc", Safe: true, TimeoutMillis: 1500},
+			}, shopAccounts()[:1]))
+			cl.version += 3
+			cl.store.Put("op/config", []byte(strings.Replace(config, `"resources":[`, `"resources":[`+tt.part, 1)))
+			time.Sleep(2 * time.Second)
+			for _, h := range cl.hosts {
+				resp, sends := send(h, "removed", "/search/x", otherKey)
+				require.NotEqual(t, http.StatusOK, resp.status, "%s", h.log)
+				require.Empty(t, sends)
+				resp, _ = send(h, "good", "/search/x", goodKey)
+				require.Equal(t, http.StatusOK, resp.status, "%s", h.log)
+				resp, sends = send(h, "odd", cmp.Or(tt.path, "/search/x"), tt.key)
+				require.Equal(t, tt.status, resp.status, "%s", h.log)
+				if tt.status == http.StatusOK {
+					require.Equal(t, []platformtest.AccountHeaders{{Tenant: []string{tt.tenant}}}, sends)
+				} else {
+					require.Empty(t, sends)
+				}
+				require.NotContains(t, h.log.String(), otherKey)
+			}
+		})
+	}
+}
+
 // Guards against a change for deployments without accounts: both headers belong to their clients.
 func TestWithoutAccountsTheirHeadersPassUnchanged(t *testing.T) {
 	cl := newCluster(t, 1, target("t-1", platformtest.Behaviour{}))
--- a/internal/process/entry/long_name_test.go
+++ b/internal/process/entry/long_name_test.go
@@ -24,6 +24,7 @@
 	}{
 		{name: "service", service: long},
 		{name: "request ID", requestID: long},
+		{name: "account", account: long},
 		{name: "targets", targetID: strings.Repeat("t", 180)},
 	}
 	for _, tt := range tests {
--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -92,6 +92,18 @@
 		}
 		return 0
 	})
+	gauge("tamarack_config_defects", "Parts of the active configuration that cannot be applied.", func() float64 {
+		if t := snapshot().Table; t != nil {
+			return float64(len(t.Config.Defects))
+		}
+		return 0
+	})
+	gauge("tamarack_config_unreadable", "Whether the store holds a newer configuration that cannot be read.", func() float64 {
+		if snapshot().ConfigUnreadable {
+			return 1
+		}
+		return 0
+	})
 	gauge("tamarack_targets", "Targets that may get new requests.", func() float64 {
 		n := 0
 		for _, list := range snapshot().Targets {
--- a/internal/traffic/entry/account.go
+++ b/internal/traffic/entry/account.go
@@ -39,6 +39,12 @@
 	KeyUnconfirmed KeyRefusal = "unknown-key-old-view"
 	// ViewTooOld: the view is too old to use a key that may have been removed.
 	ViewTooOld KeyRefusal = "view-too-old"
+	// ConfigUnreadable: the view lacks a newer configuration, which cannot be read and may have removed the key.
+	ConfigUnreadable KeyRefusal = "unreadable-configuration"
+	// KeyUnreadable: as KeyUnknown, but keys of the configuration cannot be read.
+	KeyUnreadable KeyRefusal = "unreadable-keys"
+	// AccountUnusable: the account of the key cannot be applied as the configuration has it.
+	AccountUnusable KeyRefusal = "unusable-account"
 )
 
 // authorization is the result of the check of a key.
@@ -127,28 +133,58 @@
 	current := h.viewIsCurrent()
 	s := h.cfg.Snapshot()
 	a := authorization{keys: s.Keys}
-	if s.Keys == nil {
+	switch {
+	case s.Keys == nil:
 		return a, nil
-	}
-	if !current {
-		if public {
-			// The key may have been removed, so the request counts as one without a key.
-			return a, nil
-		}
-		return a, h.rejectKey(ViewTooOld)
-	}
-	if a.find(h.cfg.Dialect, header) || public {
+	case !current:
+		return a.refuse(h, public, ViewTooOld)
+	case h.missesRemovals(s):
+		return a.refuse(h, public, ConfigUnreadable)
+	case a.find(h.cfg.Dialect, header):
+		return a.use(h, public)
+	case public:
 		return a, nil
 	}
 	fresh := h.viewIsFresh()
-	a.keys = h.cfg.Snapshot().Keys
-	if a.keys == nil || a.find(h.cfg.Dialect, header) {
+	s = h.cfg.Snapshot()
+	a.keys = s.Keys
+	switch {
+	case s.Keys == nil:
+		return a, nil
+	case h.missesRemovals(s):
+		return a.refuse(h, public, ConfigUnreadable)
+	case a.find(h.cfg.Dialect, header):
+		return a.use(h, public)
+	case !fresh:
+		return a.refuse(h, public, KeyUnconfirmed)
+	case s.Table.Config.MissesKeys:
+		return a.refuse(h, public, KeyUnreadable)
+	}
+	return a.refuse(h, public, KeyUnknown)
+}
+
+// refuse returns the response to a request whose key is not used. On a public route the request counts as one
+// without a key.
+func (a authorization) refuse(h *Handler, public bool, why KeyRefusal) (authorization, *finalResponse) {
+	a.account = nil
+	if public {
 		return a, nil
 	}
-	if !fresh {
-		return a, h.rejectKey(KeyUnconfirmed)
+	return a, h.rejectKey(why)
+}
+
+// use returns the authorization of a key that was found, unless its account cannot be used.
+func (a authorization) use(h *Handler, public bool) (authorization, *finalResponse) {
+	if a.account.Unusable {
+		return a.refuse(h, public, AccountUnusable)
 	}
-	return a, h.rejectKey(KeyUnknown)
+	return a, nil
+}
+
+// missesRemovals reports whether strict revocation forbids to use keys, because a newer configuration cannot
+// be read.
+func (h *Handler) missesRemovals(s *directory.Snapshot) bool {
+	return h.maxKeyAge.Load() != 0 && s.ConfigUnreadable
 }
 
 // find sets the account of the key in a header, and reports whether there is one.
@@ -179,7 +215,7 @@
 func (h *Handler) CanCheckKeys() bool {
 	current := h.viewIsCurrent()
 	s := h.cfg.Snapshot()
-	return current || s.Table == nil || !s.Table.Config.NeedsKeys()
+	return current && !h.missesRemovals(s) || s.Table == nil || !s.Table.Config.NeedsKeys()
 }
 
 // setRevocation sets the age of the view from which on keys are not used.
@@ -199,6 +235,12 @@
 		resp = reject(http.StatusUnauthorized, "the key is unknown, missing or repeated", 0)
 	case KeyUnconfirmed:
 		resp = reject(http.StatusServiceUnavailable, "the key is not known, but the configuration may be old", otherHostRetryAfter)
+	case KeyUnreadable:
+		resp = reject(http.StatusServiceUnavailable, "the key is not known, but keys of the configuration cannot be read", 0)
+	case AccountUnusable:
+		resp = reject(http.StatusServiceUnavailable, "the account of the key cannot be applied as it is configured", 0)
+	case ConfigUnreadable:
+		resp = reject(http.StatusServiceUnavailable, "the newest configuration cannot be read and may have removed the key", 0)
 	default:
 		resp = reject(http.StatusServiceUnavailable, "the configuration is too old to use keys", otherHostRetryAfter)
 		resp.closeConnection = true
--- a/internal/traffic/entry/account_test.go
+++ b/internal/traffic/entry/account_test.go
@@ -106,6 +106,51 @@
 	}
 }
 
+// Guards against keys that are used or denied although the configuration does not say so for certain: parts
+// of it cannot be applied.
+func TestKeysOfAConfigurationWithDefects(t *testing.T) {
+	const known, unusable, unknown = "k", "u", "x"
+	tests := []struct {
+		name              string
+		strict, unread    bool
+		missesKeys        bool
+		public            bool
+		key               string
+		want              KeyRefusal
+		account, isDenied bool
+	}{
+		{name: "account that can be used", key: known, account: true},
+		{name: "account that cannot be used", key: unusable, want: AccountUnusable},
+		{name: "account that cannot be used, public", key: unusable, public: true},
+		{name: "unknown", key: unknown, want: KeyUnknown, isDenied: true},
+		{name: "unknown, keys cannot be read", key: unknown, missesKeys: true, want: KeyUnreadable},
+		{name: "known, keys cannot be read", key: known, missesKeys: true, account: true},
+		{name: "newer configuration cannot be read", key: known, unread: true, account: true},
+		{name: "newer configuration cannot be read, strict", key: known, strict: true, unread: true, want: ConfigUnreadable},
+		{name: "newer configuration cannot be read, strict, unknown", key: unknown, strict: true, unread: true, want: ConfigUnreadable},
+		{name: "newer configuration cannot be read, strict, public", key: known, strict: true, unread: true, public: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := &routing.Config{
+				MissesKeys: tt.missesKeys, Routes: []routing.Route{{Name: "r", Host: "h", Prefix: "/"}},
+				Accounts: []routing.Account{{Name: "a", Keys: []string{known}}, {Name: "b", Keys: []string{unusable}, Unusable: true}},
+			}
+			k := newKeyHandler(tt.strict, &directory.Snapshot{Table: routing.NewTable(c), Keys: keyring.Update(nil, nil, c.Accounts), ConfigUnreadable: tt.unread})
+			require.Equal(t, !tt.strict || !tt.unread, k.CanCheckKeys())
+			a, rejection := k.checkKey(http.Header{"Key": {tt.key}}, tt.public)
+			require.Equal(t, tt.account, a.account != nil)
+			if tt.want == "" {
+				require.Nil(t, rejection)
+				return
+			}
+			require.Equal(t, tt.want, rejection.keyRefusal)
+			require.Equal(t, tt.isDenied, rejection.status == http.StatusUnauthorized)
+			require.Equal(t, !tt.isDenied, rejection.status == http.StatusServiceUnavailable)
+		})
+	}
+}
+
 // Guards against a host that stays ready although it refuses requests, or the reverse.
 func TestReadinessFollowsTheAgeOfTheView(t *testing.T) {
 	public := newKeySnapshot("k")
--- a/internal/traffic/entry/request.go
+++ b/internal/traffic/entry/request.go
@@ -98,8 +98,14 @@
 		if !fresh {
 			return req, reject(http.StatusServiceUnavailable, "no route, but the configuration may be old", notReadyRetryAfter)
 		}
+		if s.Table.Config.MissesRoutes {
+			return req, reject(http.StatusServiceUnavailable, "no route, but one of the configuration cannot be read", 0)
+		}
 		return req, reject(http.StatusNotFound, "no route", 0)
 	}
+	if route.Unusable {
+		return req, reject(http.StatusServiceUnavailable, "the route cannot be applied as it is configured", 0)
+	}
 	if !keepsPath(r) {
 		return req, reject(http.StatusBadRequest, "the path contains bytes that a URL must not contain", 0)
 	}
@@ -111,6 +117,9 @@
 	u := h.rng.Float64()
 	h.mu.Unlock()
 	req.service = s.Table.Config.Services[route.Pick(u)]
+	if req.service.Unusable {
+		return req, reject(http.StatusServiceUnavailable, "the service cannot be applied as it is configured", 0)
+	}
 	req.setDeadlines(now)
 	return req, req.readBody(w, s.Table.Config.Limits.BodyBytes)
 }
