Cancel requests of clients that leave while nothing reads their connection

Cause: net/http notices a close by a read in the background, which ends at the first byte behind a request. Nothing reads either while a handler leaves a body unread.

Why this works: the kernel knows of the close although bytes before it are unread. The context of one that is closed is cancelled, and its later reads fail, so that no further request of it is started.

Ruled out: to read on into a buffer, which takes a goroutine and memory for each connection.

--- a/internal/process/balancer/balancer_test.go
+++ b/internal/process/balancer/balancer_test.go
@@ -150,8 +150,9 @@
 	}, 20*time.Second, 50*time.Millisecond)
 }
 
-// echo returns the handler of a target, whose response depends on the request's path.
-func echo(seen *atomic.Int64) http.Handler {
+// echo returns the handler of a target, whose response depends on the request's path. It counts the requests, and
+// those that were cancelled.
+func echo(seen, cancelled *atomic.Int64) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/early" {
 			seen.Add(1)
@@ -188,6 +189,12 @@
 			time.Sleep(20 * time.Millisecond)
 		case "/poison":
 			panic(http.ErrAbortHandler)
+		case "/wait":
+			select {
+			case <-r.Context().Done():
+				cancelled.Add(1)
+			case <-time.After(5 * time.Second):
+			}
 		case "/hop":
 			_ = json.NewEncoder(w).Encode(r.Header)
 		default:
@@ -257,7 +264,7 @@
 }
 
 func TestCallsOverEveryProtocol(t *testing.T) {
-	var seen atomic.Int64
+	var seen, cancelled atomic.Int64
 	var mu sync.Mutex
 	perTarget := map[string]int64{}
 	served := func(target string) int64 {
@@ -269,10 +276,10 @@
 		mu.Lock()
 		perTarget[r.Context().Value(http.LocalAddrContextKey).(net.Addr).String()]++
 		mu.Unlock()
-		echo(&seen).ServeHTTP(w, r)
+		echo(&seen, &cancelled).ServeHTTP(w, r)
 	})
 	plain := start(t, layout.Size{Balancers: 2, Targets: 8, Domains: 2, Slots: 4, Net: 41}, counted)
-	secure := start(t, layout.Size{Balancers: 2, Targets: 4, Domains: 2, Slots: 4, Net: 42, CallerTLS: true}, echo(&seen))
+	secure := start(t, layout.Size{Balancers: 2, Targets: 4, Domains: 2, Slots: 4, Net: 42, CallerTLS: true}, echo(&seen, &cancelled))
 	insecure := &tls.Config{InsecureSkipVerify: true}
 	h1, h2, h2c := new(http.Protocols), new(http.Protocols), new(http.Protocols)
 	h1.SetHTTP1(true)
@@ -304,6 +311,12 @@
 	t.Run("malformed", func(t *testing.T) { malformedRequests(t, plain, &seen) })
 	t.Run("early", func(t *testing.T) { earlyResponses(t, plain, &seen) })
 	t.Run("closed", func(t *testing.T) { closedConnections(t, plain) })
+	t.Run("departed", func(t *testing.T) {
+		departedClients(t, &seen, &cancelled, func() (net.Conn, error) { return net.Dial("tcp", plain.layout.Callers(1).String()) })
+		departedClients(t, &seen, &cancelled, func() (net.Conn, error) {
+			return tls.Dial("tcp", secure.layout.Callers(1).String(), &tls.Config{InsecureSkipVerify: true})
+		})
+	})
 	t.Run("headers", func(t *testing.T) { hopHeaders(t, plain) })
 	t.Run("draining", func(t *testing.T) { drainingTarget(t, plain, served) })
 	t.Run("deferred", func(t *testing.T) { deferrableWork(t, plain, &seen) })
@@ -386,6 +399,30 @@
 	}
 }
 
+// departedClients sends requests of clients that send a further one behind the first and leave. The first one
+// must be cancelled at its target, and the further one must not reach any.
+func departedClients(t *testing.T, seen, cancelled *atomic.Int64, dial func() (net.Conn, error)) {
+	const first, further = "POST /wait HTTP/1.1\r\nHost: notes.test\r\nContent-Length: 0\r\n\r\n", "GET / HTTP/1.1\r\nHost: notes.test\r\n\r\n"
+	for _, behind := range []string{"", further, further[:10]} {
+		before, cancelledBefore := seen.Load(), cancelled.Load()
+		nc, err := dial()
+		require.NoError(t, err)
+		_, err = io.WriteString(nc, first)
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return seen.Load() > before }, 2*time.Second, 5*time.Millisecond)
+		_, err = io.WriteString(nc, behind)
+		require.NoError(t, err)
+		time.Sleep(200 * time.Millisecond)
+		require.Equal(t, cancelledBefore, cancelled.Load(), "the client has not left yet")
+		// A hedge of the first request may run beside it.
+		before = seen.Load()
+		require.NoError(t, nc.Close())
+		require.Eventually(t, func() bool { return cancelled.Load() > cancelledBefore }, time.Second, 5*time.Millisecond, "behind: %q", behind)
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, before, seen.Load(), "no further request is started")
+	}
+}
+
 // crashingRequest sends a request that crashes targets through both hosts. After a few
 // crashes both must reject it, and other requests must still succeed.
 func crashingRequest(t *testing.T, f *fleet, seen *atomic.Int64) {
--- a/internal/process/balancer/servers.go
+++ b/internal/process/balancer/servers.go
@@ -19,6 +19,7 @@
 	"tamaracktiller.example/tamaracktiller/internal/fleet/controller"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/link"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/registry"
+	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
 	"tamaracktiller.example/tamaracktiller/internal/platform/store"
 	"tamaracktiller.example/tamaracktiller/internal/process/front"
 	"tamaracktiller.example/tamaracktiller/internal/process/operator"
@@ -153,9 +154,12 @@
 }
 
 func (b *Balancer) callerServer(gw *gateway.Gateway) (*httpService, error) {
+	timers, err := registry.Find[*timer.Service](b.services, serviceTimer)
+	if err != nil {
+		return nil, err
+	}
 	var cfg *tls.Config
 	if b.s.CallerTLS != nil {
-		var err error
 		if cfg, err = b.s.CallerTLS.Load(); err != nil {
 			return nil, err
 		}
@@ -164,12 +168,14 @@
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
+	conns := front.NewConnections(nil)
+	timers.Every("departed callers", front.DeparturePeriod, conns.CancelDeparted)
 	server := &http.Server{
-		Handler: gw, Protocols: protocols,
+		Handler: conns.Handler(gw, b.log.For("front")), Protocols: protocols, ConnState: conns.Track, ConnContext: conns.Context,
 		ReadHeaderTimeout: b.s.Limits.HeaderTimeout.Std(), IdleTimeout: b.s.Limits.IdleTimeout.Std(),
 		MaxHeaderBytes: b.s.Limits.MaxHeaderBytes, ErrorLog: discardLog,
 	}
 	return &httpService{address: b.s.Listen.Callers, g: b.g, server: server, wrap: func(l net.Listener) net.Listener {
-		return front.NewListener(l, front.Config{TLS: cfg, MaxConnections: b.s.Limits.MaxConnections}, b.g)
+		return conns.Listen(front.NewListener(l, front.Config{TLS: cfg, MaxConnections: b.s.Limits.MaxConnections}, b.g))
 	}}, nil
 }
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -199,12 +199,18 @@
 		SocketBytes: int64(limits.SocketBytes),
 	}, p.g)
 	p.services.Provide("directory", p.directory)
+	p.addServers()
+	p.addTimers(timers)
+	return p, nil
+}
+
+// addTimers adds what the host does at fixed intervals.
+func (p *Process) addTimers(timers *timer.Service) {
 	timers.Every("trim", closeIdlePeriod, p.links.CloseIdle)
 	timers.Every("wants", dispatcherTickPeriod, p.dispatcher.Tick)
 	timers.Every("credit", credit.PollPeriod, p.quotas.Tick)
 	timers.Every("loads", p.dispatcher.LoadPeriod(), p.dispatcher.ReportLoads)
-	p.addServers()
-	return p, nil
+	timers.Every("departed clients", front.DeparturePeriod, p.clientConns.CancelDeparted)
 }
 
 func (p *Process) applySnapshot(s *directory.Snapshot, restarted []string) {
--- a/internal/process/front/held.go
+++ b/internal/process/front/held.go
@@ -70,12 +70,7 @@
 var _ resource.Conn = (*heldConn)(nil)
 
 func newHeldConn(nc net.Conn) *heldConn {
-	c := &heldConn{nc: nc}
-	if sc, ok := nc.(syscall.Conn); ok {
-		if raw, err := sc.SyscallConn(); err == nil {
-			c.raw = raw
-		}
-	}
+	c := &heldConn{nc: nc, raw: rawConnOf(nc)}
 	c.measure = func(fd uintptr) {
 		for _, request := range [...]uint{unix.SIOCINQ, unix.SIOCOUTQ} {
 			if n, err := unix.IoctlGetInt(int(fd), request); err == nil {
--- a/internal/process/front/listener.go
+++ b/internal/process/front/listener.go
@@ -12,10 +12,12 @@
 //
 //	server.Serve(front.NewStrictListener(inner, logRejected))
 //
-// NewStoppableListener and NewConnections let a server finish all requests before it shuts down:
+// NewStoppableListener and NewConnections let a server finish all requests before it shuts down, and cancel those
+// of clients that have left:
 //
 //	l, conns := front.NewStoppableListener(inner), front.NewConnections(budget)
 //	server := &http.Server{Handler: conns.Handler(handler, log), ConnState: conns.Track, ConnContext: conns.Context}
+//	timers.Every("departed clients", front.DeparturePeriod, conns.CancelDeparted)
 //	server.Serve(conns.Listen(front.NewStrictListener(front.NewLingeringListener(l, group), logRejected)))
 //	...
 //	l.Stop()
@@ -151,6 +153,9 @@
 	once sync.Once
 }
 
+// NetConn returns the connection that is counted, as tls.Conn does.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *countedConn) Close() error {
 	c.once.Do(func() { c.open.Add(-1) })
--- a/internal/process/front/stop.go
+++ b/internal/process/front/stop.go
@@ -5,11 +5,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"maps"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -81,13 +84,16 @@
 	return &Connections{budget: budget, open: map[*trackedConn]bool{}}
 }
 
-// Context returns the context of the requests on a connection. It is a function for
-// http.Server.ConnContext.
+// Context returns the context of the requests on a connection, which is cancelled when the connection has
+// ended or its client has left. It is a function for http.Server.ConnContext.
 func (c *Connections) Context(ctx context.Context, nc net.Conn) context.Context {
-	if tc, ok := nc.(*trackedConn); ok {
-		return resource.NewContext(context.WithValue(ctx, connKey{}, tc), tc.holder)
+	tc, ok := nc.(*trackedConn)
+	if !ok {
+		return ctx
 	}
-	return ctx
+	ctx, cancel := context.WithCancel(ctx)
+	tc.setCancel(cancel)
+	return resource.NewContext(context.WithValue(ctx, connKey{}, tc), tc.holder)
 }
 
 // connKey is the key of a trackedConn in a context.
@@ -106,7 +112,7 @@
 }
 
 // Listen returns a listener whose connections are tracked. The connections of inner are those of a
-// strict listener. The server must call Track.
+// strict listener or of a Listener; its HTTP/2 connections with TLS are not tracked. The server must call Track.
 func (c *Connections) Listen(inner net.Listener) net.Listener {
 	return &trackingListener{Listener: inner, conns: c}
 }
@@ -121,6 +127,7 @@
 	case http.StateIdle:
 		tc.endRequest()
 	case http.StateHijacked, http.StateClosed:
+		tc.release(state == http.StateClosed)
 		tc.afterClose(func() {
 			tc.holder.Close()
 			c.mu.Lock()
@@ -176,20 +183,23 @@
 			return nil, err
 		}
 		vc, ok := nc.(*validatedConn)
+		if _, isTLS := nc.(*tls.Conn); isTLS {
+			return nc, nil
+		}
 		if !ok {
 			_ = nc.Close()
 			return nil, errors.Errorf("front: connection of type %T can't be tracked", nc)
 		}
-		if holder, ok := l.conns.budget.Open(newHeldConn(vc.Conn)); ok {
+		held := newHeldConn(vc.Conn)
+		if holder, ok := l.conns.budget.Open(held); ok {
 			l.conns.setReadBuffer(vc.Conn)
-			return l.track(vc, holder), nil
+			return l.track(&trackedConn{validatedConn: vc, holder: holder, raw: held.raw, opened: time.Now()}), nil
 		}
 		_ = nc.Close()
 	}
 }
 
-func (l *trackingListener) track(vc *validatedConn, holder *resource.Holder) net.Conn {
-	tc := &trackedConn{validatedConn: vc, holder: holder, opened: time.Now()}
+func (l *trackingListener) track(tc *trackedConn) net.Conn {
 	l.conns.mu.Lock()
 	defer l.conns.mu.Unlock()
 	l.conns.open[tc] = true
@@ -202,13 +212,22 @@
 	*validatedConn
 	// holder is nil without a budget.
 	holder *resource.Holder
+	// raw is nil if the connection has no socket.
+	raw    syscall.RawConn
 	opened time.Time
 
 	mu sync.Mutex
 	// begun counts the requests of which bytes were read, started those that were passed to the handler,
 	// and ended those whose response was sent.
 	begun, started, ended int
-	closed                bool
+	closed, http2         bool
+	// reading is set during a read of the server, departed once the client was found to have closed the
+	// connection, and released when the server does not serve it any more. cancel cancels the context of the
+	// requests; nil before there is one.
+	reading, departed, released bool
+	cancel                      context.CancelFunc
+	// unattended is set while a request runs and no read is in progress.
+	unattended atomic.Bool
 	// header is what a copy of the headers takes that were read since the last response, and reserved what
 	// the holder has reserved for them.
 	header, reserved int64
@@ -216,13 +235,18 @@
 
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
+	if !c.beginRead() {
+		return 0, errClientLeft
+	}
 	n, err := c.validatedConn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
+	c.updateUnattended()
 	if c.closed {
 		return 0, net.ErrClosed
 	}
-	c.begun = c.validator.begun()
+	c.begun, c.http2 = c.validator.begun(), c.validator.state == atFrames
 	c.holder.SetBegun(c.begun != c.ended)
 	if c.holder != nil && !c.reserveHeader() {
 		// What was read is lost, so no later read may succeed. The server takes the line of a header that it
@@ -237,11 +261,15 @@
 }
 
 // startRequest records that the server has read the header of a request, and reports whether a client
-// has sent that many.
+// has sent that many. The requests of an HTTP/2 connection, which the server always reads, are not counted.
 func (c *trackedConn) startRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.http2 {
+		return true
+	}
 	c.started++
+	c.updateUnattended()
 	return c.started <= c.begun
 }
 
@@ -249,6 +277,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ended++
+	c.updateUnattended()
 	c.holder.SetBegun(c.begun != c.ended)
 	c.holder.Release(c.reserved)
 	c.header, c.reserved = 0, 0
--- a/internal/process/front/stop_test.go
+++ b/internal/process/front/stop_test.go
@@ -33,12 +33,12 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := &stoppingServer{address: inner.Addr().String(), l: NewStoppableListener(inner), conns: NewConnections(nil), g: group.New(t.Context())}
-	s.server = &http.Server{ConnState: s.conns.Track, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s.server = &http.Server{ConnState: s.conns.Track, ConnContext: s.conns.Context, Handler: s.conns.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		handler(w, r)
 		if s.stopped.Load() {
 			w.Header().Set("Connection", "close")
 		}
-	})}
+	}), logrus.NewEntry(logrus.New()))}
 	s.g.Go("serve", func(context.Context) error {
 		_ = s.server.Serve(s.conns.Listen(NewStrictListener(s.l, nil)))
 		return nil
