Count crashes of a request one after the other

Cause: a crash did not count if other targets crashed within a second, as those of a rack do. Any two poison requests, and a poison request beside a rack, excused each other.

Evidence: 6 of 23 cases of TestOnlyPoisonRequestsAreRejected fail with the former rule on the same crashes, two of them innocent requests that it blocked. They pass now.

Why this works: a request that crashes targets is sent again after each crash; those that run on a rack were sent before it failed. Reports carry the run time of the attempt, so that this can be told. If many other requests crash targets that this one has not, the version is bad; of the requests that ended with a target, only the one that has crashed most counts.

The balancer role uses the same rule, and drops what it knows of a request that succeeds.

--- a/internal/traffic/crash/evidence.go
+++ b/internal/traffic/crash/evidence.go
@@ -3,6 +3,8 @@
 // This file defines Evidence, which entry hosts exchange about requests that may crash
 // targets.
 
+import "time"
+
 // EvidenceKind is the kind of an Evidence.
 type EvidenceKind uint8
 
@@ -16,10 +18,14 @@
 	Blocked
 )
 
-// Evidence is a message between hosts about the requests with a fingerprint.
+// Evidence is a message between hosts about the requests with a fingerprint. Builds of earlier versions neither
+// send nor read the last two fields.
 type Evidence struct {
 	Kind        EvidenceKind `cbor:"1,keyasint"`
 	Fingerprint uint64       `cbor:"2,keyasint"`
 	// Target is the target that crashed, for TargetCrashed.
 	Target string `cbor:"3,keyasint,omitempty"`
+	// Age is the time since the crash, and Ran the time for which the request had been at the target.
+	Age time.Duration `cbor:"5,keyasint,omitempty"`
+	Ran time.Duration `cbor:"6,keyasint,omitempty"`
 }
--- a/internal/traffic/entry/crash.go
+++ b/internal/traffic/entry/crash.go
@@ -104,13 +104,13 @@
 	case r.outcome == succeeded && c.numWatched.Load() > 0:
 		c.recordSuccess(req.fingerprint())
 	case r.outcome == outcomeUnknown && r.status == 0:
-		fingerprint, target := req.fingerprint(), r.grant.ID
+		fingerprint, target, ran, ended := req.fingerprint(), r.grant.ID, r.elapsed, c.now()
 		c.g.Go("check for a crashed target", func(ctx context.Context) error {
 			time.Sleep(crashCheckDelay)
 			if c.cfg.ConnectionRefused(ctx, target) {
-				c.cfg.Log.WithFields(logrus.Fields{fieldRequest: req.id, fieldTarget: target, fieldFingerprint: fingerprint}).Info("target died of a request")
+				c.cfg.Log.WithFields(logrus.Fields{fieldRequest: req.id, fieldTarget: target, fieldFingerprint: fingerprint, "ran-ms": ran.Milliseconds()}).Info("target died of a request")
 				c.watchForSuccess(fingerprint)
-				c.report(crash.Evidence{Kind: crash.TargetCrashed, Fingerprint: fingerprint, Target: target})
+				c.report(crash.Evidence{Kind: crash.TargetCrashed, Fingerprint: fingerprint, Target: target, Age: c.now().Sub(ended), Ran: ran})
 			}
 			return nil
 		})
@@ -176,15 +176,16 @@
 	switch e.Kind {
 	case crash.TargetCrashed:
 		c.cfg.Log.WithFields(logrus.Fields{fieldTarget: e.Target, fieldFingerprint: e.Fingerprint}).Info("told of a death")
-		wasPoison := c.detector.IsPoison(c.now(), e.Fingerprint)
-		c.detector.RecordCrash(c.now(), e.Fingerprint, e.Target)
+		now := c.now()
+		wasPoison := c.detector.IsPoison(now, e.Fingerprint, 0)
+		c.detector.Add(now, crash.Crash{Fingerprint: e.Fingerprint, Target: e.Target, UnixMilli: now.Add(-max(0, e.Age)).UnixMilli(), RanMilli: max(0, e.Ran).Milliseconds()})
 		delay := blockDelay
 		if _, ok := c.blocked[e.Fingerprint]; ok {
 			// The reporting host started after the block and does not know of it: the
 			// block is sent again without delay.
 			wasPoison, delay = false, 0
 		}
-		if !wasPoison && c.detector.IsPoison(c.now(), e.Fingerprint) {
+		if !wasPoison && c.detector.IsPoison(now, e.Fingerprint, 0) {
 			c.blockAfter(e.Fingerprint, delay)
 		}
 	case crash.Cleared:
@@ -214,7 +215,7 @@
 	c.mu.Lock()
 	at, ok := c.blocked[fingerprint]
 	isDone := ok && done(at)
-	shouldBlock := !isDone && c.detector.IsPoison(c.now(), fingerprint)
+	shouldBlock := !isDone && c.detector.IsPoison(c.now(), fingerprint, 0)
 	if shouldBlock {
 		c.block(fingerprint)
 	}
--- a/internal/traffic/gateway/attempts.go
+++ b/internal/traffic/gateway/attempts.go
@@ -26,9 +26,10 @@
 		id, result := g.sendWithHedge(ctx, s, id, c, info)
 		if isSuccess(result) {
 			g.latencies.add(c.Service+"/"+c.Kind, time.Since(startTime))
+			g.crashTracker.recordSuccess(c.Fingerprint)
 		}
 		if result.TargetCrashed {
-			g.crashTracker.recordCrash(c.Fingerprint, result.Target)
+			g.crashTracker.recordCrash(c.Fingerprint, result.Target, startTime)
 		}
 		if !g.shouldRetry(ctx, c, result, attempt) {
 			g.budget.earn()
--- a/internal/traffic/gateway/crash.go
+++ b/internal/traffic/gateway/crash.go
@@ -25,24 +25,34 @@
 func (t *crashTracker) isPoison(fingerprint uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.detector.IsPoison(time.Now(), fingerprint)
+	return t.detector.IsPoison(time.Now(), fingerprint, 0)
 }
 
-// recordCrash records a crash seen by this host and broadcasts it to other hosts.
-func (t *crashTracker) recordCrash(fingerprint uint64, target string) {
+// recordCrash records a crash seen by this host, of an attempt that began at sent, and broadcasts it to other
+// hosts.
+func (t *crashTracker) recordCrash(fingerprint uint64, target string, sent time.Time) {
+	now := time.Now()
+	c := crash.Crash{Fingerprint: fingerprint, Target: target, UnixMilli: now.UnixMilli(), RanMilli: now.Sub(sent).Milliseconds()}
 	t.mu.Lock()
-	c := t.detector.RecordCrash(time.Now(), fingerprint, target)
+	t.detector.Add(now, c)
 	t.mu.Unlock()
 	if t.broadcast != nil {
 		t.broadcast(c)
 	}
 }
 
+// recordSuccess drops the crashes known to this host of a request that a target responded to.
+func (t *crashTracker) recordSuccess(fingerprint uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.detector.Clear(fingerprint)
+}
+
 // MergeCrash records a crash that another host reported. A new one is broadcast again, so
 // that it reaches hosts that have no link to the reporting host.
 func (g *Gateway) MergeCrash(c crash.Crash) {
 	g.crashTracker.mu.Lock()
-	isNew := g.crashTracker.detector.Merge(time.Now(), c)
+	isNew := g.crashTracker.detector.Add(time.Now(), c)
 	g.crashTracker.mu.Unlock()
 	if isNew && g.crashTracker.broadcast != nil {
 		g.crashTracker.broadcast(c)
