Keep evidence on requests that crash targets when hosts are replaced

Cause: blocks were in the memory of the hosts that had heard of them, and the evidence in that of two coordinators, which move when hosts come and go.

Why this works: all hosts get the evidence and decide alike, so no host is needed for it. A block is a key in the store under a lease, which a host that starts reads before its first request; it also asks others for the evidence (fleet/belief). A key that a copy of the store lacks is written again. A success is told to all and lifts the block.

Ruled out: the store alone, which may be away, and other hosts alone, which may all go at once.

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"tamaracktiller.example/tamaracktiller/internal/fleet/belief"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/clock"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/control"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/dial"
@@ -47,6 +48,8 @@
 	// OnQueueWait is called with the time that each update waited for the control
 	// goroutine. It may be nil.
 	OnQueueWait func(wait time.Duration)
+	// Beliefs holds what hosts tell one that starts; nil for nothing.
+	Beliefs *belief.Registry
 	// Heartbeat is the interval at which targets write their entries; zero if unknown.
 	Heartbeat time.Duration
 	// SinceBoot returns the time since the machine was started, with the time in which it was
@@ -101,6 +104,8 @@
 	// store, and memory what it knows of targets that ended; nil if it did not tell.
 	newest []newestEntry
 	memory *peerMemory
+	// beliefs holds the records of the other host, if it was asked for them.
+	beliefs map[string][]byte
 	// afterOutage reports whether the store did not respond before.
 	afterOutage bool
 	// source names the store or the host that sent the update, and origin the host that read it
--- a/internal/fleet/directory/peers.go
+++ b/internal/fleet/directory/peers.go
@@ -81,6 +81,9 @@
 	// Memory is what the server knows of targets that ended. It is sent if the client asks for it, or
 	// if entries are uncertain. Builds of earlier versions neither send nor read it.
 	Memory *peerMemory `cbor:"10,keyasint,omitempty"`
+	// Beliefs holds the records of the server by kind. They are sent if the client asks for its memory. Builds of
+	// earlier versions neither send nor read them.
+	Beliefs map[string][]byte `cbor:"11,keyasint,omitempty"`
 }
 
 // ServeHTTP serves the changes after a revision to another host, and waits for some if
@@ -122,6 +125,9 @@
 	if r.URL.Query().Has(paramMemory) || len(cs.memory.uncertain) > 0 {
 		response.Memory = cs.memory.encode(now)
 	}
+	if r.URL.Query().Has(paramMemory) {
+		response.Beliefs = d.cfg.Beliefs.Export()
+	}
 	d.addSoundAge(&response, bootStart, cs.soundAsOf)
 	body, err := cbor.Marshal(response)
 	if err != nil {
@@ -261,7 +267,7 @@
 	// its hold time.
 	transit := max(0, receivedAt.Sub(start)-max(0, c.Held))
 	return update{
-		page: store.Page{Items: decoded, Revision: c.Revision}, full: c.Full, newest: c.Newest, memory: c.Memory, source: host.Name, origin: c.Origin,
+		page: store.Page{Items: decoded, Revision: c.Revision}, full: c.Full, newest: c.Newest, memory: c.Memory, beliefs: c.Beliefs, source: host.Name, origin: c.Origin,
 		receivedAt: receivedAt, age: max(0, c.Age) + transit, soundAsOf: d.peerSoundAsOf(&c, sent),
 	}, nil
 }
--- a/internal/fleet/directory/state.go
+++ b/internal/fleet/directory/state.go
@@ -85,6 +85,10 @@
 	// the revision of that record; zero if there is none.
 	RecordedHosts int
 	SizeRevision  store.Revision
+	// Blocked holds the fingerprints of the requests that must not be sent to any target, and BlockedChanges
+	// counts its changes.
+	Blocked        map[uint64]bool
+	BlockedChanges int
 	// Revision is the highest revision of the store that was applied.
 	Revision store.Revision
 	// TargetChanges counts the changes to the targets.
@@ -198,6 +202,9 @@
 	// changed holds the targets whose entries have changed since the last call of TakeRestarted, as
 	// they were then.
 	changed map[string]roster.Target
+	// blocked holds the fingerprints of blocked requests, and blockedChanges counts its changes.
+	blocked        map[uint64]bool
+	blockedChanges int
 	// unknownEvacuated holds the evacuated failure domains that no host and no target was in when
 	// the evacuation was logged last.
 	unknownEvacuated map[string]bool
@@ -288,6 +295,8 @@
 		s.applyTarget(now, id, item, old)
 	} else if domain, ok := s.decoder.EvacuatedDomain(item.Key); ok {
 		s.applyEvacuation(now, domain, item)
+	} else if fingerprint, ok := blockedFingerprint(item.Key); ok {
+		s.applyBlocked(fingerprint, item)
 	} else if item.Key == SecretKey {
 		s.applySecret(item)
 	} else if item.Key == SizeKey {
@@ -448,6 +457,7 @@
 func (s *State) Snapshot() *Snapshot {
 	next := *s.last
 	next.Keys, next.ConfigUnreadable = s.keyring, s.configUnreadable
+	next.Blocked, next.BlockedChanges = s.blocked, s.blockedChanges
 	next.Table, next.MaxHosts, next.Revision, next.TargetChanges = s.table, s.maxHosts, s.revision, s.changes
 	next.Secrets, next.SecretStored, next.Entry = s.secrets, s.secretStored, s.entry
 	next.Founder, next.RecordedHosts, next.SizeRevision = s.isFounder(), s.recordedHosts, s.sizeRevision
--- a/internal/fleet/directory/watch.go
+++ b/internal/fleet/directory/watch.go
@@ -322,7 +322,7 @@
 }
 
 // catchUp polls the parent and fallback hosts once when this host has started, for what they know
-// and the store does not hold any more: entries of targets that late writes have replaced. The root
+// and the store does not hold: entries of targets that late writes have replaced, and beliefs. The root
 // would not poll them otherwise.
 func (d *Directory) catchUp(ctx context.Context) error {
 	if d.cfg.FirstStart {
@@ -346,7 +346,7 @@
 	return nil
 }
 
-// fetchMemory requests from another host what it knows of targets that ended. A host whose view is
+// fetchMemory requests from another host its beliefs, and what it knows of targets that ended. A host whose view is
 // behind this one knows of too few, so it is asked once more, for when it has caught up.
 func (d *Directory) fetchMemory(ctx context.Context, host Host) error {
 	applied := d.cache.applied()
@@ -357,6 +357,7 @@
 	if err != nil {
 		return err
 	}
+	d.cfg.Beliefs.Import(host.Name, u.beliefs)
 	return d.submitPolled(ctx, host, u)
 }
 
--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -125,6 +125,13 @@
 	gauge("tamarack_store_age_seconds", "Age of this host's view of the store.", func() float64 { return age().Seconds() })
 }
 
+// registerCrashes registers the gauge of blocked requests.
+func (m *metrics) registerCrashes(blocked func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(
+		prometheus.GaugeOpts{Name: "tamarack_blocked_requests", Help: "Kinds of requests that are refused because targets that ran them crashed."},
+		func() float64 { return float64(blocked()) }))
+}
+
 // registerQuotas registers the gauges of the credit host.
 func (m *metrics) registerQuotas(status func() quota.Status) {
 	gauge := func(name, help string, value func(quota.Status) float64) {
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -29,6 +29,7 @@
 
 	"tamaracktiller.example/tamaracktiller/internal/account/credit"
 	"tamaracktiller.example/tamaracktiller/internal/account/quota"
+	"tamaracktiller.example/tamaracktiller/internal/fleet/belief"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/packet"
 	"tamaracktiller.example/tamaracktiller/internal/intake/resource"
@@ -119,6 +120,7 @@
 	clientBudget    *resource.Budget
 	dispatcher      *dispatcher.Dispatcher
 	quotas          *quota.Service
+	crashes         *entry.CrashTracker
 	packets         *packet.Conn[dispatcher.Message]
 	metrics         *metrics
 	clientServer    *http.Server
@@ -159,9 +161,10 @@
 	p.services.Provide("timer", timers)
 	p.addClientBudget(timers)
 	limits := resource.LimitsOf(cfg.MemoryBytes, cfg.Descriptors)
+	beliefs := belief.NewRegistry(p.log.For("beliefs"))
 	p.directory = directory.New(directory.Config{
 		Self: p.self(), FirstStart: cfg.FirstStart, Source: p.store, Decoder: platform.Decoder, Timer: timers, Log: p.log.For("directory"),
-		ReregisterTimeout: cfg.Bounds.ReregisterTimeout, Heartbeat: cfg.Heartbeat, OnChange: p.applySnapshot, OnQueueWait: p.metrics.ObserveUpdateDelay,
+		ReregisterTimeout: cfg.Bounds.ReregisterTimeout, Beliefs: beliefs, Heartbeat: cfg.Heartbeat, OnChange: p.applySnapshot, OnQueueWait: p.metrics.ObserveUpdateDelay,
 	}, p.g)
 	p.links = targets.NewLinks(targets.Config{
 		Reader: platform.Dialect, Source: cfg.Source, Log: p.log.For("links"), OnChange: p.applyReachability,
@@ -180,22 +183,24 @@
 		Reserve: p.clientBudget.OpenTunnel,
 	}, p.g)
 	p.metrics.registerReachability(p.links.CutOff)
-	crashes := entry.NewCrashTracker(entry.CrashTrackerConfig{
+	p.crashes = entry.NewCrashTracker(entry.CrashTrackerConfig{
 		Self: cfg.Name, Hosts: func() map[string]directory.Host { return p.directory.Snapshot().Hosts },
-		Send: p.sendEvidence, ConnectionRefused: p.links.RefusesConnections, Log: p.log.For("crashes"),
+		Send: p.sendEvidence, ConnectionRefused: p.links.RefusesConnections, Store: directory.Blocks{Store: p.store}, Log: p.log.For("crashes"),
 	}, p.g)
+	beliefs.Register(p.crashes)
+	p.metrics.registerCrashes(p.crashes.Blocked)
 	p.quotas = quota.New(quota.Config{
 		Self: p.self(), Send: p.sendCredit, ViewAge: p.directory.SoundAge, SinceBoot: clock.SinceBoot, Bounds: cfg.Bounds, Observer: p.metrics, Log: p.log.For("quota"),
 	})
 	p.metrics.registerQuotas(p.quotas.Status)
 	p.dispatcher = dispatcher.New(dispatcher.Config{
 		Self: cfg.Name, Prober: p.links, Placement: placement.DefaultConfig(), ProbesPerSecond: cfg.Bounds.ProbesPerSecond,
-		Send: p.send, Fresh: p.directory.Fresh, Log: p.log.For("dispatcher"), OnProbe: p.metrics.CountProbe, OnEvidence: crashes.HandleEvidence, OnCredit: p.quotas.Receive,
+		Send: p.send, Fresh: p.directory.Fresh, Log: p.log.For("dispatcher"), OnProbe: p.metrics.CountProbe, OnEvidence: p.crashes.HandleEvidence, OnCredit: p.quotas.Receive,
 	}, p.g)
 	p.metrics.registerDispatcher(p.dispatcher)
 	p.handler = entry.New(entry.Config{
 		Domain: cfg.Domain, FirstStart: cfg.FirstStart, Dialect: platform.Dialect, Placer: p.dispatcher, Links: p.links,
-		Snapshot: p.directory.Snapshot, FirstReadEnded: p.directory.FirstReadEnded(), Fresh: p.directory.Fresh, SoundAge: p.directory.SoundAge, Bounds: cfg.Bounds, Log: p.log.For("entry"), Observer: p.metrics, CrashTracker: crashes, Quotas: p.quotas,
+		Snapshot: p.directory.Snapshot, FirstReadEnded: p.directory.FirstReadEnded(), Fresh: p.directory.Fresh, SoundAge: p.directory.SoundAge, Bounds: cfg.Bounds, Log: p.log.For("entry"), Observer: p.metrics, CrashTracker: p.crashes, Quotas: p.quotas,
 		SocketBytes: int64(limits.SocketBytes),
 	}, p.g)
 	p.services.Provide("directory", p.directory)
@@ -210,6 +215,7 @@
 	timers.Every("wants", dispatcherTickPeriod, p.dispatcher.Tick)
 	timers.Every("credit", credit.PollPeriod, p.quotas.Tick)
 	timers.Every("loads", p.dispatcher.LoadPeriod(), p.dispatcher.ReportLoads)
+	timers.Every("blocks", entry.BlockKeepPeriod, p.crashes.KeepBlocks)
 	timers.Every("departed clients", front.DeparturePeriod, p.clientConns.CancelDeparted)
 }
 
@@ -217,6 +223,7 @@
 	p.links.SetTargets(s, restarted)
 	p.dispatcher.SetSnapshot(s, restarted)
 	p.quotas.SetSnapshot(s)
+	p.crashes.SetSnapshot(s)
 }
 
 // applyReachability makes other hosts dispatch while this host does not reach the targets by
--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -445,6 +445,176 @@
 	}
 }
 
+// Guards against hosts that send a request again which crashes targets, because they have started since it was
+// blocked: they know it from the store and from each other.
+func TestRequestThatCrashesTargetsStaysRejectedWhileHostsAreReplaced(t *testing.T) {
+	const hosts = 4
+	tests := []struct {
+		name string
+		// replace replaces all hosts, and calls check after each step.
+		replace func(cl *cluster, check func())
+	}{
+		{name: "in turn", replace: func(cl *cluster, check func()) {
+			for n := range hosts {
+				cl.hosts[n].cancel()
+				cl.restart(n)
+				cl.waitReady(cl.hosts[n])
+				check()
+			}
+		}},
+		{name: "all at once", replace: func(cl *cluster, check func()) {
+			for n := range hosts {
+				cl.hosts[n].cancel()
+			}
+			for n := range hosts {
+				cl.restart(n)
+			}
+			for n := range hosts {
+				cl.waitReady(cl.hosts[n])
+			}
+			check()
+		}},
+		{name: "all but one, after the store was away", replace: func(cl *cluster, check func()) {
+			cl.store.SetFaults(platformtest.Faults{Down: true})
+			time.Sleep(2500 * time.Millisecond)
+			cl.store.SetFaults(platformtest.Faults{})
+			for n := range hosts - 1 {
+				cl.hosts[n].cancel()
+				cl.restart(n)
+				cl.waitReady(cl.hosts[n])
+			}
+			check()
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			list := make([]*platformtest.Target, 0, 12)
+			for n := range 12 {
+				list = append(list, target(fmt.Sprintf("t-%d", n), platformtest.Behaviour{CrashPath: "poison"}))
+			}
+			cl := newCluster(t, hosts, list...)
+			time.Sleep(time.Second) // The hosts must have discovered each other.
+			for n := range 3 {
+				resp, err := cl.send(t.Context(), cl.hosts[n], fmt.Sprintf("p-%d", n), "/book/poison")
+				require.NoError(t, err)
+				require.Equal(t, http.StatusBadGateway, resp.status)
+			}
+			require.Eventually(t, func() bool {
+				return strings.Contains(fmt.Sprint(cl.storeKeys()), "fleet/blocked/")
+			}, 5*time.Second, 20*time.Millisecond)
+			step := 0
+			tt.replace(cl, func() {
+				step++
+				for n, h := range cl.hosts {
+					id := fmt.Sprintf("again-%d-%d", step, n)
+					resp, err := cl.send(t.Context(), h, id, "/book/poison")
+					require.NoError(t, err)
+					require.Equal(t, http.StatusServiceUnavailable, resp.status, "%s", h.log)
+					require.Zero(t, cl.runCount(id))
+					resp, err = cl.send(t.Context(), h, "good-"+id, "/book/x")
+					require.NoError(t, err)
+					require.Equal(t, http.StatusOK, resp.status)
+				}
+			})
+			require.Positive(t, step)
+		})
+	}
+}
+
+// Guards against evidence that is lost with hosts before there is enough of it: a request that crashes targets comes
+// again and again while hosts are replaced.
+func TestRequestThatCrashesTargetsIsFoundWhileHostsAreReplaced(t *testing.T) {
+	const (
+		hosts  = 4
+		period = 350 * time.Millisecond
+		length = 12 * time.Second
+		// Targets get no more than maxLate such requests later than lateAfter after the third crash.
+		lateAfter, maxLate = 3 * time.Second, 3
+	)
+	tests := []struct {
+		name string
+		// every is the time between two replacements, of one host or all.
+		every time.Duration
+		all   bool
+		// first is the time between two of the first requests, so that hosts are replaced between them.
+		first time.Duration
+	}{
+		{name: "in turn", every: 700 * time.Millisecond, first: period},
+		{name: "in turn, seldom requested", every: 700 * time.Millisecond, first: 2 * time.Second},
+		{name: "all at once", every: 3 * time.Second, all: true, first: period},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			list := make([]*platformtest.Target, 0, 40)
+			var mu sync.Mutex
+			var runs []time.Time
+			for n := range 40 {
+				target := target(fmt.Sprintf("t-%d", n), platformtest.Behaviour{CrashPath: "poison"})
+				target.OnEvent = func(e platformtest.Event) {
+					if e.Kind == platformtest.Started && strings.HasPrefix(e.RequestID, "poison") {
+						mu.Lock()
+						defer mu.Unlock()
+						runs = append(runs, e.At)
+					}
+				}
+				list = append(list, target)
+			}
+			cl := newCluster(t, hosts, list...)
+			time.Sleep(time.Second) // The hosts must have discovered each other.
+			end := time.Now().Add(length)
+			var wg sync.WaitGroup
+			wg.Go(func() {
+				for n := 0; time.Now().Before(end); n++ {
+					cl.mu.Lock()
+					h := cl.hosts[n%hosts]
+					cl.mu.Unlock()
+					_, _ = cl.send(t.Context(), h, fmt.Sprintf("poison-%d", n), "/search/poison")
+					pause := period
+					if n < 4 {
+						pause = tt.first
+					}
+					time.Sleep(pause)
+				}
+			})
+			for n := 0; time.Now().Before(end); n++ {
+				time.Sleep(tt.every)
+				for i := range hosts {
+					if !tt.all && i != n%hosts {
+						continue
+					}
+					cl.hosts[i].cancel()
+					cl.restart(i)
+				}
+			}
+			wg.Wait()
+			mu.Lock()
+			defer mu.Unlock()
+			require.GreaterOrEqual(t, len(runs), 3)
+			late := 0
+			for _, at := range runs {
+				if at.After(runs[2].Add(lateAfter)) {
+					late++
+				}
+			}
+			t.Logf("%d runs, %d of them late", len(runs), late)
+			require.LessOrEqual(t, late, maxLate)
+		})
+	}
+}
+
+// storeKeys returns the keys that the store holds.
+func (cl *cluster) storeKeys() []string {
+	cl.t.Helper()
+	page, err := platform.NewClient(cl.store.Address(), nil).Range(cl.t.Context(), "")
+	require.NoError(cl.t, err)
+	keys := make([]string, 0, len(page.Items))
+	for _, item := range page.Items {
+		keys = append(keys, item.Key)
+	}
+	return keys
+}
+
 // Guards against a request that crashes targets and is never rejected, because a request of another client
 // account with the same path and body is served.
 func TestRequestThatCrashesTargetsIsRejectedWhileAnotherAccountIsServed(t *testing.T) {
--- a/internal/traffic/crash/detector_test.go
+++ b/internal/traffic/crash/detector_test.go
@@ -32,7 +32,7 @@
 // seriesOf returns crashes of requests that are sent again, each after its last crash. Each request crashes n targets
 // of its own, one every period.
 func seriesOf(n int, period time.Duration, fingerprints ...uint64) []crashAt {
-	var list []crashAt
+	list := make([]crashAt, 0, n*len(fingerprints))
 	for i := range n {
 		for _, f := range fingerprints {
 			list = append(list, crashAt{time.Duration(i) * period, f, fmt.Sprintf("%d-%d", f, i), time.Millisecond})
@@ -51,7 +51,8 @@
 }
 
 // rack returns crashes of targets that fail at about the same time, each with two of the requests.
-func rack(targets int, requests []uint64) []crashAt {
+func rack(requests []uint64) []crashAt {
+	const targets = 20
 	list := make([]crashAt, 0, 2*targets)
 	for n := range targets {
 		for k := range 2 {
@@ -98,9 +99,9 @@
 				{0, third, "d", runTime}, {0, third, "e", runTime}, {0, poison, "f", runTime},
 			},
 		},
-		{name: "a rack fails under one request", crashes: rack(20, []uint64{innocent}), served: 100},
-		{name: "a rack fails under a few requests", crashes: rack(20, []uint64{innocent, poison, third}), served: 100},
-		{name: "a rack fails under many requests", crashes: rack(20, fingerprints(1, 12)), served: 100},
+		{name: "a rack fails under one request", crashes: rack([]uint64{innocent}), served: 100},
+		{name: "a rack fails under a few requests", crashes: rack([]uint64{innocent, poison, third}), served: 100},
+		{name: "a rack fails under many requests", crashes: rack(fingerprints(1, 12)), served: 100},
 		{
 			name: "targets fail one after the other, beside requests that run for longer",
 			crashes: []crashAt{
@@ -123,8 +124,8 @@
 		{name: "three poison requests, a millisecond apart", crashes: seriesOf(3, time.Millisecond, poison, third, 4), poison: true},
 		{name: "ten poison requests at once", crashes: victims(seriesOf(3, 3*time.Second, append(fingerprints(3, 9), poison)...)), at: 7 * time.Second, served: 60, poison: true},
 		{name: "ten poison requests at once, before others are served", crashes: seriesOf(3, 3*time.Second, append(fingerprints(3, 9), poison)...), at: 7 * time.Second, served: 5},
-		{name: "a rack fails beside a poison request", crashes: append(rack(20, fingerprints(2, 12)), seriesOf(3, time.Second, poison)...), served: 100, at: 3 * time.Second, poison: true},
-		{name: "targets failed long before", crashes: append(rack(20, fingerprints(2, 12)), crashAt{time.Minute, poison, "a", 0}, crashAt{61 * time.Second, poison, "b", 0}, crashAt{62 * time.Second, poison, "c", 0}), at: time.Minute, poison: true},
+		{name: "a rack fails beside a poison request", crashes: append(rack(fingerprints(2, 12)), seriesOf(3, time.Second, poison)...), served: 100, at: 3 * time.Second, poison: true},
+		{name: "targets failed long before", crashes: append(rack(fingerprints(2, 12)), crashAt{time.Minute, poison, "a", 0}, crashAt{61 * time.Second, poison, "b", 0}, crashAt{62 * time.Second, poison, "c", 0}), at: time.Minute, poison: true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/traffic/entry/crash.go
+++ b/internal/traffic/entry/crash.go
@@ -1,30 +1,24 @@
 package entry
 
-// This file defines CrashTracker, which detects requests that crash the targets that run
-// them and blocks them on all hosts.
+// This file defines CrashTracker, which collects the evidence on requests that crash the targets that run
+// them. What is decided by it is in block.go.
 //
-// When a connection breaks while a request runs and the target refuses connections right
-// afterwards, the target is taken to have crashed. Every host reports the crashes of one
-// request to the same two hosts, its coordinators, so that the evidence survives the loss or the
-// restart of any host. When three targets have crashed, the first coordinator blocks the request on
-// all hosts; the second one does so if it does not hear of that. If such a request succeeds on a host
-// that reported a crash, the evidence is cleared, since the targets crashed for another reason.
+// When a connection breaks while a request runs and the target refuses connections right afterwards, the
+// target is taken to have crashed. The host that had the request tells all others, so that each of them can
+// decide by itself, and none is needed for that: hosts that go take no evidence with them, and one that starts
+// gets it from another. If such a request ends well at any host, its evidence is cleared at all.
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"net/netip"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
-	"tamaracktiller.example/tamaracktiller/internal/contract/routing"
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
 	"tamaracktiller.example/tamaracktiller/internal/kernel/group"
 	"tamaracktiller.example/tamaracktiller/internal/traffic/crash"
@@ -34,19 +28,11 @@
 	// crashCheckDelay is the time between the loss of a connection and the check whether the
 	// target refuses connections. A process takes some milliseconds to exit.
 	crashCheckDelay = 30 * time.Millisecond
-	// blockDelay is the time between the third crash and the block. A success of the same
-	// request during that time clears the evidence. It is shorter than the time after which
-	// retries count against the fleet.
-	blockDelay = time.Second
-	// numCoordinators is the number of hosts that collect the evidence on a request, and standbyDelay the
-	// time for which the second one waits for the block of the first.
-	numCoordinators = 2
-	standbyDelay    = 500 * time.Millisecond
-	// watchDuration is the time after a crash during which a success of the same request
-	// clears the evidence.
-	watchDuration = 30 * time.Second
-	// maxBlocked bounds the number of blocked fingerprints.
-	maxBlocked = 1024
+	// reportRate and reportBurst limit the evidence that a host sends to all others, in messages for each host.
+	// Beyond that only the coordinators of a request get it: when most requests crash their targets, none is
+	// blocked anyway.
+	reportRate  = 2
+	reportBurst = 20
 )
 
 // CrashTrackerConfig holds the dependencies of a CrashTracker.
@@ -56,7 +42,9 @@
 	Send  func(to netip.AddrPort, e crash.Evidence)
 	// ConnectionRefused reports whether a target refuses connections.
 	ConnectionRefused func(ctx context.Context, target string) bool
-	Log               *logrus.Entry
+	// Store keeps the blocks; nil to keep them in memory only.
+	Store BlockStore
+	Log   *logrus.Entry
 }
 
 // CrashTracker tracks which requests crash targets and which of them are blocked. It is
@@ -67,199 +55,205 @@
 	// started is the origin of the times passed to detector. They are derived from the
 	// monotonic clock, so steps of the wall clock don't affect them.
 	started time.Time
-	// numBlocked and numWatched are the sizes of the maps below. While they are zero, no
+	// numBlocked and numSuspects are the sizes of the maps below. While they are zero, no
 	// fingerprint needs to be computed.
-	numBlocked, numWatched atomic.Int32
+	numBlocked, numSuspects atomic.Int32
+	// served counts the attempts that ended well, by service.
+	served counters
 
 	mu       sync.Mutex
 	detector *crash.Detector
-	blocked  map[uint64]time.Time
-	watched  map[uint64]time.Time
+	// suspects holds the requests with evidence against them, and blocked those that are rejected.
+	suspects map[uint64]suspect
+	blocked  map[uint64]block
+	// cleared holds the times of the last successes that cleared evidence.
+	cleared map[uint64]time.Time
+	// stored is what the store holds, as of the last snapshot. storing is set while this host writes to it, and
+	// written holds the times of its last writes.
+	stored  storedBlocks
+	storing bool
+	written map[uint64]time.Time
+	reports reportBudget
+}
+
+// suspect is a request with evidence against it.
+type suspect struct {
+	service string
+	// servedBefore is the number of attempts of the service that had ended well when the first crash became
+	// known.
+	servedBefore int64
+	// deciding is set while the host waits before it decides.
+	deciding bool
 }
 
 // NewCrashTracker returns a tracker without evidence. Its goroutines run in g.
 func NewCrashTracker(cfg CrashTrackerConfig, g *group.Group) *CrashTracker {
-	return &CrashTracker{cfg: cfg, g: g, started: time.Now(), detector: crash.NewDetector(), blocked: map[uint64]time.Time{}, watched: map[uint64]time.Time{}}
+	c := &CrashTracker{cfg: cfg, g: g, started: time.Now(), detector: crash.NewDetector(), suspects: map[uint64]suspect{}, blocked: map[uint64]block{}, cleared: map[uint64]time.Time{}, written: map[uint64]time.Time{}}
+	c.reports = reportBudget{left: reportBurst, at: c.started}
+	return c
 }
 
 func (c *CrashTracker) now() time.Time { return c.started.Add(time.Since(c.started)) }
 
-// isBlocked reports whether a request must not be sent to any target.
-func (c *CrashTracker) isBlocked(req *clientRequest) bool {
-	if c == nil || c.numBlocked.Load() == 0 {
-		return false
-	}
-	fingerprint := req.fingerprint()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	at, ok := c.blocked[fingerprint]
-	return ok && time.Since(at) < crash.EvidenceTTL
-}
-
-// attemptEnded checks whether an attempt crashed its target, or, if it succeeded, clears
+// attemptEnded checks whether an attempt crashed its target, or, if it ended well, clears
 // earlier evidence against its request.
 func (c *CrashTracker) attemptEnded(req *clientRequest, r *attempt) {
 	switch {
 	case c == nil:
-	case r.outcome == succeeded && c.numWatched.Load() > 0:
-		c.recordSuccess(req.fingerprint())
+	case r.outcome == succeeded, r.outcome == targetError && r.info.Signed:
+		c.served.add(req.service.Name)
+		if c.numSuspects.Load() > 0 {
+			c.recordSuccess(req.fingerprint())
+		}
 	case r.outcome == outcomeUnknown && r.status == 0:
-		fingerprint, target, ran, ended := req.fingerprint(), r.grant.ID, r.elapsed, c.now()
+		ended := c.now()
+		e := crash.Evidence{Kind: crash.TargetCrashed, Fingerprint: req.fingerprint(), Target: r.grant.ID, Service: req.service.Name, Ran: r.elapsed}
 		c.g.Go("check for a crashed target", func(ctx context.Context) error {
 			time.Sleep(crashCheckDelay)
-			if c.cfg.ConnectionRefused(ctx, target) {
-				c.cfg.Log.WithFields(logrus.Fields{fieldRequest: req.id, fieldTarget: target, fieldFingerprint: fingerprint, "ran-ms": ran.Milliseconds()}).Info("target died of a request")
-				c.watchForSuccess(fingerprint)
-				c.report(crash.Evidence{Kind: crash.TargetCrashed, Fingerprint: fingerprint, Target: target, Age: c.now().Sub(ended), Ran: ran})
+			if c.cfg.ConnectionRefused(ctx, e.Target) {
+				e.Age = c.now().Sub(ended)
+				c.cfg.Log.WithFields(logrus.Fields{fieldRequest: req.id, fieldTarget: e.Target, fieldFingerprint: e.Fingerprint, "ran-ms": e.Ran.Milliseconds()}).Info("target died of a request")
+				c.report(e)
 			}
 			return nil
 		})
 	}
 }
 
-// watchForSuccess makes successes of a request clear the evidence for watchDuration.
-func (c *CrashTracker) watchForSuccess(fingerprint uint64) {
+// recordSuccess clears the evidence against a request on all hosts, if there is any.
+func (c *CrashTracker) recordSuccess(fingerprint uint64) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	for old, at := range c.watched {
-		if time.Since(at) > watchDuration {
-			delete(c.watched, old)
-		}
+	known := c.detector.Has(fingerprint) && c.reports.take(c.now())
+	c.mu.Unlock()
+	if known {
+		e := crash.Evidence{Kind: crash.Cleared, Fingerprint: fingerprint}
+		c.HandleEvidence(e)
+		c.tellAll(e)
 	}
-	c.watched[fingerprint] = time.Now()
-	c.numWatched.Store(int32(len(c.watched))) //nolint:gosec // A handful of crashes in watchDuration.
 }
 
-func (c *CrashTracker) recordSuccess(fingerprint uint64) {
+// report sends evidence to all hosts, or to the coordinators only if there is too much.
+func (c *CrashTracker) report(e crash.Evidence) {
 	c.mu.Lock()
-	at, ok := c.watched[fingerprint]
-	delete(c.watched, fingerprint)
-	c.numWatched.Store(int32(len(c.watched))) //nolint:gosec // As above.
+	all := c.reports.take(c.now())
 	c.mu.Unlock()
-	if ok && time.Since(at) <= watchDuration {
-		c.report(crash.Evidence{Kind: crash.Cleared, Fingerprint: fingerprint})
+	c.HandleEvidence(e)
+	if all {
+		c.tellAll(e)
+		return
 	}
+	c.cfg.Log.WithField(fieldFingerprint, e.Fingerprint).Info("many crashes: only the coordinators are told")
+	c.tell(c.coordinators(e.Fingerprint), e)
 }
 
-// coordinators returns the hosts that decide whether a fingerprint is blocked, the first one first.
-func (c *CrashTracker) coordinators(fingerprint uint64) []directory.Host {
-	score := func(h directory.Host) uint64 { return xxhash.Sum64String(h.Name) ^ fingerprint }
-	list := slices.SortedFunc(maps.Values(c.cfg.Hosts()), func(a, b directory.Host) int { return cmp.Compare(score(a), score(b)) })
-	return list[:min(len(list), numCoordinators)]
+// tellAll sends evidence to all other hosts.
+func (c *CrashTracker) tellAll(e crash.Evidence) {
+	c.tell(slices.Collect(maps.Values(c.cfg.Hosts())), e)
 }
 
-// report sends evidence to the coordinators.
-func (c *CrashTracker) report(e crash.Evidence) {
-	list := c.coordinators(e.Fingerprint)
-	if len(list) == 0 {
-		c.HandleEvidence(e)
-	}
-	for _, host := range list {
-		if host.Name == c.cfg.Self {
-			c.HandleEvidence(e)
-			continue
+// tell sends evidence to other hosts.
+func (c *CrashTracker) tell(hosts []directory.Host, e crash.Evidence) {
+	for _, h := range hosts {
+		if h.Name != c.cfg.Self {
+			c.cfg.Send(h.PeerAddress, e)
 		}
-		c.cfg.Send(host.PeerAddress, e)
 	}
 }
 
-// isStandby reports whether another host comes before this one in deciding on a fingerprint.
-func (c *CrashTracker) isStandby(fingerprint uint64) bool {
-	list := c.coordinators(fingerprint)
-	return len(list) > 1 && list[1].Name == c.cfg.Self
-}
-
 // HandleEvidence handles evidence from this or another host. It does not block.
 func (c *CrashTracker) HandleEvidence(e crash.Evidence) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch e.Kind {
 	case crash.TargetCrashed:
-		c.cfg.Log.WithFields(logrus.Fields{fieldTarget: e.Target, fieldFingerprint: e.Fingerprint}).Info("told of a death")
-		now := c.now()
-		wasPoison := c.detector.IsPoison(now, e.Fingerprint, 0)
-		c.detector.Add(now, crash.Crash{Fingerprint: e.Fingerprint, Target: e.Target, UnixMilli: now.Add(-max(0, e.Age)).UnixMilli(), RanMilli: max(0, e.Ran).Milliseconds()})
-		delay := blockDelay
-		if _, ok := c.blocked[e.Fingerprint]; ok {
-			// The reporting host started after the block and does not know of it: the
-			// block is sent again without delay.
-			wasPoison, delay = false, 0
-		}
-		if !wasPoison && c.detector.IsPoison(now, e.Fingerprint, 0) {
-			c.blockAfter(e.Fingerprint, delay)
-		}
+		c.addCrash(e)
 	case crash.Cleared:
-		c.detector.Clear(e.Fingerprint)
+		c.clear(e.Fingerprint)
 	case crash.Blocked:
-		c.block(e.Fingerprint)
+		c.handleBlock(e.Fingerprint)
 	}
 }
 
-// blockAfter blocks a fingerprint on all hosts after a delay, unless its evidence is cleared, or the
-// coordinator before this one blocks it until then.
-func (c *CrashTracker) blockAfter(fingerprint uint64, delay time.Duration) {
-	decided, standby := time.Now(), c.isStandby(fingerprint)
-	if standby {
-		delay += standbyDelay
+// addCrash adds the crash of a target. The caller holds c.mu.
+func (c *CrashTracker) addCrash(e crash.Evidence) {
+	now := c.now()
+	at := now.Add(-max(0, e.Age))
+	if at.Before(c.cleared[e.Fingerprint]) {
+		// The request has ended well since.
+		return
+	}
+	isNew := c.detector.Add(now, crash.Crash{Fingerprint: e.Fingerprint, Target: e.Target, UnixMilli: at.UnixMilli(), RanMilli: max(0, e.Ran).Milliseconds()})
+	if s, ok := c.suspects[e.Fingerprint]; !ok || s.service == "" && e.Service != "" {
+		s.service, s.servedBefore = e.Service, c.served.of(e.Service)
+		c.suspects[e.Fingerprint] = s
+	}
+	c.expireSuspects()
+	c.cfg.Log.WithFields(logrus.Fields{fieldTarget: e.Target, fieldFingerprint: e.Fingerprint, "age-ms": e.Age.Milliseconds(), "ran-ms": e.Ran.Milliseconds(), "new": isNew}).Info("told of a death")
+	if isNew {
+		c.considerBlock(e.Fingerprint)
 	}
-	c.g.Go("block", func(context.Context) error {
-		time.Sleep(delay)
-		c.blockUnlessCleared(fingerprint, func(at time.Time) bool { return standby && !at.Before(decided) })
-		return nil
-	})
 }
 
-// blockUnlessCleared blocks a fingerprint on all hosts unless its evidence was cleared. done reports
-// whether a block of which this host learned at a time makes that unnecessary.
-func (c *CrashTracker) blockUnlessCleared(fingerprint uint64, done func(at time.Time) bool) {
-	c.mu.Lock()
-	at, ok := c.blocked[fingerprint]
-	isDone := ok && done(at)
-	shouldBlock := !isDone && c.detector.IsPoison(c.now(), fingerprint, 0)
-	if shouldBlock {
-		c.block(fingerprint)
+// expireSuspects forgets the requests against which there is no evidence any more. The caller holds c.mu.
+func (c *CrashTracker) expireSuspects() {
+	for fingerprint := range c.suspects {
+		if !c.detector.Has(fingerprint) {
+			delete(c.suspects, fingerprint)
+		}
 	}
-	c.mu.Unlock()
-	if !shouldBlock {
+	c.numSuspects.Store(int32(len(c.suspects))) //nolint:gosec // The detector bounds them.
+}
+
+// clear drops the evidence against a request that ended well, and lifts its block. The caller holds c.mu.
+func (c *CrashTracker) clear(fingerprint uint64) {
+	_, isBlocked := c.blocked[fingerprint]
+	if !c.detector.Has(fingerprint) && !isBlocked {
 		return
 	}
-	for _, h := range c.cfg.Hosts() {
-		if h.Name != c.cfg.Self {
-			c.cfg.Send(h.PeerAddress, crash.Evidence{Kind: crash.Blocked, Fingerprint: fingerprint})
-		}
+	c.detector.Clear(fingerprint)
+	c.expireSuspects()
+	c.cleared[fingerprint] = c.now()
+	c.expireCleared()
+	c.cfg.Log.WithFields(logrus.Fields{fieldFingerprint: fingerprint, "blocked": isBlocked}).Info("request ended well: evidence is cleared")
+	if isBlocked {
+		c.unblock(fingerprint)
 	}
 }
 
-// block blocks a fingerprint on this host. The caller holds c.mu.
-func (c *CrashTracker) block(fingerprint uint64) {
-	for old, at := range c.blocked {
-		if time.Since(at) > crash.EvidenceTTL || len(c.blocked) >= maxBlocked {
-			delete(c.blocked, old)
-		}
-	}
-	c.blocked[fingerprint] = time.Now()
-	c.numBlocked.Store(int32(len(c.blocked))) //nolint:gosec // At most maxBlocked.
-	c.cfg.Log.WithField(fieldFingerprint, fingerprint).Warn("requests that crash targets are refused")
+// isPoison reports whether a request crashes targets, by what this host knows. The caller holds c.mu.
+func (c *CrashTracker) isPoison(fingerprint uint64) bool {
+	s := c.suspects[fingerprint]
+	return c.detector.IsPoison(c.now(), fingerprint, int(c.served.of(s.service)-s.servedBefore))
 }
 
-// fingerprint returns a hash of the client account, the method, the host, the path and the body of the
-// request. A target gets the name of the account with the request, so requests of different accounts
-// differ: one may crash targets while the others succeed. Of a body that is streamed, the length and the
-// beginning count: more is not known before it is sent, nor when a target has crashed in the middle of
-// it. Uploads that differ only behind that are taken for one.
-func (req *clientRequest) fingerprint() uint64 {
-	d := xxhash.New()
-	if req.account != nil {
-		// No method begins with a zero byte, so requests without an account have other fingerprints.
-		_, _ = d.WriteString("\x00" + req.account.Name + "\x00")
-	}
-	for _, part := range []string{req.incoming.Method, routing.HostName(req.incoming.Host), req.incoming.URL.RequestURI()} {
-		_, _ = d.WriteString(part)
-		_, _ = d.Write([]byte{0})
+// reportBudget limits the evidence that this host sends to all others.
+type reportBudget struct {
+	left float64
+	at   time.Time
+}
+
+// take takes one report from the budget, and reports whether there was one left.
+func (b *reportBudget) take(now time.Time) bool {
+	b.left, b.at = min(reportBurst, b.left+reportRate*now.Sub(b.at).Seconds()), now
+	if b.left < 1 {
+		return false
 	}
-	_, _ = d.Write(req.body)
-	if req.streamed {
-		_, _ = d.WriteString(strconv.FormatUint(req.prefixHash, 16) + " " + strconv.FormatInt(req.incoming.ContentLength, 10))
+	b.left--
+	return true
+}
+
+// counters counts events by name. It is safe for concurrent use.
+type counters struct{ byName sync.Map }
+
+func (c *counters) counter(name string) *atomic.Int64 {
+	n, ok := c.byName.Load(name)
+	if !ok {
+		n, _ = c.byName.LoadOrStore(name, new(atomic.Int64))
 	}
-	return d.Sum64()
+	counter, _ := n.(*atomic.Int64)
+	return counter
 }
+
+func (c *counters) add(name string) { c.counter(name).Add(1) }
+
+func (c *counters) of(name string) int64 { return c.counter(name).Load() }
