Count crashes of targets in the middle of a response

What callers saw: a request that crashes its target after the header of the response was never refused.

Cause: only attempts without a status were checked for a crash, and of a response that is passed on while it arrives, only those that the target was slow to send.

Evidence: two of three cases of TestRequestThatCrashesTargetsIsRejectedByAllHosts (1,000 bytes and 2 MiB before the crash) fail without this change.

Why this works: each attempt whose connection broke before the end of the response, and not by its client, is checked; that the target refuses connections still decides.

--- a/internal/traffic/entry/crash.go
+++ b/internal/traffic/entry/crash.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"tamaracktiller.example/tamaracktiller/internal/fleet/directory"
@@ -105,7 +106,7 @@
 		if c.numSuspects.Load() > 0 {
 			c.recordSuccess(req.fingerprint())
 		}
-	case r.outcome == outcomeUnknown && r.status == 0:
+	case r.brokeOff():
 		ended := c.now()
 		e := crash.Evidence{Kind: crash.TargetCrashed, Fingerprint: req.fingerprint(), Target: r.grant.ID, Service: req.service.Name, Ran: r.elapsed}
 		c.g.Go("check for a crashed target", func(ctx context.Context) error {
@@ -120,6 +121,11 @@
 	}
 }
 
+// brokeOff reports whether the connection of an attempt broke before the end of the response.
+func (r *attempt) brokeOff() bool {
+	return r.outcome == outcomeUnknown && !errors.Is(r.cause, errNotFromTarget) && !errors.Is(r.cause, errResponseTooLarge)
+}
+
 // recordSuccess clears the evidence against a request on all hosts, if there is any.
 func (c *CrashTracker) recordSuccess(fingerprint uint64) {
 	c.mu.Lock()
--- a/internal/traffic/entry/stream.go
+++ b/internal/traffic/entry/stream.go
@@ -70,8 +70,10 @@
 	r.unread = nil
 	result := r.result(req.incoming.Context())
 	if err != nil {
+		clientLeft := req.incoming.Context().Err() != nil
 		r.outcome, r.cause, result = outcomeUnknown, err, placement.Cancelled
-		if s.targetFailed(req.incoming.Context().Err() != nil) {
+		r.streamBroke = s.readErr != nil && !clientLeft
+		if s.targetFailed(clientLeft) {
 			result = placement.Failed
 		}
 		req.h.cfg.Log.WithError(err).WithFields(logrus.Fields{
