Refuse keys when the configuration has no accounts any more

Cause: without accounts in the configuration in force no key was checked, whatever the configurations before it had.

Evidence: TestKeysOfRemovedAccountsAreRefused fails on (200 in place of 401) and passes now, also after all hosts were killed and started.

The store records that there were accounts. Deployments without any are served as before.

The last assertion of TestWithoutAccountsTheirHeadersPassUnchanged asked that a request with two keys runs after the accounts are gone, which is the fault; it asks for 401 now.

--- a/internal/account/keyring/keyring.go
+++ b/internal/account/keyring/keyring.go
@@ -64,6 +64,9 @@
 	digests []digest
 }
 
+// None returns an index without keys.
+func None() *Keyring { return &Keyring{shards: make([]shard, 1)} }
+
 // Len returns the numbers of accounts and keys.
 func (k *Keyring) Len() (accounts, keys int) {
 	if k == nil {
--- a/internal/fleet/directory/hosts.go
+++ b/internal/fleet/directory/hosts.go
@@ -58,6 +58,10 @@
 // must not divide shared limits by the number of entries alone.
 const SizeKey = "fleet/size"
 
+// AccountsKey is the key that exists once a configuration had client accounts. A host that starts when the one in force
+// has none must know that keys were removed.
+const AccountsKey = "fleet/accounts"
+
 // maxFleetSize bounds the number of hosts that is accepted from SizeKey.
 const maxFleetSize = 1 << 20
 
--- a/internal/fleet/directory/registration.go
+++ b/internal/fleet/directory/registration.go
@@ -52,7 +52,10 @@
 	Hosts         int
 	RecordedHosts int
 	SizeRevision  store.Revision
-	// First reports whether this host is the first of the ranking, which writes the record.
+	// AccountsSeen reports whether any configuration had client accounts, and AccountsStored whether the store
+	// holds that.
+	AccountsSeen, AccountsStored bool
+	// First reports whether this host is the first of the ranking, which writes the records.
 	First bool
 	// Entry is the entry of this host in the store; the zero value if there is none.
 	Entry Host
@@ -65,7 +68,7 @@
 // RegistrationState returns the state of this host's registration according to the view.
 func (d *Directory) RegistrationState() RegistrationState {
 	s := d.Snapshot()
-	return RegistrationState{Loaded: d.Loaded(), Fresh: d.Fresh(time.Now()), Era: s.Revision.Era, Hosts: s.MaxHosts, RecordedHosts: s.RecordedHosts, SizeRevision: s.SizeRevision, First: s.position.rank == 0, Entry: s.Entry, Secret: s.Secret(), SecretStored: s.SecretStored}
+	return RegistrationState{Loaded: d.Loaded(), Fresh: d.Fresh(time.Now()), Era: s.Revision.Era, Hosts: s.MaxHosts, RecordedHosts: s.RecordedHosts, SizeRevision: s.SizeRevision, AccountsSeen: s.AccountsSeen, AccountsStored: s.AccountsStored, First: s.position.rank == 0, Entry: s.Entry, Secret: s.Secret(), SecretStored: s.SecretStored}
 }
 
 // HostsChanged returns a channel that is closed when the hosts, the secrets or the era of the
@@ -177,6 +180,9 @@
 		if err := r.recordSettledSize(ctx, time.Now()); err != nil {
 			r.Log.WithError(err).Warn("recording the size of the fleet failed")
 		}
+		if err := r.recordAccounts(ctx); err != nil {
+			r.Log.WithError(err).Warn("recording that there are client accounts failed")
+		}
 		sleepUnless(ctx, changed, time.Until(end))
 	}
 }
@@ -227,6 +233,19 @@
 	return err
 }
 
+// recordAccounts records that a configuration had client accounts.
+func (r *Registration) recordAccounts(ctx context.Context) error {
+	s := r.State()
+	if !s.First || !s.AccountsSeen || s.AccountsStored {
+		return nil
+	}
+	_, err := r.Store.Commit(ctx, []store.Condition{{Key: AccountsKey}}, []store.Put{{Key: AccountsKey}}, nil)
+	if errors.Is(err, store.ErrConflict) {
+		return nil
+	}
+	return err
+}
+
 // recordSettledSize records the size of the fleet once it has not grown for sizeSettleTime.
 // After an error it waits as long again.
 func (r *Registration) recordSettledSize(ctx context.Context, now time.Time) error {
--- a/internal/fleet/directory/state.go
+++ b/internal/fleet/directory/state.go
@@ -50,8 +50,12 @@
 type Snapshot struct {
 	// Table is the routing table; nil while no configuration is known.
 	Table *routing.Table
-	// Keys is the index of the keys of client accounts; nil if the configuration has no accounts.
+	// Keys is the index of the keys of client accounts; nil if no configuration has had accounts. It is empty if
+	// the one in force has none, but an earlier one had.
 	Keys *keyring.Keyring
+	// AccountsSeen reports whether any configuration had accounts, and AccountsStored whether the store holds
+	// that.
+	AccountsSeen, AccountsStored bool
 	// ConfigUnreadable reports whether the store holds a newer configuration, which cannot be read.
 	ConfigUnreadable bool
 	// Targets lists the targets that may get new requests, by service.
@@ -156,6 +160,10 @@
 	roster  *roster.Roster
 	table   *routing.Table
 	keyring *keyring.Keyring
+	// accountsSeen is set if any configuration had client accounts, by this process or according to the store,
+	// and accountsStored if the store holds that. noKeys is the index of a configuration without accounts then.
+	accountsSeen, accountsStored bool
+	noKeys                       *keyring.Keyring
 	// configUnreadable is set if the newest configuration cannot be read.
 	configUnreadable bool
 	hosts            map[string]Host
@@ -214,7 +222,7 @@
 // is newer than the known state of its key.
 func NewState(self Host, decoder Decoder, reregisterTimeout time.Duration, onItem func(store.Item)) *State {
 	return &State{
-		self: self, decoder: decoder, onItem: onItem, keys: map[string]keyState{}, roster: roster.New(reregisterTimeout), order: roster.NewOrder(), changed: map[string]roster.Target{}, setAside: map[string]setAsideEntry{}, hosts: map[string]Host{},
+		self: self, decoder: decoder, onItem: onItem, keys: map[string]keyState{}, roster: roster.New(reregisterTimeout), order: roster.NewOrder(), noKeys: keyring.None(), changed: map[string]roster.Target{}, setAside: map[string]setAsideEntry{}, hosts: map[string]Host{},
 		reregisterTimeout: reregisterTimeout, missing: map[string]time.Time{},
 		last: &Snapshot{}, hostsChanged: true, targetsChanged: true,
 	}
@@ -299,6 +307,9 @@
 		s.applyBlocked(fingerprint, item)
 	} else if item.Key == SecretKey {
 		s.applySecret(item)
+	} else if item.Key == AccountsKey {
+		s.accountsStored = !item.Deleted
+		s.accountsSeen = s.accountsSeen || s.accountsStored
 	} else if item.Key == SizeKey {
 		s.applySize(item)
 	} else if name, ok := strings.CutPrefix(item.Key, HostPrefix); ok {
@@ -334,6 +345,7 @@
 		before = s.table.Config.Accounts
 	}
 	s.keyring = keyring.Update(s.keyring, before, c.Accounts)
+	s.accountsSeen = s.accountsSeen || len(c.Accounts) > 0
 	s.table = routing.NewTable(c)
 	fields := map[string]any{fieldVersion: c.Version, "routes": len(c.Routes), fieldRevision: item.Revision.String(), "defects": len(c.Defects)}
 	if s.keyring != nil {
@@ -457,6 +469,10 @@
 func (s *State) Snapshot() *Snapshot {
 	next := *s.last
 	next.Keys, next.ConfigUnreadable = s.keyring, s.configUnreadable
+	if next.Keys == nil && s.accountsSeen {
+		next.Keys = s.noKeys
+	}
+	next.AccountsSeen, next.AccountsStored = s.accountsSeen, s.accountsStored
 	next.Blocked, next.BlockedChanges = s.blocked, s.blockedChanges
 	next.Table, next.MaxHosts, next.Revision, next.TargetChanges = s.table, s.maxHosts, s.revision, s.changes
 	next.Secrets, next.SecretStored, next.Entry = s.secrets, s.secretStored, s.entry
--- a/internal/process/entry/account_test.go
+++ b/internal/process/entry/account_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -185,6 +186,44 @@
 	}
 }
 
+// Guards against keys that run, or reach a target, because the configuration has no accounts any more: also at hosts
+// that have started since.
+func TestKeysOfRemovedAccountsAreRefused(t *testing.T) {
+	cl := newCluster(t, 3, target("t-1", platformtest.Behaviour{}))
+	cl.configureAccounts(shopAccounts()...)
+	require.Equal(t, http.StatusOK, cl.sendWith(cl.hosts[0], "before", "/search/x", "", credential(goodKey)).status)
+	require.Eventually(t, func() bool { return slices.Contains(cl.storeKeys(), "fleet/accounts") }, 5*time.Second, 20*time.Millisecond)
+	cl.configureAccounts()
+	check := func(round string) {
+		for n, h := range cl.hosts {
+			id := fmt.Sprintf("%s-%d", round, n)
+			for key, header := range map[string]http.Header{"removed": credential(goodKey), "unknown": credential("k-unknown"), "two": credential(goodKey, otherKey), "empty": credential("")} {
+				resp := cl.sendWith(h, id+key, "/search/x", "", header)
+				require.Equal(t, http.StatusUnauthorized, resp.status, "%s %s\n%s", round, key, h.log)
+				require.Empty(t, cl.accountHeaders(id+key))
+			}
+			require.Equal(t, http.StatusOK, cl.sendWith(h, id+"none", "/search/x", "", http.Header{"X-Tenant": {"alder"}}).status, "without accounts no request needs a key")
+			require.Equal(t, []platformtest.AccountHeaders{{}}, cl.accountHeaders(id+"none"))
+			require.Equal(t, http.StatusOK, cl.sendWith(h, id+"open", "/open/x", "", credential(goodKey)).status)
+			require.Equal(t, []platformtest.AccountHeaders{{}}, cl.accountHeaders(id+"open"), "the key reaches no target")
+		}
+	}
+	check("running")
+	for _, h := range cl.hosts {
+		h.process.Kill()
+	}
+	for n := range cl.hosts {
+		cl.restart(n)
+	}
+	for _, h := range cl.hosts {
+		cl.waitReady(h)
+	}
+	check("started")
+	cl.configureAccounts(shopAccounts()[:1]...)
+	require.Equal(t, http.StatusOK, cl.sendWith(cl.hosts[0], "again", "/search/x", "", credential(goodKey)).status)
+	require.Equal(t, http.StatusUnauthorized, cl.sendWith(cl.hosts[0], "again-none", "/search/x", "", http.Header{}).status)
+}
+
 // Guards against a change for deployments without accounts: both headers belong to their clients.
 func TestWithoutAccountsTheirHeadersPassUnchanged(t *testing.T) {
 	cl := newCluster(t, 1, target("t-1", platformtest.Behaviour{}))
@@ -194,7 +233,7 @@
 	cl.configureAccounts(shopAccounts()...)
 	require.Equal(t, http.StatusUnauthorized, cl.sendWith(cl.hosts[0], "r-2", "/search/x", "", header).status)
 	cl.configureAccounts()
-	require.Equal(t, http.StatusOK, cl.sendWith(cl.hosts[0], "r-3", "/search/x", "", header).status)
+	require.Equal(t, http.StatusUnauthorized, cl.sendWith(cl.hosts[0], "r-3", "/search/x", "", header).status)
 }
 
 // Guards against keys that reach a target with an attempt other than the first.
--- a/internal/traffic/entry/account.go
+++ b/internal/traffic/entry/account.go
@@ -134,7 +134,7 @@
 	s := h.cfg.Snapshot()
 	a := authorization{keys: s.Keys}
 	switch {
-	case s.Keys == nil:
+	case s.Keys == nil, !h.needsKey(s, header):
 		return a, nil
 	case !current:
 		return a.refuse(h, public, ViewTooOld)
@@ -149,7 +149,7 @@
 	s = h.cfg.Snapshot()
 	a.keys = s.Keys
 	switch {
-	case s.Keys == nil:
+	case s.Keys == nil, !h.needsKey(s, header):
 		return a, nil
 	case h.missesRemovals(s):
 		return a.refuse(h, public, ConfigUnreadable)
@@ -181,6 +181,12 @@
 	return a, nil
 }
 
+// needsKey reports whether a request needs a key that is valid. Without accounts none does, but one that has a key had
+// it from a configuration that has been replaced, so it must not run.
+func (h *Handler) needsKey(s *directory.Snapshot, header http.Header) bool {
+	return len(s.Table.Config.Accounts) > 0 || h.cfg.Dialect.HasCredential(header)
+}
+
 // missesRemovals reports whether strict revocation forbids to use keys, because a newer configuration cannot
 // be read.
 func (h *Handler) missesRemovals(s *directory.Snapshot) bool {
--- a/internal/traffic/entry/account_test.go
+++ b/internal/traffic/entry/account_test.go
@@ -18,6 +18,8 @@
 
 func (keyDialect) Credential(h http.Header) (string, bool) { return h.Get("Key"), h.Get("Key") != "" }
 
+func (keyDialect) HasCredential(h http.Header) bool { return h.Get("Key") != "" }
+
 // newKeySnapshot returns a snapshot whose only account has the given keys; without any, there is no
 // account.
 func newKeySnapshot(keys ...string) *directory.Snapshot {
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -45,6 +45,8 @@
 	// Credential returns the key of a client account; ok only for exactly one value that is not
 	// empty.
 	Credential(h http.Header) (key string, ok bool)
+	// HasCredential reports whether there is a key of a client account, valid or not.
+	HasCredential(h http.Header) bool
 	// SetAccount removes the key, and sets the name of the client account; an empty name removes it.
 	SetAccount(h http.Header, name string)
 	// SetRejection sets the headers of a response that the load balancer generates itself.
