Tell hosts the configuration that a copy of the store lacks

Cause: hosts that run keep the newer configuration in force, but passed on what the store holds.

Why this works: a host that starts, or reads a copy, asks others once for what they know, with its version of the configuration, and gets a newer one if there is any. Requests at a host that starts wait for that, for 100 ms after the first read at most; a host without others to ask does not wait. The three hosts are asked at the same time.

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -90,9 +90,13 @@
 	watcherHeard atomic.Int64
 	// hostsChanged is notified when the hosts, the secrets or the era of the view have changed.
 	hostsChanged *broadcast
-	// firstReadEnded is closed when the first read of the store is part of the view, or has failed.
+	// firstReadEnded is closed when the first read of the store is part of the view and this host has caught up
+	// with others, or the read has failed.
 	firstReadEnded chan struct{}
 	endFirstRead   sync.Once
+	// caughtUp is closed when this host has asked others once for what they know, or there are none.
+	caughtUp   chan struct{}
+	endCatchUp sync.Once
 }
 
 // update holds changes received from the store or from another host.
@@ -157,7 +161,7 @@
 	}
 	d := &Directory{
 		cfg: cfg, g: g, cache: newWatchCache(), largeResponses: make(semaphore, maxLargeResponses), codec: newItemCodec(),
-		baseTime: time.Now().Add(-unknownAge), baseBoot: cfg.SinceBoot() - unknownAge, watchJitter: rand.N(othersWatchJitter), hostsChanged: newBroadcast(), firstReadEnded: make(chan struct{}),
+		baseTime: time.Now().Add(-unknownAge), baseBoot: cfg.SinceBoot() - unknownAge, watchJitter: rand.N(othersWatchJitter), hostsChanged: newBroadcast(), firstReadEnded: make(chan struct{}), caughtUp: make(chan struct{}),
 	}
 	d.state = NewState(cfg.Self, cfg.Decoder, cfg.ReregisterTimeout, d.cache.add)
 	d.state.order.SetHeartbeat(cfg.Heartbeat)
@@ -177,7 +181,7 @@
 func (d *Directory) Loaded() bool { return d.asOf.Load() > 0 }
 
 // FirstReadEnded returns a channel that is closed when the first read of the store is part of the
-// view, or has failed.
+// view and what other hosts know, too, or when the read has failed. The wait for other hosts is bounded.
 func (d *Directory) FirstReadEnded() <-chan struct{} { return d.firstReadEnded }
 
 // FreshAge is the age below which the view is considered up to date.
--- a/internal/fleet/directory/memory.go
+++ b/internal/fleet/directory/memory.go
@@ -20,6 +20,9 @@
 	ended []protectedEntry
 	// since is the time from which the end of every target is known; zero if there is none.
 	since time.Time
+	// config is the configuration in force if the store holds an older one, and version its version.
+	config  []byte
+	version uint64
 }
 
 // peerMemory is the memory of another host, as it is sent.
@@ -28,19 +31,30 @@
 	Since     time.Duration `cbor:"1,keyasint"`
 	Ended     []newestEntry `cbor:"2,keyasint,omitempty"`
 	Uncertain []newestEntry `cbor:"3,keyasint,omitempty"`
+	// Config is a configuration that is newer than that of the host which asked and than that in the store.
+	Config []byte `cbor:"4,keyasint,omitempty"`
 }
 
-// encode returns the memory in the form in which it is sent at a time; nil if nothing is known yet.
-func (m *memory) encode(now time.Time) *peerMemory {
+// encode returns the memory in the form in which it is sent at a time to a host with a version of the configuration; nil
+// if nothing is known yet.
+func (m *memory) encode(now time.Time, version uint64) *peerMemory {
 	if m.since.IsZero() {
 		return nil
 	}
-	return &peerMemory{Since: now.Sub(m.since), Ended: encodeNewest(now, m.ended), Uncertain: encodeNewest(now, m.uncertain)}
+	p := &peerMemory{Since: now.Sub(m.since), Ended: encodeNewest(now, m.ended), Uncertain: encodeNewest(now, m.uncertain)}
+	if m.version > version {
+		p.Config = m.config
+	}
+	return p
 }
 
 // memory returns what this host knows of entries that do not count.
 func (s *State) memory(now time.Time) memory {
-	return memory{newest: s.newestEntries(), uncertain: s.uncertainEntries(), ended: s.endedEntries(now), since: s.order.Since()}
+	m := memory{newest: s.newestEntries(), uncertain: s.uncertainEntries(), ended: s.endedEntries(now), since: s.order.Since()}
+	if s.configAhead {
+		m.config, m.version = s.configValue, s.table.Config.Version
+	}
+	return m
 }
 
 // uncertainEntries returns the entries of the store that are withheld although no newer ones are
@@ -72,8 +86,11 @@
 }
 
 // ApplyMemory applies what another host, whose view has reached a revision, knows of targets that
-// ended. It reports whether the view changed.
+// ended and of a newer configuration. It reports whether the view changed.
 func (s *State) ApplyMemory(now time.Time, reached store.Revision, m *peerMemory) (changed bool) {
+	if len(m.Config) > 0 {
+		changed = s.applyConfigOfHost(m.Config)
+	}
 	for _, n := range m.Ended {
 		s.applyEnded(now, n)
 		changed = s.ApplyNewest(now, n) || changed
--- a/internal/fleet/directory/memory_test.go
+++ b/internal/fleet/directory/memory_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -100,7 +102,7 @@
 func (d *Directory) askMemory(after store.Revision) update {
 	u := d.poll(after)
 	m := d.cache.since(after).memory
-	u.memory = m.encode(time.Now())
+	u.memory = m.encode(time.Now(), d.Snapshot().configVersion())
 	return u
 }
 
@@ -222,3 +224,67 @@
 	require.Equal(t, sent.Memory.Since, current.Memory.Since)
 	require.Len(t, current.Memory.Uncertain, 1)
 }
+
+// Guards against a host that uses the configuration of a copy of the store, with keys that were removed since, although
+// another host has the newer one in force.
+func TestHostLearnsAConfigurationThatACopyOfTheStoreLacks(t *testing.T) {
+	load := func(d *Directory, era, revision uint64, config string) {
+		d.feed(update{page: pageIn(era, revision, itemIn(era, "config", config, revision)), full: true, source: sourceStore})
+	}
+	tests := []struct {
+		name string
+		// knows is what happened at the host that is asked, and asks what happened at the one that asks.
+		knows, asks func(d *Directory)
+		want        uint64
+		sent        bool
+	}{
+		{
+			name:  "started from the copy",
+			knows: func(d *Directory) { load(d, 1, 5, "7"); load(d, 2, 3, "4") },
+			asks:  func(d *Directory) { load(d, 2, 3, "4") }, want: 7, sent: true,
+		},
+		{
+			name:  "was cut off before, and reads the copy",
+			knows: func(d *Directory) { load(d, 1, 5, "7"); load(d, 2, 3, "4") },
+			asks:  func(d *Directory) { load(d, 1, 3, "4"); load(d, 2, 3, "4") }, want: 7, sent: true,
+		},
+		{
+			name:  "has it",
+			knows: func(d *Directory) { load(d, 1, 5, "7"); load(d, 2, 3, "4") },
+			asks:  func(d *Directory) { load(d, 1, 5, "7"); load(d, 2, 3, "4") }, want: 7,
+		},
+		{
+			name:  "the operator has written since",
+			knows: func(d *Directory) { load(d, 1, 5, "7"); load(d, 2, 3, "4"); load(d, 2, 6, "8") },
+			asks:  func(d *Directory) { load(d, 2, 6, "8") }, want: 8,
+		},
+		{
+			name:  "the operator has written the same again",
+			knows: func(d *Directory) { load(d, 1, 5, "7"); load(d, 2, 3, "4"); load(d, 2, 6, "7") },
+			asks:  func(d *Directory) { load(d, 2, 6, "7") }, want: 7,
+		},
+		{
+			name:  "no copy",
+			knows: func(d *Directory) { load(d, 1, 5, "7") },
+			asks:  func(d *Directory) { load(d, 1, 5, "7") }, want: 7,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			knows, asks := viewOf(t), viewOf(t)
+			tt.knows(knows)
+			tt.asks(asks)
+			m := knows.cache.since(asks.cache.applied()).memory
+			p := m.encode(time.Now(), asks.Snapshot().configVersion())
+			require.Equal(t, tt.sent, len(p.Config) > 0, "a configuration is large")
+			for range 2 {
+				asks.feed(update{page: store.Page{Revision: asks.cache.applied()}, memory: p, source: "peer"})
+			}
+			require.Equal(t, tt.want, asks.Snapshot().configVersion())
+			// A host that learned it tells it, too.
+			again := asks.cache.since(asks.cache.applied()).memory
+			require.Equal(t, tt.sent || tt.name == "has it", len(again.encode(time.Now(), 0).Config) > 0)
+		})
+	}
+	require.Nil(t, (&memory{since: time.Now(), config: []byte("x"), version: 9}).encode(time.Now(), configVersion(httptest.NewRequest(http.MethodGet, ChangesPath+"?memory=", nil))).Config, "builds that don't say which version they have")
+}
--- a/internal/fleet/directory/peers.go
+++ b/internal/fleet/directory/peers.go
@@ -10,6 +10,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -30,8 +31,10 @@
 	headerSecretID = "Fleet-Key"
 	paramAfter     = "after"
 	paramWait      = "wait"
-	// paramMemory asks for what the server knows of targets that ended.
+	// paramMemory asks for what the server knows of targets that ended, and paramConfig is the version of the
+	// configuration that the client has. Builds of earlier versions neither send nor read the latter.
 	paramMemory = "memory"
+	paramConfig = "config"
 	// maxChangesBytes bounds one response: all keys of a large fleet.
 	maxChangesBytes = 16 << 20
 	// maxPeerHeaderBytes bounds the header of a response. A parsed header of many short fields takes many
@@ -123,7 +126,7 @@
 		Newest: encodeNewest(now, cs.memory.newest),
 	}
 	if r.URL.Query().Has(paramMemory) || len(cs.memory.uncertain) > 0 {
-		response.Memory = cs.memory.encode(now)
+		response.Memory = cs.memory.encode(now, configVersion(r))
 	}
 	if r.URL.Query().Has(paramMemory) {
 		response.Beliefs = d.cfg.Beliefs.Export()
@@ -139,6 +142,16 @@
 	_, _ = w.Write(body)
 }
 
+// configVersion returns the version of the configuration that the client of a request has. Clients that don't say so need
+// none.
+func configVersion(r *http.Request) uint64 {
+	version, err := strconv.ParseUint(r.URL.Query().Get(paramConfig), 10, 64)
+	if err != nil {
+		return math.MaxUint64
+	}
+	return version
+}
+
 // waitForChanges returns the changes after a revision, and waits for some if there are
 // none. It returns false if the client disconnected.
 func (d *Directory) waitForChanges(ctx context.Context, after store.Revision, wait time.Duration) (changeSet, bool) {
@@ -228,6 +241,7 @@
 	query := url.Values{paramAfter: {after.String()}, paramWait: {p.wait.String()}}
 	if p.memory {
 		query.Set(paramMemory, "")
+		query.Set(paramConfig, strconv.FormatUint(d.Snapshot().configVersion(), 10))
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s?%s", host.PeerAddress, ChangesPath, query.Encode()), nil)
 	if err != nil {
--- a/internal/fleet/directory/state.go
+++ b/internal/fleet/directory/state.go
@@ -99,6 +99,14 @@
 	TargetChanges int
 }
 
+// configVersion returns the version of the configuration in force; 0 for none.
+func (s *Snapshot) configVersion() uint64 {
+	if s.Table == nil {
+		return 0
+	}
+	return s.Table.Config.Version
+}
+
 // Secret returns the secret that signs messages between hosts; nil while none is known.
 func (s *Snapshot) Secret() []byte {
 	if len(s.Secrets) == 0 {
@@ -164,6 +172,9 @@
 	// and accountsStored if the store holds that. noKeys is the index of a configuration without accounts then.
 	accountsSeen, accountsStored bool
 	noKeys                       *keyring.Keyring
+	// configValue is the encoded configuration in force, and configAhead is set if the store holds an older one.
+	configValue []byte
+	configAhead bool
 	// configUnreadable is set if the newest configuration cannot be read.
 	configUnreadable bool
 	hosts            map[string]Host
@@ -337,17 +348,40 @@
 	}
 	s.configUnreadable = false
 	if s.table != nil && c.Version <= s.table.Config.Version {
+		s.configAhead = c.Version < s.table.Config.Version
 		s.log("configuration is not newer", map[string]any{fieldVersion: c.Version, "in-force": s.table.Config.Version, fieldRevision: item.Revision.String()})
 		return
 	}
+	s.configAhead = false
+	s.useConfig(c, item.Value, map[string]any{fieldRevision: item.Revision.String()})
+}
+
+// applyConfigOfHost applies a configuration that another host has in force and the store lost. It reports whether it
+// is newer.
+func (s *State) applyConfigOfHost(value []byte) bool {
+	c, err := s.decoder.Config(value)
+	if err != nil {
+		s.warn("configuration of another host cannot be read", map[string]any{fieldError: err.Error()})
+		return false
+	}
+	if s.table != nil && c.Version <= s.table.Config.Version {
+		return false
+	}
+	s.configAhead = true
+	s.useConfig(c, value, map[string]any{"lost-by-the-store": true})
+	return true
+}
+
+// useConfig puts a configuration in force.
+func (s *State) useConfig(c *routing.Config, value []byte, fields map[string]any) {
 	var before []routing.Account
 	if s.table != nil {
 		before = s.table.Config.Accounts
 	}
 	s.keyring = keyring.Update(s.keyring, before, c.Accounts)
 	s.accountsSeen = s.accountsSeen || len(c.Accounts) > 0
-	s.table = routing.NewTable(c)
-	fields := map[string]any{fieldVersion: c.Version, "routes": len(c.Routes), fieldRevision: item.Revision.String(), "defects": len(c.Defects)}
+	s.table, s.configValue = routing.NewTable(c), value
+	fields[fieldVersion], fields["routes"], fields["defects"] = c.Version, len(c.Routes), len(c.Defects)
 	if s.keyring != nil {
 		fields["accounts"], fields["account-keys"] = s.keyring.Len()
 	}
--- a/internal/fleet/directory/watch.go
+++ b/internal/fleet/directory/watch.go
@@ -12,6 +12,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,6 +59,8 @@
 	othersWatchJitter = 300 * time.Millisecond
 	// maxCatchUpHosts bounds the hosts that are polled once after the start.
 	maxCatchUpHosts = 3
+	// maxCatchUpTime is the time after the first read for which requests wait until these hosts have responded.
+	maxCatchUpTime = 100 * time.Millisecond
 	// watcherTimeout is the time since the last response of a watcher after which this host may be cut
 	// off from all of them. Fallback hosts are polled in turn, so each is polled once in that time.
 	watcherTimeout = 1500 * time.Millisecond
@@ -198,7 +201,9 @@
 	// request. The wait of the next one is shortened by the age of the view.
 	wait := min(watchWait, max(minWatchWait, watchWait-d.Age(start)))
 	page, full, err := w.read(ctx, after, wait)
-	defer d.endFirstRead.Do(func() { close(d.firstReadEnded) })
+	if err != nil {
+		d.endFirstRead.Do(func() { close(d.firstReadEnded) })
+	}
 	switch {
 	case errors.Is(err, store.ErrCompacted):
 		d.cfg.Log.WithField("after", after.String()).Info("history is compacted, reading all keys")
@@ -216,6 +221,7 @@
 		page: page, full: full, source: sourceStore, origin: d.cfg.Self.Name, receivedAt: receivedAt,
 		afterOutage: w.failed, age: responseAge(took, wait, page, full), soundAsOf: storeSoundAsOf(sent, took, wait, page, full),
 	})
+	d.endFirstReadSoon()
 	w.reload = false
 	w.clearFailures()
 	switch {
@@ -321,29 +327,74 @@
 	return Host{}, false
 }
 
-// catchUp polls the parent and fallback hosts once when this host has started, for what they know
-// and the store does not hold: entries of targets that late writes have replaced, and beliefs. The root
-// would not poll them otherwise.
+// catchUp polls the parent and fallback hosts once when this host has started, and again when the store has come back
+// from a copy, for what they know and the store does not hold: entries of targets that late writes have replaced, a
+// configuration that the copy lacks, and beliefs. The root would not poll them otherwise.
 func (d *Directory) catchUp(ctx context.Context) error {
-	if d.cfg.FirstStart {
-		return nil
-	}
+	era, asked := uint64(0), false
 	for ctx.Err() == nil {
 		hostsChanged := d.hostsChanged.wait()
 		s := d.Snapshot()
-		hosts := slices.Concat(s.position.parent, s.position.fallbacks)
-		if len(s.Secrets) == 0 || len(hosts) == 0 {
+		hosts := s.catchUpHosts()
+		if d.cfg.FirstStart && !asked && !s.Revision.IsZero() {
+			era, asked = s.Revision.Era, true
+		}
+		if len(hosts) == 0 || asked && s.Revision.Era == era {
 			sleepUnless(ctx, hostsChanged, maxRoleWait)
 			continue
 		}
-		for _, host := range hosts[:min(len(hosts), maxCatchUpHosts)] {
+		era, asked = s.Revision.Era, true
+		d.fetchMemories(ctx, hosts)
+		d.endCatchUp.Do(func() { close(d.caughtUp) })
+	}
+	return nil
+}
+
+// catchUpHosts returns the hosts to ask for what they know. There are none before this host can authenticate messages.
+func (s *Snapshot) catchUpHosts() []Host {
+	hosts := slices.Concat(s.position.parent, s.position.fallbacks)
+	if len(s.Secrets) == 0 {
+		return nil
+	}
+	return hosts[:min(len(hosts), maxCatchUpHosts)]
+}
+
+// fetchMemories polls some hosts at the same time, and returns when all have responded or failed.
+func (d *Directory) fetchMemories(ctx context.Context, hosts []Host) {
+	var wg sync.WaitGroup
+	for _, host := range hosts {
+		wg.Add(1)
+		d.g.Go("catch up with a host", func(context.Context) error {
+			defer wg.Done()
 			if err := d.fetchMemory(ctx, host); err != nil {
 				d.cfg.Log.WithError(err).WithField(fieldHost, host.Name).Debug("polling a host after the start failed")
 			}
-		}
-		return nil
+			return nil
+		})
 	}
-	return nil
+	wg.Wait()
+}
+
+// endFirstReadSoon ends the wait for the first read once this host has caught up with others, if there are any, or after
+// maxCatchUpTime.
+func (d *Directory) endFirstReadSoon() {
+	d.endFirstRead.Do(func() {
+		if d.cfg.FirstStart || len(d.Snapshot().catchUpHosts()) == 0 {
+			close(d.firstReadEnded)
+			return
+		}
+		d.g.Go("end of the first read", func(ctx context.Context) error {
+			timer := time.NewTimer(maxCatchUpTime)
+			defer timer.Stop()
+			select {
+			case <-d.caughtUp:
+			case <-timer.C:
+			case <-ctx.Done():
+			}
+			close(d.firstReadEnded)
+			return nil
+		})
+	})
 }
 
 // fetchMemory requests from another host its beliefs, and what it knows of targets that ended. A host whose view is
