Replace statuses of targets that promise what they have not said

What callers saw: a booking that a target had run was answered 503, which says that it has not run and may be sent again (review-stand-2 busy, REFUSED).

Cause: a signed response was passed on with its status, whatever that promises.

Evidence: 408, 429 and 503 of TestStatusesOfTargetsPromiseNothingUntrue fail without this change.

Why this works: only a response with the statement says that a request has not run. Without it, such a status becomes a 502 of our own for requests that must not be repeated; others are passed on unchanged.

--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -413,6 +413,44 @@
 	require.Equal(t, map[burn.Fault]float64{burn.Failed: float64(counted["target-failed"]), burn.Refused: float64(counted["refused"]), burn.Unknown: float64(counted["unknown"])}, countByFault)
 }
 
+// Guards against a status of a target that tells a client that its request has not run, although it has: the client would
+// send it again. Only a response with X-Not-Executed says that a request has not run.
+func TestStatusesOfTargetsPromiseNothingUntrue(t *testing.T) {
+	tests := []struct {
+		status int
+		// unsafe and safe are the statuses that clients get for a request that must not be repeated, and for one that
+		// may be.
+		unsafe, safe int
+	}{
+		{status: http.StatusOK, unsafe: http.StatusOK, safe: http.StatusOK},
+		{status: http.StatusNotFound, unsafe: http.StatusNotFound, safe: http.StatusNotFound},
+		{status: http.StatusConflict, unsafe: http.StatusConflict, safe: http.StatusConflict},
+		{status: http.StatusTooEarly, unsafe: http.StatusTooEarly, safe: http.StatusTooEarly},
+		{status: http.StatusRequestTimeout, unsafe: http.StatusBadGateway, safe: http.StatusRequestTimeout},
+		{status: http.StatusTooManyRequests, unsafe: http.StatusBadGateway, safe: http.StatusTooManyRequests},
+		{status: http.StatusInternalServerError, unsafe: http.StatusInternalServerError, safe: http.StatusInternalServerError},
+		{status: http.StatusServiceUnavailable, unsafe: http.StatusBadGateway, safe: http.StatusServiceUnavailable},
+		{status: http.StatusGatewayTimeout, unsafe: http.StatusGatewayTimeout, safe: http.StatusGatewayTimeout},
+	}
+	cl := newCluster(t, 1, target("t-1", platformtest.Behaviour{}))
+	for _, tt := range tests {
+		t.Run(strconv.Itoa(tt.status), func(t *testing.T) {
+			cl.targets[0].SetBehaviour(platformtest.Behaviour{Status: tt.status})
+			for path, want := range map[string]int{"/book/x": tt.unsafe, "/search/x": tt.safe} {
+				id := fmt.Sprintf("r-%d%s", tt.status, strings.ReplaceAll(path, "/", "-"))
+				resp, err := cl.send(t.Context(), cl.hosts[0], id, path)
+				require.NoError(t, err)
+				require.Equal(t, want, resp.status, path)
+				require.Equal(t, want == tt.status, resp.header.Get("X-Server-Signature") != "", "only the target's own response has its signature")
+				require.Positive(t, cl.runCount(id))
+				if path == "/book/x" {
+					require.Equal(t, 1, cl.runCount(id))
+				}
+			}
+		})
+	}
+}
+
 // Guards against a request that crashes every target that runs it and is sent again to
 // any host: after three targets have crashed, all hosts reject it and still serve other
 // requests of its route.
--- a/internal/traffic/entry/response.go
+++ b/internal/traffic/entry/response.go
@@ -70,8 +70,29 @@
 	return &finalResponse{outcome: outcome, status: status, reason: reason, retryAfter: retryAfter}
 }
 
+// promisesNotRun reports whether a status says that a request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// withoutFalsePromise returns the response in place of one of a target whose status would say that the request has not
+// run, although the target has not said so. Clients would send a request again that is not idempotent.
+func (req *clientRequest) withoutFalsePromise(resp finalResponse) finalResponse {
+	fromTarget := resp.outcome == Served || resp.outcome == TargetFailed
+	if !fromTarget || req.route.Idempotent || resp.attempt.info.NotRun || !promisesNotRun(resp.attempt.status) {
+		return resp
+	}
+	resp.attempt.discard()
+	return finalResponse{outcome: Unknown, status: http.StatusBadGateway, reason: "target answered " + strconv.Itoa(resp.attempt.status) + " to a request that it may have run"}
+}
+
 // finish reports the final response and sends it.
 func (h *Handler) finish(w http.ResponseWriter, req *clientRequest, resp finalResponse) {
+	resp = req.withoutFalsePromise(resp)
 	h.report(req, resp)
 	req.lease.SetPhase(resource.Response)
 	if h.shutdown.begun.Err() != nil || resp.closeConnection || req.lease.Ended() {
