Accept headers of up to 1 MB

Cause: a limit of our own, from before headers counted against the budget for clients.

Why this works: what a header takes is reserved while it arrives, so the budget bounds all of them together. A line may be as long as a header.

--- a/internal/process/crowd/crowd_test.go
+++ b/internal/process/crowd/crowd_test.go
@@ -500,6 +500,18 @@
 	readRefusal(conn, n)
 }
 
+// longHeader sends a request header of almost 1 MB, in fields of n bytes, and never its end.
+func longHeader(n int) client {
+	return func(ctx context.Context, conn net.Conn, id int) {
+		_, _ = fmt.Fprintf(conn, "GET /search/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: crowd-%d\r\n", id)
+		for sent := 0; sent < megabyte-1000-n && ctx.Err() == nil; sent += n + 12 {
+			if _, err := fmt.Fprintf(conn, "X-%08d: %s\r\n", sent, strings.Repeat("h", n)); err != nil {
+				return
+			}
+		}
+	}
+}
+
 // pipeline sends requests of 4 MB in total behind one that takes long, and reads no response.
 func pipeline(ctx context.Context, conn net.Conn, n int) {
 	_, _ = fmt.Fprintf(conn, "GET /search/slow HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: crowd-%d\r\nX-Deadline-Ms: 8000\r\nX-Service-Time: 6s\r\n\r\n", n)
@@ -534,6 +546,9 @@
 		{name: "connections without a request", clients: 1200, slots: 3, run: silent},
 		{name: "header bytes that trickle", clients: 850, slots: 3, run: headerTrickle},
 		{name: "headers of many short fields", clients: 800, slots: 3, run: manyFields},
+		{name: "headers of 1 MB without an end", clients: 200, slots: 3, run: longHeader(1000)},
+		{name: "headers of 1 MB in few fields without an end", clients: 200, slots: 3, run: longHeader(100_000)},
+		{name: "headers of 1 MB in short fields without an end", clients: 200, slots: 3, run: longHeader(8)},
 		{name: "pipelined requests behind a slow one", clients: 600, slots: 3, run: pipeline},
 	}
 	for _, tt := range tests {
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -71,8 +71,9 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout exceeds the idle timeouts that configurations set for clients.
 	idleTimeout = 5 * time.Minute
-	// maxHeaderBytes bounds the header of a request.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes bounds the header of a request. It exceeds what configurations allow clients; what headers take
+	// counts against the budget for clients.
+	maxHeaderBytes = 1 << 20
 	// settingsPeriod is the interval at which the settings are read again without a signal.
 	settingsPeriod = 10 * time.Second
 	// dispatcherTickPeriod is the interval at which the dispatcher drops expired requests
--- a/internal/process/front/validator.go
+++ b/internal/process/front/validator.go
@@ -33,8 +33,8 @@
 
 const (
 	// maxLineBytes limits the length of a line. The server itself limits the total size of a
-	// header.
-	maxLineBytes = 80 << 10
+	// header, to less.
+	maxLineBytes = 1<<20 + 16<<10
 	// maxChunkDigits limits the hexadecimal digits of a chunk size.
 	maxChunkDigits = 15
 	// http2Preface is the first line of an HTTP/2 connection.
