Encode evidence on crashes once for all hosts

A crash is told to every host. The message was encoded and signed for each of them, some 300 times on a large fleet. An address that cannot be sent to does not keep the others from getting it (TestMessageIsSentToAllHostsThatItCanReach). Not measured by itself.

--- a/internal/fleet/packet/packet.go
+++ b/internal/fleet/packet/packet.go
@@ -69,7 +69,11 @@
 func (c *Conn[M]) Rejected() int64 { return c.rejected.Load() }
 
 // Send sends a message. The message may be lost without an error.
-func (c *Conn[M]) Send(to netip.AddrPort, m M) error {
+func (c *Conn[M]) Send(to netip.AddrPort, m M) error { return c.SendAll([]netip.AddrPort{to}, m) }
+
+// SendAll sends a message to several hosts. It is encoded once. After an error it is still sent to the others; the
+// last error is returned.
+func (c *Conn[M]) SendAll(to []netip.AddrPort, m M) error {
 	secrets := c.secrets()
 	if len(secrets) == 0 {
 		return errors.New("packet: the fleet secret is not known yet")
@@ -81,8 +85,13 @@
 	if len(data)+macBytes > MaxBytes {
 		return errors.Wrapf(ErrTooLarge, "%d bytes", len(data))
 	}
-	_, err = c.udp.WriteToUDPAddrPort(append(data, MAC(secrets[0], data)...), to)
-	return errors.Wrap(err, "packet")
+	data = append(data, MAC(secrets[0], data)...)
+	for _, address := range to {
+		if _, writeErr := c.udp.WriteToUDPAddrPort(data, address); writeErr != nil {
+			err = errors.Wrapf(writeErr, "packet: to %s", address)
+		}
+	}
+	return err
 }
 
 // MAC returns the message authentication code of data under a secret.
--- a/internal/fleet/packet/packet_test.go
+++ b/internal/fleet/packet/packet_test.go
@@ -54,6 +54,25 @@
 	require.ErrorIs(t, sender.Send(to, message{Text: string(make([]byte, MaxBytes))}), ErrTooLarge)
 }
 
+// Guards against hosts that do not get a message because another one cannot be sent to.
+func TestMessageIsSentToAllHostsThatItCanReach(t *testing.T) {
+	g := group.New(t.Context())
+	defer func() { _ = g.Stop() }()
+	a, receivedA := listen(t, g, "fleet")
+	b, receivedB := listen(t, g, "fleet")
+	sender, _ := listen(t, g, "fleet")
+	address := func(c *Conn[message]) netip.AddrPort { return netip.MustParseAddrPort(c.udp.LocalAddr().String()) }
+	require.Error(t, sender.SendAll([]netip.AddrPort{address(a), {}, address(b)}, message{Text: "hello"}))
+	for _, received := range []<-chan message{receivedA, receivedB} {
+		select {
+		case m := <-received:
+			require.Equal(t, "hello", m.Text)
+		case <-time.After(5 * time.Second):
+			t.Fatal("no message was received")
+		}
+	}
+}
+
 // While a new secret spreads, hosts that know it also accept the old one.
 func TestOlderSecretsAreAccepted(t *testing.T) {
 	g := group.New(t.Context())
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -444,11 +444,11 @@
 	return p.send(to, dispatcher.CreditMessage(m))
 }
 
-// sendEvidence sends crash evidence to another host. If the message is lost, one more
+// sendEvidence sends crash evidence to other hosts. If the message is lost, one more
 // target crashes before the request is blocked.
-func (p *Process) sendEvidence(to netip.AddrPort, e crash.Evidence) {
-	if err := p.send(to, dispatcher.EvidenceMessage(e)); err != nil {
-		p.log.For("crashes").WithError(err).WithField("to", to.String()).Warn("failed to send crash evidence")
+func (p *Process) sendEvidence(to []netip.AddrPort, e crash.Evidence) {
+	if err := p.packets.SendAll(to, dispatcher.EvidenceMessage(e)); err != nil {
+		p.log.For("crashes").WithError(err).WithField("hosts", len(to)).Warn("failed to send crash evidence")
 	}
 }
 
--- a/internal/traffic/entry/crash.go
+++ b/internal/traffic/entry/crash.go
@@ -40,7 +40,7 @@
 type CrashTrackerConfig struct {
 	Self  string
 	Hosts func() map[string]directory.Host
-	Send  func(to netip.AddrPort, e crash.Evidence)
+	Send  func(to []netip.AddrPort, e crash.Evidence)
 	// ConnectionRefused reports whether a target refuses connections.
 	ConnectionRefused func(ctx context.Context, target string) bool
 	// Store keeps the blocks; nil to keep them in memory only.
@@ -159,11 +159,15 @@
 
 // tell sends evidence to other hosts.
 func (c *CrashTracker) tell(hosts []directory.Host, e crash.Evidence) {
+	to := make([]netip.AddrPort, 0, len(hosts))
 	for _, h := range hosts {
 		if h.Name != c.cfg.Self {
-			c.cfg.Send(h.PeerAddress, e)
+			to = append(to, h.PeerAddress)
 		}
 	}
+	if len(to) > 0 {
+		c.cfg.Send(to, e)
+	}
 }
 
 // HandleEvidence handles evidence from this or another host. It does not block.
--- a/internal/traffic/entry/crash_test.go
+++ b/internal/traffic/entry/crash_test.go
@@ -126,13 +126,13 @@
 	h.gone.Store(false)
 	h.CrashTracker = NewCrashTracker(CrashTrackerConfig{
 		Self: fmt.Sprintf("host-%d", i), Hosts: func() map[string]directory.Host { return f.listed }, Store: f.store, Log: logrus.NewEntry(log),
-		Send: func(to netip.AddrPort, e crash.Evidence) {
+		Send: func(to []netip.AddrPort, e crash.Evidence) {
 			if h.gone.Load() {
 				return
 			}
-			f.sent.Add(1)
+			f.sent.Add(int64(len(to)))
 			for _, other := range f.hosts {
-				if other.address == to && !other.gone.Load() && !f.silent.Load() {
+				if slices.Contains(to, other.address) && !other.gone.Load() && !f.silent.Load() {
 					other.HandleEvidence(e)
 				}
 			}
