--- a/internal/process/entry/long_name_test.go
+++ b/internal/process/entry/long_name_test.go
@@ -29,6 +29,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			service, fail := "svc", tt.targetID != ""
 			if tt.service != "" {
 				service = tt.service
--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -545,6 +545,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			list := make([]*platformtest.Target, 0, 12)
 			for n := range 12 {
 				list = append(list, target(fmt.Sprintf("t-%d", n), platformtest.Behaviour{CrashPath: "poison"}))
