--- a/internal/process/entry/late_entry_test.go
+++ b/internal/process/entry/late_entry_test.go
@@ -121,6 +121,41 @@
 	}
 }
 
+// Guards against hosts that use the entry of a target that left at their first read, because they replace hosts that
+// withhold it.
+func TestHostsThatStartDoNotUseAnEntryThatOthersWithhold(t *testing.T) {
+	for rounds := 1; rounds <= 2; rounds++ {
+		t.Run(fmt.Sprintf("each host is replaced %d times", rounds), func(t *testing.T) {
+			t.Parallel()
+			cl := newCluster(t, 3, target("t-0", platformtest.Behaviour{}), target("t-1", platformtest.Behaviour{}), target("t-2", platformtest.Behaviour{}))
+			late := cl.targets[0].Entry("ready")
+			cl.store.Put("servers/t-0", cl.targets[0].Entry("ready"))
+			cl.store.Delete("servers/t-0")
+			for _, h := range cl.hosts {
+				h.process.Kill()
+			}
+			for n := range cl.hosts {
+				cl.restart(n)
+			}
+			for _, h := range cl.hosts {
+				cl.waitReady(h)
+			}
+			cl.store.Put("servers/t-0", late)
+			time.Sleep(200 * time.Millisecond)
+			before, sent := cl.targets[0].TotalRuns(), 0
+			for n := range rounds * len(cl.hosts) {
+				index := n % len(cl.hosts)
+				cl.kill(index)
+				for until := time.Now().Add(500 * time.Millisecond); time.Now().Before(until); sent++ {
+					_, _ = cl.send(t.Context(), cl.hosts[index], fmt.Sprintf("start-%d", sent), "/book/x")
+				}
+				cl.waitReady(cl.hosts[index])
+			}
+			require.Equal(t, before, cl.targets[0].TotalRuns(), "of %d requests", sent)
+		})
+	}
+}
+
 // Guards against a target that is shut out, or used although it drains, because something else has
 // left an entry with a count or a start far ahead on its key.
 func TestEntryFarAheadDoesNotHideThoseOfItsTarget(t *testing.T) {
