Soak: requests that crash targets, clients that leave, configurations with odd parts

- request-crash: requests of one account on a path of their own crash targets, beside those of another account on the same path, while other faults go on; once three targets have crashed, at most three more requests may run later than the window in which the view must be stable.
- client-leave: two requests on a connection, which closes before the first response; targets must be told within 500 ms.
- config-odd-part: a version with accounts that cannot be applied also replaces a key; the checks of keys judge the requests with the removed one.

Targets that crash are replaced like those that end. A fault that replaces a target does nothing if another one has done so.

--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -42,12 +42,14 @@
 	Key    string `json:"key,omitempty"`
 	BadKey bool   `json:"bad-key,omitempty"`
 	// Limited is set for requests of the account with a quota.
-	Limited     bool          `json:"limited,omitempty"`
+	Limited bool `json:"limited,omitempty"`
+	// Crashing is the path of a request that crashes targets; empty for others.
+	Crashing    string        `json:"crashing,omitempty"`
 	ServiceTime time.Duration `json:"service-time-ns,omitempty"`
 }
 
-// mayBeRefused reports whether hosts may refuse a request because of its account.
-func (a Attempt) mayBeRefused() bool { return a.BadKey || a.Limited }
+// mayBeRefused reports whether hosts may refuse a request because of its account or because it crashes targets.
+func (a Attempt) mayBeRefused() bool { return a.BadKey || a.Limited || a.Crashing != "" }
 
 // TargetEvent is an event that a target recorded.
 type TargetEvent struct {
@@ -105,7 +107,10 @@
 	// Keys are those of all client accounts, and Headers the account headers that targets saw, by request.
 	Keys    []*KeySpan
 	Headers map[string][]platformtest.AccountHeaders
-	Length  time.Duration
+	// Departures are those of clients that left, and RunEnds the ends of runs on targets.
+	Departures []Departure
+	RunEnds    map[TargetRun]time.Duration
+	Length     time.Duration
 }
 
 // LimitSpan is a period in which a target named a rate limit. To is 0 until it ends.
@@ -174,6 +179,10 @@
 	// WatchTime is the time for which the store answers watches that began before an outage.
 	FreshAge, WatchTime time.Duration
 	RefusalSlack        int
+	// LateCrashes is the number of requests that crash targets which may run once hosts must know them, and
+	// Departure the time after which targets must have been told that a client has left.
+	LateCrashes int
+	Departure   time.Duration
 	// MinServedShare is the minimum share of requests that are served after all faults ended.
 	MinServedShare float64
 }
@@ -191,12 +200,7 @@
 
 // Check returns the violations of the guarantees in a history.
 func Check(h *History, b Bounds) []Violation {
-	c := &checker{h: h, b: b, events: map[string][]TargetEvent{}}
-	for _, e := range h.TargetEvents {
-		if e.Kind != platformtest.Probed {
-			c.events[e.ID] = append(c.events[e.ID], e)
-		}
-	}
+	c := newChecker(h, b)
 	for _, a := range h.Attempts {
 		c.checkResponse(a)
 		c.checkRuns(a)
@@ -213,11 +217,24 @@
 	c.checkCuts()
 	c.checkKeys()
 	c.checkEvacuations()
+	c.checkCrashing()
+	c.checkDepartures()
 	c.checkQuota()
 	c.checkRecovery()
 	return c.violations
 }
 
+// newChecker returns a checker of a history.
+func newChecker(h *History, b Bounds) *checker {
+	c := &checker{h: h, b: b, events: map[string][]TargetEvent{}}
+	for _, e := range h.TargetEvents {
+		if e.Kind != platformtest.Probed {
+			c.events[e.ID] = append(c.events[e.ID], e)
+		}
+	}
+	return c
+}
+
 type checker struct {
 	h *History
 	b Bounds
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -61,6 +61,12 @@
 		r.removeKey(f.Index)
 	case f.Kind == KeyRemoveUnseen:
 		r.removeKeyUnseen(ctx, f)
+	case f.Kind == RequestCrash:
+		r.sendCrashing(ctx, f)
+	case f.Kind == ClientLeave:
+		r.sendAndLeave(ctx, f)
+	case f.Kind == ConfigOddPart:
+		r.writeOddParts(ctx, f)
 	case f.Kind == ConfigChange:
 		r.writeNextVersion()
 	case f.Kind == ConfigBurst:
@@ -184,6 +190,8 @@
 	target     *platformtest.Target
 	link       *platformtest.Proxy
 	generation int
+	// limit is the rate limit that the targets name all the time, in requests a second; 0 for none.
+	limit float64
 }
 
 // start starts a new target and its proxy and writes its entry to the store.
@@ -191,20 +199,29 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.generation++
-	t := platformtest.NewTarget(fmt.Sprintf("t-%d-%d", b.index, b.generation), serviceName, domainName(b.index), targetSlots, platformtest.Behaviour{ServiceTime: typicalServiceTime})
+	t := platformtest.NewTarget(fmt.Sprintf("t-%d-%d", b.index, b.generation), serviceName, domainName(b.index), targetSlots, b.r.crashBehaviour())
 	id := t.ID
-	t.OnEvent = func(e platformtest.Event) { b.r.recordEvent(id, e) }
-	t.OnNotice = func(n platformtest.Notice) { b.r.recordNotice(id, n) }
 	link, err := platformtest.NewProxy(ctx, t.Address(), b.r.g)
 	if err != nil {
 		return err
 	}
+	t.OnEvent = func(e platformtest.Event) { b.r.recordEvent(id, e) }
+	t.OnEnded = func(request string, crashed bool) {
+		b.r.recordRunEnd(id, request)
+		if crashed {
+			b.crashed(t, link)
+		}
+	}
+	t.OnNotice = func(n platformtest.Notice) { b.r.recordNotice(id, n) }
 	b.r.applyCutsTo(link)
 	b.target, b.link = t, link
 	b.r.mu.Lock()
 	b.r.allTargets = append(b.r.allTargets, t)
 	b.r.history.Domains[id] = t.Zone
 	b.r.mu.Unlock()
+	if b.limit > 0 {
+		b.r.startLimit(t, b.limit)
+	}
 	b.r.store.Put(platformtest.TargetPrefix+id, t.EntryAt(link.Address(), "ready"))
 	return nil
 }
@@ -245,19 +262,19 @@
 		link.Set(platformtest.LinkReset)
 		timer.Sleep(ctx, min(f.Length, entryTimeout))
 		b.r.store.Delete(platformtest.TargetPrefix + t.ID)
-		b.replace(ctx)
+		b.replace(ctx, t)
 	case TargetDrain:
 		b.drain(t, link)
 		timer.Sleep(ctx, f.Length+b.r.bounds.Drain)
 		b.r.store.Delete(platformtest.TargetPrefix + t.ID)
-		b.replace(ctx)
+		b.replace(ctx, t)
 	case TargetLateEntry:
 		b.drainWithLateEntries(ctx, t, link, f)
 	default:
 		if behaviour, ok := behaviours[f.Kind]; ok {
 			replace := func(next platformtest.Behaviour) {
 				t.UpdateBehaviour(func(b *platformtest.Behaviour) {
-					next.Limit, next.Leaving, next.Pause = b.Limit, b.Leaving, b.Pause
+					next.Limit, next.Leaving, next.Pause, next.CrashPath, next.CrashAccount = b.Limit, b.Leaving, b.Pause, b.CrashPath, b.CrashAccount
 					*b = next
 				})
 			}
@@ -294,7 +311,7 @@
 	b.r.store.Put(platformtest.TargetPrefix+t.ID, late)
 	timer.Sleep(ctx, entryTimeout)
 	b.r.store.Delete(platformtest.TargetPrefix + t.ID)
-	b.replace(ctx)
+	b.replace(ctx, t)
 }
 
 // limits are the rate limits that targets name, in requests a second.
@@ -337,9 +354,12 @@
 	}
 }
 
-// replace starts a new target in place of one whose entry was deleted. The old target
-// keeps running only for the requests that it still has.
-func (b *backend) replace(ctx context.Context) {
+// replace starts a new target in place of one whose entry was deleted, unless there is one already. The old
+// target keeps running only for the requests that it still has.
+func (b *backend) replace(ctx context.Context, old *platformtest.Target) {
+	if t, _ := b.current(); t != old {
+		return
+	}
 	if err := b.start(context.WithoutCancel(ctx)); err != nil {
 		b.r.recordSpan(TargetCrash, allHosts, b.r.sinceStart(time.Now()))
 	}
--- a/internal/bench/soak/keys.go
+++ b/internal/bench/soak/keys.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"tamaracktiller.example/tamaracktiller/internal/kernel/timer"
@@ -50,13 +51,16 @@
 		return
 	}
 	for n := range accountCount * keysPerAccount {
-		r.addKey(fmt.Sprintf("account-%d", n%accountCount))
+		r.addKey(accountName(n))
 	}
 	if r.history.Quota = r.cfg.Quota; r.cfg.Quota.PerSecond > 0 {
 		r.quotaKey = r.addKey(quotaAccount).Key
 	}
 }
 
+// accountName returns the name of an account by its number, beginning anew after the last one.
+func accountName(n int) string { return fmt.Sprintf("account-%d", n%accountCount) }
+
 // accounts returns the accounts with their keys. The caller holds the mutex.
 func (r *run) accounts() []platformtest.Account {
 	var accounts []platformtest.Account
@@ -91,6 +95,39 @@
 	added.Added = old.Removed
 }
 
+const (
+	oddAccount = "odd"
+	oddKey     = "odd-key"
+)
+
+// oddAccounts are accounts that cannot be applied, each in a version of its own.
+var oddAccounts = [][]platformtest.Account{
+	{{Name: oddAccount, Keys: []string{strings.Repeat("k", 2000)}}},
+	{{Name: strings.Repeat("n", 2000), Keys: []string{oddKey}}},
+	{{Keys: []string{oddKey}}},
+	{{Name: oddAccount, Keys: []string{oddKey}, PerSecond: -1}},
+	{{Name: oddAccount, Keys: []string{oddKey}}, {Name: oddAccount, Keys: []string{"other-" + oddKey}}},
+	{{Name: oddAccount, Keys: []string{""}}},
+}
+
+// writeOddParts writes versions with accounts that cannot be applied, the first of which also replaces a key.
+func (r *run) writeOddParts(ctx context.Context, f Fault) {
+	set := func(odd []platformtest.Account) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.oddParts = odd
+	}
+	if r.keyOf(f.Index) == "" {
+		r.writeNextVersion()
+		return
+	}
+	set(oddAccounts[int(f.At/time.Millisecond)%len(oddAccounts)])
+	r.removeKey(f.Index)
+	timer.Sleep(ctx, f.Length)
+	set(nil)
+	r.writeNextVersion()
+}
+
 // removeKeyUnseen removes a key while the store is down.
 func (r *run) removeKeyUnseen(ctx context.Context, f Fault) {
 	start := r.sinceStart(time.Now())
@@ -106,7 +143,7 @@
 // currentKey returns the oldest key of an account, or nil if there are no accounts. The caller
 // holds the mutex.
 func (r *run) currentKey(n int) *KeySpan {
-	account := fmt.Sprintf("account-%d", n%accountCount)
+	account := accountName(n)
 	if i := slices.IndexFunc(r.history.Keys, func(k *KeySpan) bool { return k.Account == account && k.Removed == 0 }); i >= 0 {
 		return r.history.Keys[i]
 	}
--- a/internal/bench/soak/notice.go
+++ b/internal/bench/soak/notice.go
@@ -71,7 +71,7 @@
 	t.UpdateBehaviour(func(b *platformtest.Behaviour) { b.Leaving = true })
 	timer.Sleep(ctx, f.Length+b.r.bounds.Leaving)
 	b.r.store.Delete(platformtest.TargetPrefix + t.ID)
-	b.replace(ctx)
+	b.replace(ctx, t)
 }
 
 // rejectWithPause makes a target reject requests and name a pause.
--- a/internal/bench/soak/result.go
+++ b/internal/bench/soak/result.go
@@ -42,6 +42,10 @@
 	Leavers      int `json:"leavers"`
 	// LateRequests counts the judged requests that were sent late in a planned stop and got a response.
 	LateRequests int `json:"late-requests"`
+	// CrashPaths counts the judged paths of requests that crash targets, and LeftRuns the judged runs of requests
+	// whose clients left.
+	CrashPaths int `json:"crash-paths"`
+	LeftRuns   int `json:"left-runs"`
 	// CutRequests counts the requests to hosts separated from all targets that were judged.
 	CutRequests  int         `json:"cut-requests"`
 	Violations   []Violation `json:"violations"`
@@ -57,6 +61,7 @@
 	r.RemovedKeyRequests, r.RefusedKeys = keys.removed, keys.refused
 	r.LateRequests = (&checker{h: h, b: b}).checkStops()
 	r.JudgedPauses = (&checker{h: h, b: b}).checkPauses()
+	r.CrashPaths, r.LeftRuns = newChecker(h, b).checkCrashing(), newChecker(h, b).checkDepartures()
 	leavers := map[string]bool{}
 	for _, a := range h.Attempts {
 		if a.Leaver != "" {
@@ -70,6 +75,7 @@
 			r.Probes++
 		case a.Limited:
 			r.LimitedStatuses[a.Status]++
+		case a.Crashing != "":
 		case a.BadKey:
 			r.BadKeyStatuses[a.Status]++
 		case a.Late:
--- a/internal/bench/soak/schedule.go
+++ b/internal/bench/soak/schedule.go
@@ -61,8 +61,10 @@
 	TargetSayLeaving Kind = "target-say-leaving"
 	TargetPause      Kind = "target-pause"
 
-	ConfigChange   Kind = "config-change"
-	ConfigBurst    Kind = "config-storm"
+	ConfigChange Kind = "config-change"
+	ConfigBurst  Kind = "config-storm"
+	// ConfigOddPart writes versions with parts that cannot be applied, and replaces a key of a client account.
+	ConfigOddPart  Kind = "config-odd-part"
 	MalformedEntry Kind = "strange-entry"
 
 	// KeyRemove replaces a key of a client account. KeyRemoveUnseen does so while the store is down.
@@ -71,6 +73,10 @@
 
 	// Evacuate evacuates a failure domain.
 	Evacuate Kind = "evacuate"
+
+	// RequestCrash sends requests that crash targets, and ClientLeave those of clients that leave while they run.
+	RequestCrash Kind = "request-crash"
+	ClientLeave  Kind = "client-leave"
 )
 
 // kinds are the kinds that Schedule draws from; a kind listed twice is drawn twice as
@@ -79,7 +85,7 @@
 	HostKill, HostPause, HostStop, HostReload, HostStoreSlow, HostStoreSilent, HostStoreOneWay, HostStoreReset, CutSilent, CutReset, CutRefuse, HostKillSeries,
 	StoreDown, StoreSlow, StoreDropResponses, StoreDelayWrites, StoreSuppressEvents, StoreCompact, StoreRestore,
 	TargetSlow, TargetFail, TargetShed, TargetDropResponses, TargetCrash, TargetDrain, TargetLateEntry, TargetLinkSilent, TargetLinkOneWay, TargetLinkReset, TargetLinkSlow, TargetLimit, TargetLimit, TargetSayLeaving, TargetPause, TargetPause,
-	ConfigChange, ConfigChange, ConfigBurst, MalformedEntry, KeyRemove, KeyRemove, KeyRemoveUnseen, Evacuate,
+	ConfigChange, ConfigChange, ConfigBurst, MalformedEntry, KeyRemove, KeyRemove, KeyRemoveUnseen, Evacuate, RequestCrash, ClientLeave, ConfigOddPart,
 }
 
 // Fault is one fault of a schedule.
@@ -134,6 +140,8 @@
 			f.Length = unseenRemoval
 		case f.Kind == Evacuate:
 			f.Length = evacuationLength
+		case f.Kind == RequestCrash:
+			f.Length += crashTime
 		case f.isCut():
 			f.Length *= cutFactor
 		}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -7,9 +7,10 @@
 // them are separated from all targets. The links to the store and to targets are delayed, blocked in one or both directions, or reset. The store is
 // unavailable or slow, sends no watch events, drops responses, delays writes, compacts
 // its history or is restored from a backup. Targets become slow, fail, shed load, drop
-// responses, name rate limits and pauses, say that they leave, crash and drain. The configuration changes, also in bursts, and malformed
+// responses, name rate limits and pauses, say that they leave, crash and drain. Requests of one client account
+// crash them. The configuration changes, also in bursts, with parts that cannot be applied, and malformed
 // entries appear in the store. Callers have keys of client accounts, which are removed, also while
-// the store is down. Numbered routes are public.
+// the store is down. Some send further requests and leave. Numbered routes are public.
 //
 // # Usage
 //
@@ -72,6 +73,7 @@
 		LimitNotice: 3 * time.Second, LimitWindow: 4 * time.Second, LimitRatio: 1.5, LimitSlack: 5,
 		Leaving: 2 * time.Second, PauseNotice: 500 * time.Millisecond, InPause: 2,
 		QuotaWindow: 5 * time.Second, QuotaOverage: 0.1, QuotaSlack: 20, Evacuate: 5 * time.Second, Revoke: 3 * time.Second, FreshAge: 2200 * time.Millisecond, WatchTime: 600 * time.Millisecond, RefusalSlack: 3,
+		LateCrashes: 3, Departure: 500 * time.Millisecond,
 		CutNotice: 3 * time.Second, MinCutRatio: 2.0 / 3, CutSlack: 10, CutShare: 1.0 / 50,
 	}
 }
@@ -92,6 +94,8 @@
 	restoring atomic.Bool
 	// quotaKey is the key of quotaAccount; empty for none.
 	quotaKey string
+	// oddParts are accounts of the configuration that cannot be applied.
+	oddParts []platformtest.Account
 	// evacuating is set while a failure domain is evacuated.
 	evacuating atomic.Bool
 
@@ -115,7 +119,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r := &run{cfg: cfg, bounds: DefaultBounds(), g: group.New(ctx), store: platformtest.NewStore(), storeFaults: map[Kind]int{}, cuts: map[int]cutState{}, olderSince: map[int]time.Duration{}}
-	r.history.DrainStarts, r.history.Stops, r.history.Domains = map[string]time.Duration{}, map[process]time.Duration{}, map[string]string{}
+	r.history.DrainStarts, r.history.Stops, r.history.Domains, r.history.RunEnds = map[string]time.Duration{}, map[process]time.Duration{}, map[string]string{}, map[TargetRun]time.Duration{}
 	defer r.close()
 	if err := r.startFleet(ctx); err != nil {
 		return nil, err
@@ -173,12 +177,11 @@
 		r.targets = append(r.targets, b)
 	}
 	if r.cfg.Limit > 0 {
-		b := &backend{r: r, index: r.cfg.Targets}
+		b := &backend{r: r, index: r.cfg.Targets, limit: r.cfg.Limit}
 		if err := b.start(ctx); err != nil {
 			return err
 		}
 		r.targets = append(r.targets, b)
-		r.startLimit(b.target, r.cfg.Limit)
 	}
 	for n := range r.cfg.Hosts {
 		link, err := platformtest.NewProxy(ctx, r.store.Address(), r.g)
@@ -310,6 +313,6 @@
 	for n := max(1, number-keptRoutes+1); n <= number; n++ {
 		routes = append(routes, platformtest.Route{Host: routeHost, Prefix: fmt.Sprintf("/r%d/", n), Service: serviceName, Safe: true, TimeoutMillis: int(requestTimeout.Milliseconds()), Public: true})
 	}
-	r.store.Put(platformtest.ConfigKey, platformtest.ConfigWithAccounts(number, routes, r.accounts()))
+	r.store.Put(platformtest.ConfigKey, platformtest.ConfigWithAccounts(number, routes, append(r.accounts(), r.oddParts...)))
 	r.history.Versions = append(r.history.Versions, Version{Number: number, Written: r.sinceStart(time.Now())})
 }
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -47,6 +47,22 @@
 	require.Positive(t, result.LateRequests, "requests late in planned stops")
 }
 
+// TestSoakRepeatsRequestsThatCrashTargets does a short run with real processes in which hosts are replaced, while
+// requests crash targets, clients leave and the configuration has parts that cannot be applied.
+func TestSoakRepeatsRequestsThatCrashTargets(t *testing.T) {
+	dir := t.TempDir()
+	result, err := Run(t.Context(), Config{
+		Seed: 3, Length: 24 * time.Second, Hosts: 4, Targets: 8, Callers: 8, Binary: build(t, dir), Dir: filepath.Join(dir, "run"),
+		Only: []Kind{HostKill, HostStop, HostKillSeries, RequestCrash, ClientLeave, ClientLeave, ConfigOddPart, ConfigOddPart},
+	})
+	require.NoError(t, err)
+	require.Empty(t, result.Violations, result.Timeline())
+	t.Logf("judged: %d paths of requests that crash targets, %d runs of clients that left, %d requests with removed keys", result.CrashPaths, result.LeftRuns, result.RemovedKeyRequests)
+	require.Positive(t, result.CrashPaths, "paths of requests that crash targets")
+	require.Positive(t, result.LeftRuns, "runs of clients that left")
+	require.Positive(t, result.RemovedKeyRequests, "requests with removed keys")
+}
+
 // TestSoak does a short run with real processes.
 func TestSoak(t *testing.T) {
 	dir := t.TempDir()
