Do not hold requests of a host that starts for hosts whose view is behind

Cause: holds requests after the first read until other hosts have said what they know, for 100 ms at most. A host whose view is behind is asked twice, the second time with a wait for changes, and requests waited for both. In the test the store takes 250 ms a call, so the other host is often behind.

Change: requests wait for the first response of each host. They wait for the second one only if the store has come back from a copy which the other host has not read: it holds the configuration that the copy lacks, and its first response is not used.

Ruled out: not waiting for hosts behind at all, which would bring back keys that a copy of the store holds.

--- a/internal/fleet/directory/watch.go
+++ b/internal/fleet/directory/watch.go
@@ -345,7 +345,6 @@
 		}
 		era, asked = s.Revision.Era, true
 		d.fetchMemories(ctx, hosts)
-		d.endCatchUp.Do(func() { close(d.caughtUp) })
 	}
 	return nil
 }
@@ -359,20 +358,51 @@
 	return hosts[:min(len(hosts), maxCatchUpHosts)]
 }
 
-// fetchMemories polls some hosts at the same time, and returns when all have responded or failed.
+// fetchMemories polls some hosts at the same time. Those whose view is behind this one know of too few ends of targets,
+// so they are asked once more, for when they have caught up. Requests wait for that only if the store has come back from
+// a copy which such a host has not read yet: what it knew before does not count until then.
 func (d *Directory) fetchMemories(ctx context.Context, hosts []Host) {
+	applied := d.cache.applied()
+	revisions := d.pollMemories(ctx, hosts, 0)
+	var behind []Host
+	sameEra := true
+	for _, host := range hosts {
+		if revision, ok := revisions[host.Name]; ok && applied.After(revision) {
+			behind = append(behind, host)
+			sameEra = sameEra && revision.Era == applied.Era
+		}
+	}
+	if sameEra {
+		d.endCatchUp.Do(func() { close(d.caughtUp) })
+	}
+	d.pollMemories(ctx, behind, pollWait)
+	d.endCatchUp.Do(func() { close(d.caughtUp) })
+}
+
+// pollMemories polls some hosts at the same time, and returns the revisions of their views when all have responded or
+// failed.
+func (d *Directory) pollMemories(ctx context.Context, hosts []Host, wait time.Duration) map[string]store.Revision {
 	var wg sync.WaitGroup
+	var mu sync.Mutex
+	revisions := map[string]store.Revision{}
 	for _, host := range hosts {
 		wg.Add(1)
 		d.g.Go("catch up with a host", func(context.Context) error {
 			defer wg.Done()
-			if err := d.fetchMemory(ctx, host); err != nil {
+			revision, err := d.fetchMemory(ctx, host, wait)
+			if err != nil {
 				d.cfg.Log.WithError(err).WithField(fieldHost, host.Name).Debug("polling a host after the start failed")
 			}
+			mu.Lock()
+			defer mu.Unlock()
+			if !revision.IsZero() {
+				revisions[host.Name] = revision
+			}
 			return nil
 		})
 	}
 	wg.Wait()
+	return revisions
 }
 
 // endFirstReadSoon ends the wait for the first read once this host has caught up with others, if there are any, or after
@@ -397,19 +427,15 @@
 	})
 }
 
-// fetchMemory requests from another host its beliefs, and what it knows of targets that ended. A host whose view is
-// behind this one knows of too few, so it is asked once more, for when it has caught up.
-func (d *Directory) fetchMemory(ctx context.Context, host Host) error {
-	applied := d.cache.applied()
-	u, err := d.fetchChanges(ctx, host, applied, poll{memory: true})
-	if err == nil && applied.After(u.page.Revision) {
-		u, err = d.fetchChanges(ctx, host, applied, poll{wait: pollWait, memory: true})
-	}
+// fetchMemory requests from another host its beliefs, and what it knows of targets that ended, and returns the revision
+// of its view, also if that is not used; zero if the host has not responded.
+func (d *Directory) fetchMemory(ctx context.Context, host Host, wait time.Duration) (store.Revision, error) {
+	u, err := d.fetchChanges(ctx, host, d.cache.applied(), poll{wait: wait, memory: true})
 	if err != nil {
-		return err
+		return store.Revision{}, err
 	}
 	d.cfg.Beliefs.Import(host.Name, u.beliefs)
-	return d.submitPolled(ctx, host, u)
+	return u.page.Revision, d.submitPolled(ctx, host, u)
 }
 
 // pollFallbacks polls the fallback hosts in turn while the view is older than
