Soak: clients that leave send their second request later, odd parts stay longer

Both requests of a client arrived in one packet, so the host noticed the close even there. A version with odd accounts was replaced before a request with the key that it removes was judged.

Change: the second request is sent 50 ms after the first; odd accounts stay 5 s longer, and faults that overlap do not end each other's. Bounds and checks are as before.

--- a/internal/bench/soak/keys.go
+++ b/internal/bench/soak/keys.go
@@ -98,6 +98,9 @@
 const (
 	oddAccount = "odd"
 	oddKey     = "odd-key"
+	// oddPartTime is the time for which such accounts stay longer than other faults, so that requests with the key
+	// that the same version removes are judged meanwhile.
+	oddPartTime = 5 * time.Second
 )
 
 // oddAccounts are accounts that cannot be applied, each in a version of its own.
@@ -112,19 +115,21 @@
 
 // writeOddParts writes versions with accounts that cannot be applied, the first of which also replaces a key.
 func (r *run) writeOddParts(ctx context.Context, f Fault) {
-	set := func(odd []platformtest.Account) {
+	set := func(odd []platformtest.Account, faults int) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.oddParts = odd
+		if r.oddFaults += faults; r.oddFaults == 0 || odd != nil {
+			r.oddParts = odd
+		}
 	}
 	if r.keyOf(f.Index) == "" {
 		r.writeNextVersion()
 		return
 	}
-	set(oddAccounts[int(f.At/time.Millisecond)%len(oddAccounts)])
+	set(oddAccounts[int(f.At/time.Millisecond)%len(oddAccounts)], 1)
 	r.removeKey(f.Index)
 	timer.Sleep(ctx, f.Length)
-	set(nil)
+	set(nil, -1)
 	r.writeNextVersion()
 }
 
--- a/internal/bench/soak/leave.go
+++ b/internal/bench/soak/leave.go
@@ -4,7 +4,6 @@
 // targets of both are told.
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -19,6 +18,8 @@
 	// leaveInterval is the time between two clients that leave, and leaveAfter the time for which each stays.
 	leaveInterval = 250 * time.Millisecond
 	leaveAfter    = 400 * time.Millisecond
+	// furtherAfter is the time between their two requests: the host runs the first one when the second one arrives.
+	furtherAfter = 50 * time.Millisecond
 	// leftService is the service time of their first requests.
 	leftService = 3 * time.Second
 )
@@ -48,17 +49,14 @@
 	}
 	defer conn.Close()
 	d := Departure{Host: h.index}
-	var requests bytes.Buffer
 	for range 2 {
 		id := fmt.Sprintf("s%d-%d", r.cfg.Seed, r.lastID.Add(1))
 		d.IDs = append(d.IDs, id)
 		req := platformtest.Request{ID: id, Host: routeHost, Path: "/long/read/x", TimeLeft: longTimeout, ServiceTime: leftService, Key: r.keyOf(crashAccount + 1)}
-		if err := req.Write(ctx, &requests, h.callerAddress()); err != nil {
+		if err := req.Write(ctx, conn, h.callerAddress()); err != nil {
 			return
 		}
-	}
-	if _, err := conn.Write(requests.Bytes()); err != nil {
-		return
+		timer.Sleep(ctx, furtherAfter)
 	}
 	timer.Sleep(ctx, leaveAfter)
 	_ = conn.Close()
--- a/internal/bench/soak/schedule.go
+++ b/internal/bench/soak/schedule.go
@@ -142,6 +142,8 @@
 			f.Length = evacuationLength
 		case f.Kind == RequestCrash:
 			f.Length += crashTime
+		case f.Kind == ConfigOddPart:
+			f.Length += oddPartTime
 		case f.isCut():
 			f.Length *= cutFactor
 		}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -94,8 +94,9 @@
 	restoring atomic.Bool
 	// quotaKey is the key of quotaAccount; empty for none.
 	quotaKey string
-	// oddParts are accounts of the configuration that cannot be applied.
-	oddParts []platformtest.Account
+	// oddParts are accounts of the configuration that cannot be applied, for oddFaults faults.
+	oddParts  []platformtest.Account
+	oddFaults int
 	// evacuating is set while a failure domain is evacuated.
 	evacuating atomic.Bool
 
