Tests of hosts: end the hosts with their test

The hosts' logs list five hosts, two of them host-2 and one host-joined, in a test that starts three and no host-joined. Those are hosts of tests that had ended: a test only began their planned stop, which takes seconds, and the store of the next test had got the same port. Hosts are ranked by name, so the announcement of the block went to hosts of the other test.

Change: a host's goroutines are canceled, and this is awaited, before its test ends.

Before: TestHostsEndWithTheirTest gets a call of a host after the end of its test, at once. After: none in 3 s. That the 502 follows from the foreign hosts was not reproduced; that they were listed is in the log.

--- a/internal/process/entry/export_test.go
+++ b/internal/process/entry/export_test.go
@@ -16,6 +16,16 @@
 	_ = p.readinessServer.Close()
 	_ = p.peerServer.Close()
 	_ = p.packets.Close()
+	p.cancelAll()
+}
+
+// End cancels all goroutines of the process, which may still be starting. It begins no more calls.
+func (p *Process) End() {
+	p.cancelAll()
+	<-p.g.Context().Done()
+}
+
+func (p *Process) cancelAll() {
 	p.g.Go("kill", func(context.Context) error { return errKilled })
 }
 
--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -209,7 +209,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel, h.process = cancel, p
 	go func() { h.done <- p.Run(ctx) }()
-	cl.t.Cleanup(cancel)
+	cl.t.Cleanup(func() {
+		cancel()
+		// Otherwise the host writes to the store of a later test that has got the same port.
+		p.End()
+	})
 	return h
 }
 
