Test: hosts that are replaced before they decide block no request

The delay should count from the crash, whose age the evidence carries.

Trackers of replaced hosts send nothing any more in these tests, as processes that are gone; the other tests of the package pass with it.

--- a/internal/traffic/entry/crash_test.go
+++ b/internal/traffic/entry/crash_test.go
@@ -124,10 +124,11 @@
 	log.SetOutput(io.Discard)
 	h := f.hosts[i]
 	h.gone.Store(false)
-	h.CrashTracker = NewCrashTracker(CrashTrackerConfig{
+	var tracker *CrashTracker
+	tracker = NewCrashTracker(CrashTrackerConfig{
 		Self: fmt.Sprintf("host-%d", i), Hosts: func() map[string]directory.Host { return f.listed }, Store: f.store, Log: logrus.NewEntry(log),
 		Send: func(to []netip.AddrPort, e crash.Evidence) {
-			if h.gone.Load() {
+			if h.gone.Load() || h.CrashTracker != tracker {
 				return
 			}
 			f.sent.Add(int64(len(to)))
@@ -138,6 +139,7 @@
 			}
 		},
 	}, f.g)
+	h.CrashTracker = tracker
 	f.update(h)
 }
 
@@ -502,6 +504,27 @@
 	}
 }
 
+// Guards against a request that is never blocked because no host lives as long as hosts wait before they block:
+// they wait from when they learn of the third crash, not from the crash.
+func TestRequestIsBlockedByHostsThatAreReplacedBeforeTheyDecide(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFleet(t, 3)
+		for i, target := range []string{"a", "b", "c"} {
+			f.crash(i, poisonRequest, target)
+		}
+		crashed := time.Now()
+		for n := 0; time.Since(crashed) < maxBlockTime+2*standbyDelay; n++ {
+			f.pass(blockDelay / 4)
+			i, other := n%len(f.hosts), (n+1)%len(f.hosts)
+			records, err := f.hosts[other].Export()
+			require.NoError(t, err)
+			f.restart(i)
+			require.NoError(t, f.hosts[i].Import(records))
+		}
+		f.requireBlocked(true)
+	})
+}
+
 func FuzzImport(f *testing.F) {
 	for _, list := range [][]crash.Evidence{
 		nil,
