Refuse keys at deployments with accounts whatever hosts have seen

Cause: whether a request with a key needs a valid one depended on what a host had seen, or on a record that another host had written. Neither is there if the accounts came and went while no host ran, all hosts ended before the record was written, it was deleted, the store came back from a copy of before it, or the version with accounts could not be read.

Why this works: the settings list the contracts in force, so the rule needs no past. Hosts of a deployment with accounts, with strict revocation or without a list have an index of keys at any time, empty while the configuration has no accounts.

TestWithoutAccountsTheirHeadersPassUnchanged and TestKeysOfRemovedAccountsAreRefused now say in their settings that there are no accounts; what they assert is unchanged.

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -50,6 +50,8 @@
 	OnQueueWait func(wait time.Duration)
 	// Beliefs holds what hosts tell one that starts; nil for nothing.
 	Beliefs *belief.Registry
+	// HasAccounts reports whether the deployment has client accounts, even while the configuration has none.
+	HasAccounts bool
 	// Heartbeat is the interval at which targets write their entries; zero if unknown.
 	Heartbeat time.Duration
 	// SinceBoot returns the time since the machine was started, with the time in which it was
@@ -164,6 +166,7 @@
 		baseTime: time.Now().Add(-unknownAge), baseBoot: cfg.SinceBoot() - unknownAge, watchJitter: rand.N(othersWatchJitter), hostsChanged: newBroadcast(), firstReadEnded: make(chan struct{}), caughtUp: make(chan struct{}),
 	}
 	d.state = NewState(cfg.Self, cfg.Decoder, cfg.ReregisterTimeout, d.cache.add)
+	d.state.hasAccounts = cfg.HasAccounts
 	d.state.order.SetHeartbeat(cfg.Heartbeat)
 	if cfg.PeerTransport == nil {
 		cfg.PeerTransport = &http.Transport{DialContext: dialPeer, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, MaxResponseHeaderBytes: maxPeerHeaderBytes, DisableCompression: true}
--- a/internal/fleet/directory/state.go
+++ b/internal/fleet/directory/state.go
@@ -50,8 +50,8 @@
 type Snapshot struct {
 	// Table is the routing table; nil while no configuration is known.
 	Table *routing.Table
-	// Keys is the index of the keys of client accounts; nil if no configuration has had accounts. It is empty if
-	// the one in force has none, but an earlier one had.
+	// Keys is the index of the keys of client accounts; nil if the deployment has none. It is empty if it has, or had,
+	// but the configuration in force has none.
 	Keys *keyring.Keyring
 	// AccountsSeen reports whether any configuration had accounts, and AccountsStored whether the store holds
 	// that.
@@ -168,6 +168,8 @@
 	roster  *roster.Roster
 	table   *routing.Table
 	keyring *keyring.Keyring
+	// hasAccounts is set if the deployment has client accounts according to the settings of the host.
+	hasAccounts bool
 	// accountsSeen is set if any configuration had client accounts, by this process or according to the store,
 	// and accountsStored if the store holds that. noKeys is the index of a configuration without accounts then.
 	accountsSeen, accountsStored bool
@@ -503,7 +505,7 @@
 func (s *State) Snapshot() *Snapshot {
 	next := *s.last
 	next.Keys, next.ConfigUnreadable = s.keyring, s.configUnreadable
-	if next.Keys == nil && s.accountsSeen {
+	if next.Keys == nil && (s.hasAccounts || s.accountsSeen) {
 		next.Keys = s.noKeys
 	}
 	next.AccountsSeen, next.AccountsStored = s.accountsSeen, s.accountsStored
--- a/internal/process/entry/account_test.go
+++ b/internal/process/entry/account_test.go
@@ -22,6 +22,12 @@
 
 // configureAccounts writes a configuration with the routes of configure, a public one, and accounts.
 func (cl *cluster) configureAccounts(accounts ...platformtest.Account) {
+	cl.putAccounts(accounts...)
+	cl.waitConfigured()
+}
+
+// putAccounts is configureAccounts without waiting for the hosts.
+func (cl *cluster) putAccounts(accounts ...platformtest.Account) {
 	cl.version += 3
 	routes := []platformtest.Route{
 		{Host: "shop.example", Prefix: "/search/", Service: "svc", Safe: true, TimeoutMillis: 1500, ObjectiveMillis: 200},
@@ -29,7 +35,6 @@
 		{Host: "shop.example", Prefix: "/open/", Service: "svc", Safe: true, TimeoutMillis: 1500, Public: true},
 	}
 	cl.store.Put("op/config", platformtest.ConfigWithAccounts(cl.version, routes, accounts))
-	cl.waitConfigured()
 }
 
 // waitConfigured waits until the newest configuration is in force on all hosts.
@@ -193,9 +198,9 @@
 }
 
 // Guards against keys that run, or reach a target, because the configuration has no accounts any more: also at hosts
-// that have started since.
+// that have started since, and though the settings say that there are no accounts.
 func TestKeysOfRemovedAccountsAreRefused(t *testing.T) {
-	cl := newCluster(t, 3, target("t-1", platformtest.Behaviour{}))
+	cl := newFleet(t, fleet{hosts: 3, noAccounts: true}, target("t-1", platformtest.Behaviour{}))
 	cl.configureAccounts(shopAccounts()...)
 	require.Equal(t, http.StatusOK, cl.sendWith(cl.hosts[0], "before", "/search/x", "", credential(goodKey)).status)
 	require.Eventually(t, func() bool { return slices.Contains(cl.storeKeys(), "fleet/accounts") }, 5*time.Second, 20*time.Millisecond)
@@ -230,9 +235,108 @@
 	require.Equal(t, http.StatusUnauthorized, cl.sendWith(cl.hosts[0], "again-none", "/search/x", "", http.Header{}).status)
 }
 
+// Guards against keys that run, or reach a target, because no host knows that a configuration had accounts: all ended
+// before that was recorded, or none has seen such a configuration.
+func TestKeysAreRefusedWhateverHostsHaveSeenOfAccounts(t *testing.T) {
+	t.Parallel()
+	killAll := func(cl *cluster) {
+		for _, h := range cl.hosts {
+			h.process.Kill()
+		}
+	}
+	startAll := func(cl *cluster) {
+		for n := range cl.hosts {
+			cl.restart(n)
+		}
+		for _, h := range cl.hosts {
+			cl.waitReady(h)
+		}
+	}
+	tests := []struct {
+		name string
+		// play takes the accounts away, and ends all hosts that knew of them.
+		play func(cl *cluster)
+	}{
+		{name: "all end when the accounts are gone", play: func(cl *cluster) {
+			cl.configureAccounts(shopAccounts()...)
+			cl.configureAccounts()
+			killAll(cl)
+			startAll(cl)
+		}},
+		{name: "all end in turn when the accounts are gone", play: func(cl *cluster) {
+			cl.configureAccounts(shopAccounts()...)
+			cl.configureAccounts()
+			for n, h := range cl.hosts {
+				h.process.Kill()
+				cl.restart(n)
+				cl.waitReady(cl.hosts[n])
+			}
+		}},
+		{name: "all end while there are accounts", play: func(cl *cluster) {
+			cl.configureAccounts(shopAccounts()...)
+			killAll(cl)
+			cl.putAccounts()
+			startAll(cl)
+		}},
+		{name: "accounts come and go while no host runs", play: func(cl *cluster) {
+			killAll(cl)
+			cl.putAccounts(shopAccounts()...)
+			cl.putAccounts()
+			startAll(cl)
+		}},
+		{name: "the record is deleted", play: func(cl *cluster) {
+			cl.configureAccounts(shopAccounts()...)
+			cl.configureAccounts()
+			killAll(cl)
+			cl.store.Delete("fleet/accounts")
+			startAll(cl)
+		}},
+		{name: "the store comes back from a copy without the accounts", play: func(cl *cluster) {
+			copied := cl.store.Backup()
+			cl.configureAccounts(shopAccounts()...)
+			cl.configureAccounts()
+			killAll(cl)
+			cl.store.Restore(copied)
+			cl.putAccounts()
+			startAll(cl)
+		}},
+		{name: "a version that cannot be read", play: func(cl *cluster) {
+			cl.store.Put("op/config", []byte(`{"version":`))
+			killAll(cl)
+			cl.putAccounts()
+			startAll(cl)
+		}},
+		{name: "no configuration has accounts", play: func(cl *cluster) { cl.configureAccounts() }},
+	}
+	for _, tt := range tests {
+		for name, revoke := range map[string]time.Duration{"": 0, ", strict": 5 * time.Second} {
+			t.Run(tt.name+name, func(t *testing.T) {
+				t.Parallel()
+				cl := newFleet(t, fleet{hosts: 3, revoke: revoke}, target("t-1", platformtest.Behaviour{}))
+				// Hosts write their records when others join.
+				time.Sleep(time.Second)
+				tt.play(cl)
+				for n, h := range cl.hosts {
+					for key, header := range map[string]http.Header{"removed": credential(goodKey), "unknown": credential("k-unknown"), "two": credential(goodKey, otherKey), "empty": credential("")} {
+						id := fmt.Sprintf("%s-%d", key, n)
+						require.Equal(t, http.StatusUnauthorized, cl.sendWith(h, id, "/search/x", "", header).status, "%s\n%s", key, h.log)
+						require.Empty(t, cl.accountHeaders(id))
+					}
+					id := fmt.Sprintf("none-%d", n)
+					require.Equal(t, http.StatusOK, cl.sendWith(h, id, "/search/x", "", http.Header{"X-Tenant": {"alder"}}).status, "without accounts no request needs a key")
+					require.Equal(t, []platformtest.AccountHeaders{{}}, cl.accountHeaders(id))
+					id = fmt.Sprintf("open-%d", n)
+					require.Equal(t, http.StatusOK, cl.sendWith(h, id, "/open/x", "", credential(goodKey)).status)
+					require.Equal(t, []platformtest.AccountHeaders{{}}, cl.accountHeaders(id), "the key reaches no target")
+				}
+			})
+		}
+	}
+}
+
 // Guards against a change for deployments without accounts: both headers belong to their clients.
 func TestWithoutAccountsTheirHeadersPassUnchanged(t *testing.T) {
-	cl := newCluster(t, 1, target("t-1", platformtest.Behaviour{}))
+	cl := newFleet(t, fleet{hosts: 1, noAccounts: true}, target("t-1", platformtest.Behaviour{}))
 	header := http.Header{"X-Credential": {"a", "b"}, "X-Tenant": {"c", ""}}
 	require.Equal(t, http.StatusOK, cl.sendWith(cl.hosts[0], "r-1", "/search/x", "", header).status)
 	require.Equal(t, []platformtest.AccountHeaders{{Credential: []string{"a", "b"}, Tenant: []string{"c", ""}}}, cl.accountHeaders("r-1"))
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -165,7 +165,7 @@
 	beliefs := belief.NewRegistry(p.log.For("beliefs"))
 	p.directory = directory.New(directory.Config{
 		Self: p.self(), FirstStart: cfg.FirstStart, Source: p.store, Decoder: platform.Decoder, Timer: timers, Log: p.log.For("directory"),
-		ReregisterTimeout: cfg.Bounds.ReregisterTimeout, Beliefs: beliefs, Heartbeat: cfg.Heartbeat, OnChange: p.applySnapshot, OnQueueWait: p.metrics.ObserveUpdateDelay,
+		ReregisterTimeout: cfg.Bounds.ReregisterTimeout, Beliefs: beliefs, HasAccounts: cfg.HasAccounts(), Heartbeat: cfg.Heartbeat, OnChange: p.applySnapshot, OnQueueWait: p.metrics.ObserveUpdateDelay,
 	}, p.g)
 	p.links = targets.NewLinks(targets.Config{
 		Reader: platform.Dialect, Source: cfg.Source, Log: p.log.For("links"), OnChange: p.applyReachability,
@@ -304,7 +304,7 @@
 	if err := p.serve(ctx, p.cfg.Metrics, p.metricsServer()); err != nil {
 		return err
 	}
-	log.WithFields(logrus.Fields{"callers": p.cfg.Callers.String(), "domain": p.cfg.Domain, "incarnation": p.incarnation}).Info("started")
+	log.WithFields(logrus.Fields{"callers": p.cfg.Callers.String(), "domain": p.cfg.Domain, "incarnation": p.incarnation, "client-accounts": p.cfg.HasAccounts()}).Info("started")
 	p.g.Go("reload", func(ctx context.Context) error {
 		p.watchSettings(ctx, log)
 		return nil
--- a/internal/process/entry/process_test.go
+++ b/internal/process/entry/process_test.go
@@ -52,6 +52,8 @@
 	hosts []*host
 	// memory is the memory of each host in bytes.
 	memory int64
+	// noAccounts is set if the settings say that there are no client accounts.
+	noAccounts bool
 }
 
 type host struct {
@@ -117,11 +119,13 @@
 	revoke time.Duration
 	// memory is the memory of each host in bytes; 0 means that clients have no budget.
 	memory int64
+	// noAccounts is set if the deployment has no client accounts according to its settings.
+	noAccounts bool
 }
 
 func newFleet(t *testing.T, f fleet, targets ...*platformtest.Target) *cluster {
 	t.Helper()
-	cl := &cluster{t: t, store: platformtest.NewStore(), targets: targets, firstStart: f.firstStart, domains: max(1, f.domains), grace: f.grace, revoke: f.revoke, memory: f.memory}
+	cl := &cluster{t: t, store: platformtest.NewStore(), targets: targets, firstStart: f.firstStart, domains: max(1, f.domains), grace: f.grace, revoke: f.revoke, memory: f.memory, noAccounts: f.noAccounts}
 	if f.revoke > 0 {
 		cl.storeProxies = map[string]*platformtest.Proxy{}
 	}
@@ -188,7 +192,7 @@
 	cfg := &settings.Entry{
 		Name: name, Domain: []string{"d", "e", "f"}[domain], FirstStart: cl.firstStart, Source: ip, Callers: netip.AddrPortFrom(ip, 8381), Observe: netip.AddrPortFrom(ip, 8388),
 		Peers: netip.AddrPortFrom(ip, 7200), Metrics: netip.AddrPortFrom(ip, 7201),
-		Store: cl.store.Address(), LogLevel: "debug", MemoryBytes: cl.memory,
+		Store: cl.store.Address(), LogLevel: "debug", MemoryBytes: cl.memory, NoAccounts: cl.noAccounts,
 		Bounds: settings.Bounds{
 			RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, ProbesPerSecond: 60,
 			ConfigApply: 2 * time.Second, Drain: 2 * time.Second, Grace: cmp.Or(cl.grace, 6*time.Second), ReregisterTimeout: 2 * time.Second,
--- a/internal/process/settings/change.go
+++ b/internal/process/settings/change.go
@@ -45,6 +45,7 @@
 		{"descriptors", old.Descriptors != next.Descriptors, AfterRestart},
 		{"cores", old.Cores != next.Cores, AfterRestart},
 		{"heartbeat", old.Heartbeat != next.Heartbeat, Unused},
+		{"no-accounts", old.NoAccounts != next.NoAccounts, AfterRestart},
 		{"log-level", old.LogLevel != next.LogLevel, AfterRestart},
 		{"retry-ratio", old.Bounds.RetryRatio != next.Bounds.RetryRatio, Immediate},
 		{"retry-slack", old.Bounds.RetrySlack != next.Bounds.RetrySlack, Immediate},
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -36,10 +36,16 @@
 	// Cores is the processor time that the host may use, in cores; zero if unknown.
 	Cores     float64
 	Heartbeat time.Duration
-	Bounds    Bounds
-	LogLevel  string
+	// NoAccounts is set if the deployment has no client accounts. If it is not, a request with a key needs a valid
+	// one, whether the configuration has accounts or not.
+	NoAccounts bool
+	Bounds     Bounds
+	LogLevel   string
 }
 
+// HasAccounts reports whether the deployment has client accounts, at least at times.
+func (e *Entry) HasAccounts() bool { return !e.NoAccounts || e.Bounds.StrictRevoke }
+
 // Bounds are the limits and time guarantees of a deployment. The hosts of the fleet must
 // satisfy them jointly.
 type Bounds struct {
