Record accounts when they are in force, and by the next host if the first cannot

Cause: only the first host of the ranking recorded that there were accounts, at its next turn, up to a second later. If it ended before, was cut off from the store or of a build that does not know the record, hosts that started did not learn of the accounts.

Evidence: TestAccountsAreRecordedByTheNextHostOfTheRanking; with the former condition the second and the fourth host never write the record.

Why this works: the wait for the next turn ends when accounts are seen, and each further host of the ranking writes the record 2 s later if it is still missing. Only deployments whose settings deny accounts depend on it.

--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -90,7 +90,8 @@
 	// watcherHeard is the time since baseTime, in nanoseconds, at which a watcher last responded to a
 	// poll; 0 means never.
 	watcherHeard atomic.Int64
-	// hostsChanged is notified when the hosts, the secrets or the era of the view have changed.
+	// hostsChanged is notified when the hosts, the secrets or the era of the view have changed, or there are client
+	// accounts for the first time.
 	hostsChanged *broadcast
 	// firstReadEnded is closed when the first read of the store is part of the view and this host has caught up
 	// with others, or the read has failed.
@@ -326,7 +327,7 @@
 	}
 	s := d.state.Snapshot()
 	before := d.snapshot.Swap(s)
-	if s.HostChanges != before.HostChanges || len(s.Secrets) != len(before.Secrets) || s.Revision.Era != before.Revision.Era {
+	if s.HostChanges != before.HostChanges || len(s.Secrets) != len(before.Secrets) || s.Revision.Era != before.Revision.Era || s.AccountsSeen != before.AccountsSeen {
 		d.hostsChanged.notify()
 	}
 	if d.cfg.OnChange != nil {
--- a/internal/fleet/directory/registration.go
+++ b/internal/fleet/directory/registration.go
@@ -33,6 +33,9 @@
 	// sizeSettleTime is the time for which the fleet must not have grown before its size is
 	// recorded, so that the hosts of a first start are counted together.
 	sizeSettleTime = 2 * time.Second
+	// accountsStep is the time after which the next host of the ranking records that there were client accounts,
+	// if the ones before it have not.
+	accountsStep = 2 * time.Second
 	// maxRewriteJitter bounds the period over which hosts spread the rewrites of their
 	// entries after a restore of the store, and rewriteJitterPerHost is the part of it
 	// for each host.
@@ -55,8 +58,9 @@
 	// AccountsSeen reports whether any configuration had client accounts, and AccountsStored whether the store
 	// holds that.
 	AccountsSeen, AccountsStored bool
-	// First reports whether this host is the first of the ranking, which writes the records.
+	// First reports whether this host is the first of the ranking, which writes the records, and Rank its place there.
 	First bool
+	Rank  int
 	// Entry is the entry of this host in the store; the zero value if there is none.
 	Entry Host
 	// Secret is the newest known fleet secret, and SecretStored reports whether the store
@@ -68,11 +72,11 @@
 // RegistrationState returns the state of this host's registration according to the view.
 func (d *Directory) RegistrationState() RegistrationState {
 	s := d.Snapshot()
-	return RegistrationState{Loaded: d.Loaded(), Fresh: d.Fresh(time.Now()), Era: s.Revision.Era, Hosts: s.MaxHosts, RecordedHosts: s.RecordedHosts, SizeRevision: s.SizeRevision, AccountsSeen: s.AccountsSeen, AccountsStored: s.AccountsStored, First: s.position.rank == 0, Entry: s.Entry, Secret: s.Secret(), SecretStored: s.SecretStored}
+	return RegistrationState{Loaded: d.Loaded(), Fresh: d.Fresh(time.Now()), Era: s.Revision.Era, Hosts: s.MaxHosts, RecordedHosts: s.RecordedHosts, SizeRevision: s.SizeRevision, AccountsSeen: s.AccountsSeen, AccountsStored: s.AccountsStored, First: s.position.rank == 0, Rank: s.position.rank, Entry: s.Entry, Secret: s.Secret(), SecretStored: s.SecretStored}
 }
 
 // HostsChanged returns a channel that is closed when the hosts, the secrets or the era of the
-// view change.
+// view change, or there are client accounts for the first time.
 func (d *Directory) HostsChanged() <-chan struct{} { return d.hostsChanged.wait() }
 
 // Registration maintains the entry of this host in the store, and the fleet secret.
@@ -89,6 +93,9 @@
 	// largest is the largest number of hosts seen so far, since grownAt.
 	largest int
 	grownAt time.Time
+	// accountsDue is the time since which the store lacks the record of client accounts; zero if it has it or
+	// there were none.
+	accountsDue time.Time
 }
 
 // writtenEntry describes an entry that was written.
@@ -180,7 +187,7 @@
 		if err := r.recordSettledSize(ctx, time.Now()); err != nil {
 			r.Log.WithError(err).Warn("recording the size of the fleet failed")
 		}
-		if err := r.recordAccounts(ctx); err != nil {
+		if err := r.recordAccounts(ctx, time.Now()); err != nil {
 			r.Log.WithError(err).Warn("recording that there are client accounts failed")
 		}
 		sleepUnless(ctx, changed, time.Until(end))
@@ -233,10 +240,18 @@
 	return err
 }
 
-// recordAccounts records that a configuration had client accounts.
-func (r *Registration) recordAccounts(ctx context.Context) error {
+// recordAccounts records that a configuration had client accounts. The first host of the ranking does so at once;
+// the others wait longer the later they come, in case that those before them cannot reach the store.
+func (r *Registration) recordAccounts(ctx context.Context, now time.Time) error {
 	s := r.State()
-	if !s.First || !s.AccountsSeen || s.AccountsStored {
+	if !s.AccountsSeen || s.AccountsStored {
+		r.accountsDue = time.Time{}
+		return nil
+	}
+	if r.accountsDue.IsZero() {
+		r.accountsDue = now
+	}
+	if now.Sub(r.accountsDue) < time.Duration(s.Rank)*accountsStep {
 		return nil
 	}
 	_, err := r.Store.Commit(ctx, []store.Condition{{Key: AccountsKey}}, []store.Put{{Key: AccountsKey}}, nil)
--- a/internal/fleet/directory/registration_test.go
+++ b/internal/fleet/directory/registration_test.go
@@ -30,7 +30,9 @@
 	secrets        [][]byte
 	// sizes are the recorded sizes of the fleet.
 	sizes []string
-	self  Host
+	// accountsAt is the time of the record of client accounts; zero for none.
+	accountsAt time.Time
+	self       Host
 }
 
 var _ store.Leaser = (*fakeLeaser)(nil)
@@ -71,6 +73,10 @@
 		l.state.RecordedHosts, l.state.SizeRevision = l.state.Hosts, store.NewRevision(l.state.Era, uint64(len(l.sizes)))
 		return l.state.SizeRevision, nil
 	}
+	if writes[0].Key == AccountsKey {
+		l.accountsAt, l.state.AccountsStored = time.Now(), true
+		return store.NewRevision(l.state.Era, 1), nil
+	}
 	if writes[0].Key == SecretKey {
 		if len(conditions) != 1 || !conditions[0].Revision.IsZero() || l.state.SecretStored {
 			return store.Revision{}, store.ErrConflict
@@ -216,6 +222,61 @@
 	}
 }
 
+// Guards against accounts that are recorded seconds late, or not at all because the first host of the ranking does not
+// reach the store.
+func TestAccountsAreRecordedByTheNextHostOfTheRanking(t *testing.T) {
+	const seenAt, length = 700 * time.Millisecond, time.Minute
+	tests := []struct {
+		name string
+		rank int
+		// dropped is the number of commits that are not applied, from the time on at which accounts are seen.
+		dropped int
+		// byOther is the time at which another host writes the record; zero for never.
+		byOther time.Duration
+		// want is the earliest time of the record after the accounts were seen, and within the time it takes at
+		// most then; never if within is zero.
+		want, within time.Duration
+	}{
+		{name: "first host", within: time.Millisecond},
+		{name: "first host, writes are lost", dropped: 2, within: 3 * renewPeriod},
+		{name: "second host", rank: 1, want: accountsStep, within: 2 * renewPeriod},
+		{name: "fourth host", rank: 3, want: 3 * accountsStep, within: 2 * renewPeriod},
+		{name: "second host, recorded by the first", rank: 1, byOther: seenAt + time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				changed := make(chan struct{})
+				l := &fakeLeaser{expired: map[uint64]bool{}, self: Host{Name: "a"}, state: RegistrationState{Loaded: true, Fresh: true, Era: 1, Hosts: 4, RecordedHosts: 4, Secret: []byte("s"), SecretStored: true, First: tt.rank == 0, Rank: tt.rank}}
+				r := &Registration{Self: l.self, Store: l, State: l.registrationState, HostsChanged: func() <-chan struct{} { return changed }, Log: discardLog()}
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan error)
+				start := time.Now()
+				go func() { done <- r.Run(ctx) }()
+				time.Sleep(seenAt)
+				l.change(func() { l.state.AccountsSeen, l.droppedCommits = true, tt.dropped })
+				wake := changed
+				changed = make(chan struct{})
+				close(wake)
+				if tt.byOther > 0 {
+					time.Sleep(tt.byOther - seenAt)
+					l.change(func() { l.state.AccountsStored = true })
+				}
+				time.Sleep(length)
+				cancel()
+				require.NoError(t, <-done)
+				if tt.within == 0 {
+					require.Zero(t, l.accountsAt)
+					return
+				}
+				at := l.accountsAt.Sub(start) - seenAt
+				require.GreaterOrEqual(t, at, tt.want)
+				require.LessOrEqual(t, at, tt.want+tt.within)
+			})
+		})
+	}
+}
+
 func TestProcessThatStartsWhileFewHostsAreListedKnowsTheSizeOfTheFleet(t *testing.T) {
 	put := func(key, value string, revision uint64) store.Item {
 		return store.Item{Key: key, Value: []byte(value), Revision: store.NewRevision(1, revision)}
