Block requests a second after the third crash, not after learning of it

Cause: a host waited a second from when it had learned of the third crash. One that starts learns of it from others, so hosts that are replaced more often than that never decided.

Why this works: the age of a crash comes with the evidence, so a host that starts waits what is left of the second.

--- a/internal/traffic/entry/crash.go
+++ b/internal/traffic/entry/crash.go
@@ -200,7 +200,7 @@
 	c.expireSuspects()
 	c.cfg.Log.WithFields(logrus.Fields{fieldTarget: e.Target, fieldFingerprint: e.Fingerprint, "age-ms": e.Age.Milliseconds(), "ran-ms": e.Ran.Milliseconds(), "new": isNew}).Info("told of a death")
 	if isNew {
-		c.considerBlock(e.Fingerprint)
+		c.considerBlock(e.Fingerprint, at)
 	}
 }
 
--- a/internal/traffic/entry/crash_test.go
+++ b/internal/traffic/entry/crash_test.go
@@ -504,8 +504,8 @@
 	}
 }
 
-// Guards against a request that is never blocked because no host lives as long as hosts wait before they block:
-// they wait from when they learn of the third crash, not from the crash.
+// Guards against a request that is never blocked because no host lives as long as hosts wait before they block, if they
+// wait from when they learn of the third crash, and not from the crash.
 func TestRequestIsBlockedByHostsThatAreReplacedBeforeTheyDecide(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newCrashFleet(t, 3)
@@ -525,6 +525,38 @@
 	})
 }
 
+// Guards against a request that is blocked by a host that starts long after the crashes, before it knows that many
+// others crashed targets at the same time.
+func TestHostThatStartsWaitsForWhatAllOthersKnow(t *testing.T) {
+	const betweenPeers = 50 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFleet(t, 3)
+		f.store.away = true
+		crashed := func(host int, fingerprint uint64, target string, age time.Duration) {
+			f.hosts[host].HandleEvidence(crash.Evidence{Kind: crash.TargetCrashed, Fingerprint: fingerprint, Target: target, Service: "svc", Ran: time.Millisecond, Age: age})
+		}
+		for n, target := range []string{"a", "b", "c"} {
+			crashed(1, poisonRequest, target, 2*blockDelay-time.Duration(n)*50*time.Millisecond)
+		}
+		for n := range 20 {
+			crashed(2, poisonRequest+1+uint64(n), fmt.Sprintf("t-%d", n), 2*blockDelay)
+		}
+		records := make([][]byte, len(f.hosts))
+		for i := range records {
+			var err error
+			records[i], err = f.hosts[i].Export()
+			require.NoError(t, err)
+		}
+		require.NoError(t, f.hosts[0].Import(records[1]))
+		time.Sleep(betweenPeers)
+		require.NoError(t, f.hosts[0].Import(records[2]))
+		f.hosts[1].gone.Store(true)
+		f.silent.Store(true)
+		f.pass(maxBlockTime)
+		require.Zero(t, f.hosts[0].Blocked())
+	})
+}
+
 func FuzzImport(f *testing.F) {
 	for _, list := range [][]crash.Evidence{
 		nil,
