Test: hosts are woken by the first accounts, to record them

Without the notification TestHostsAreWokenByTheFirstAccounts fails, and the record comes up to a second late.

--- a/internal/fleet/directory/registration_test.go
+++ b/internal/fleet/directory/registration_test.go
@@ -443,3 +443,28 @@
 		require.Greater(t, renewed, leasePeriods*period-retryLimit, "the lease is renewed soon after the outage")
 	})
 }
+
+// Guards against a record of client accounts that waits for the next turn of the registration.
+func TestHostsAreWokenByTheFirstAccounts(t *testing.T) {
+	d := New(Config{Self: Host{Name: "a"}, Decoder: plainDecoder{}, Log: discardLog()}, nil)
+	tests := []struct {
+		name, config string
+		want         bool
+	}{
+		{name: "no accounts", config: "1"},
+		{name: "accounts", config: accountsPrefix + "k 2", want: true},
+		{name: "accounts remain", config: accountsPrefix + "l 3"},
+		{name: "accounts are gone", config: "4"},
+	}
+	for i, tt := range tests {
+		changed := d.HostsChanged()
+		d.publish(d.apply(now, &update{page: store.Page{Items: []store.Item{put("config", tt.config, uint64(i)+1)}}}), nil)
+		select {
+		case <-changed:
+			require.True(t, tt.want, tt.name)
+		default:
+			require.False(t, tt.want, tt.name)
+		}
+		require.Equal(t, i > 0, d.RegistrationState().AccountsSeen, tt.name)
+	}
+}
