--- a/internal/traffic/entry/block.go
+++ b/internal/traffic/entry/block.go
@@ -27,8 +27,8 @@
 	// request during that time clears the evidence. It is shorter than the time after which
 	// retries count against the fleet.
 	blockDelay = time.Second
-	// minBlockDelay is the time for which a host waits at least that learns of the third crash late: further evidence
-	// from others arrives with it.
+	// minBlockDelay is the shortest time that a host waits if it learns of the third crash late. Further evidence
+	// from others arrives in that time.
 	minBlockDelay = 100 * time.Millisecond
 	// numCoordinators is the number of hosts that always get the evidence on a request, and standbyDelay the time
 	// for which the second one waits for the announcement of the first. The others wait twice as long, and up to
@@ -115,8 +115,8 @@
 	return len(list)
 }
 
-// considerBlock begins to decide on a request if there is enough evidence since its crash at a time. A request that is
-// blocked already was reported by a host that does not know of it. The caller holds c.mu.
+// considerBlock begins to decide on a request if its last known crash, which was at crashed, makes the evidence complete.
+// A request that is blocked already was reported by a host that does not know of it. The caller holds c.mu.
 func (c *CrashTracker) considerBlock(fingerprint uint64, crashed time.Time) {
 	if _, ok := c.blockOf(fingerprint); ok {
 		c.announceUnlessDone(fingerprint, time.Now(), numCoordinators)
