Record accounts once the fleet has stopped growing

Cause: since hosts are woken by the first accounts, each host of a fleet that starts took itself for the first of the ranking, as it knew few others yet, and wrote the record.

Change: as for the record of the size, hosts wait until the fleet has not grown for 2 s. A host of a settled fleet still writes at once.

Evidence: TestAccountsAreRecordedByTheNextHostOfTheRanking has a host that is the first of those it knows while the fleet grows; without the condition it writes at once.

--- a/internal/fleet/directory/registration.go
+++ b/internal/fleet/directory/registration.go
@@ -240,8 +240,9 @@
 	return err
 }
 
-// recordAccounts records that a configuration had client accounts. The first host of the ranking does so at once;
-// the others wait longer the later they come, in case that those before them cannot reach the store.
+// recordAccounts records that a configuration had client accounts. The first host of the ranking does so at once,
+// unless the fleet still grows and many hosts take themselves for the first. The others wait longer the later they come,
+// in case that those before them cannot reach the store.
 func (r *Registration) recordAccounts(ctx context.Context, now time.Time) error {
 	s := r.State()
 	if !s.AccountsSeen || s.AccountsStored {
@@ -251,7 +252,7 @@
 	if r.accountsDue.IsZero() {
 		r.accountsDue = now
 	}
-	if now.Sub(r.accountsDue) < time.Duration(s.Rank)*accountsStep {
+	if now.Sub(r.grownAt) < sizeSettleTime || now.Sub(r.accountsDue) < time.Duration(s.Rank)*accountsStep {
 		return nil
 	}
 	_, err := r.Store.Commit(ctx, []store.Condition{{Key: AccountsKey}}, []store.Put{{Key: AccountsKey}}, nil)
--- a/internal/fleet/directory/registration_test.go
+++ b/internal/fleet/directory/registration_test.go
@@ -225,13 +225,15 @@
 // Guards against accounts that are recorded seconds late, or not at all because the first host of the ranking does not
 // reach the store.
 func TestAccountsAreRecordedByTheNextHostOfTheRanking(t *testing.T) {
-	const seenAt, length = 700 * time.Millisecond, time.Minute
+	const settledAt, length = sizeSettleTime + 700*time.Millisecond, time.Minute
 	tests := []struct {
 		name string
 		rank int
+		// growing is set if the accounts are seen while the fleet still grows.
+		growing bool
 		// dropped is the number of commits that are not applied, from the time on at which accounts are seen.
 		dropped int
-		// byOther is the time at which another host writes the record; zero for never.
+		// byOther is the time after the accounts were seen at which another host writes the record; zero for never.
 		byOther time.Duration
 		// want is the earliest time of the record after the accounts were seen, and within the time it takes at
 		// most then; never if within is zero.
@@ -241,7 +243,9 @@
 		{name: "first host, writes are lost", dropped: 2, within: 3 * renewPeriod},
 		{name: "second host", rank: 1, want: accountsStep, within: 2 * renewPeriod},
 		{name: "fourth host", rank: 3, want: 3 * accountsStep, within: 2 * renewPeriod},
-		{name: "second host, recorded by the first", rank: 1, byOther: seenAt + time.Second},
+		{name: "second host, recorded by the first", rank: 1, byOther: time.Second},
+		{name: "first host while the fleet grows, recorded by the first that it did not know", growing: true, byOther: time.Second},
+		{name: "first host while the fleet grows", growing: true, want: sizeSettleTime, within: maxRoleWait},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -251,15 +255,18 @@
 				r := &Registration{Self: l.self, Store: l, State: l.registrationState, HostsChanged: func() <-chan struct{} { return changed }, Log: discardLog()}
 				ctx, cancel := context.WithCancel(t.Context())
 				done := make(chan error)
-				start := time.Now()
 				go func() { done <- r.Run(ctx) }()
-				time.Sleep(seenAt)
+				time.Sleep(settledAt)
 				l.change(func() { l.state.AccountsSeen, l.droppedCommits = true, tt.dropped })
+				if tt.growing {
+					l.change(func() { l.state.Hosts++ })
+				}
+				seen := time.Now()
 				wake := changed
 				changed = make(chan struct{})
 				close(wake)
 				if tt.byOther > 0 {
-					time.Sleep(tt.byOther - seenAt)
+					time.Sleep(tt.byOther)
 					l.change(func() { l.state.AccountsStored = true })
 				}
 				time.Sleep(length)
@@ -269,7 +276,7 @@
 					require.Zero(t, l.accountsAt)
 					return
 				}
-				at := l.accountsAt.Sub(start) - seenAt
+				at := l.accountsAt.Sub(seen)
 				require.GreaterOrEqual(t, at, tt.want)
 				require.LessOrEqual(t, at, tt.want+tt.within)
 			})
